--- /dev/null
+++ b/cmake/hemlocknotch_package.cmake
@@ -0,0 +1,40 @@
+# hemlocknotch_library(NAME [DEPENDS target...]): static library hemlocknotch_NAME from src/*.cpp (main
+# programs, named main_*.cpp, excepted), with public headers under include/.
+function(hemlocknotch_library name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
+  list(FILTER sources EXCLUDE REGEX "/main_[a-z_]*\\.cpp$")
+  add_library(hemlocknotch_${name} STATIC ${sources})
+  add_library(hemlocknotch::${name} ALIAS hemlocknotch_${name})
+  set_target_properties(hemlocknotch_${name} PROPERTIES EXPORT_NAME ${name})
+  target_include_directories(hemlocknotch_${name} PUBLIC
+    $<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}/include>
+    $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>
+    PRIVATE src)
+  target_link_libraries(hemlocknotch_${name} PUBLIC ${ARG_DEPENDS})
+  target_compile_features(hemlocknotch_${name} PUBLIC cxx_std_20)
+endfunction()
+
+# hemlocknotch_program(NAME MAIN [DEPENDS target...]): program NAME from src/MAIN.cpp.
+function(hemlocknotch_program name main)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  add_executable(${name} src/${main}.cpp)
+  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
+  target_include_directories(${name} PRIVATE src)
+endfunction()
+
+# hemlocknotch_tests(NAME [DEPENDS target...]): one Boost.Test program from tests/*_test.cpp, known to ctest.
+function(hemlocknotch_tests name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS tests/*_test.cpp)
+  if(NOT sources)
+    return()
+  endif()
+  add_executable(${name}_test ${sources} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
+  target_link_libraries(${name}_test PRIVATE ${ARG_DEPENDS} Boost::unit_test_framework)
+  target_include_directories(${name}_test PRIVATE tests src)
+  target_compile_definitions(${name}_test PRIVATE BOOST_TEST_DYN_LINK
+    HEMLOCKNOTCH_SOURCE_DIR="${CMAKE_SOURCE_DIR}" HEMLOCKNOTCH_BINARY_DIR="${CMAKE_BINARY_DIR}/bin")
+  add_test(NAME ${name} COMMAND ${name}_test)
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/packages/core/include/hemlocknotch/core/entry_reducer.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <hemlocknotch/core/entry_effect.hpp>
+#include <hemlocknotch/core/entry_event.hpp>
+#include <hemlocknotch/core/entry_options.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace hemlocknotch {
+
+class entry_state;
+
+/// All decisions of an entry: `reduce(event) -> effects`. Has no I/O, clock, thread or random source; the
+/// same events always give the same effects. Not safe for use by two threads at once.
+class entry_reducer {
+public:
+    /// Makes an entry that knows no configuration, no members and no links. Never fails.
+    explicit entry_reducer(const entry_options& options);
+    ~entry_reducer();
+    entry_reducer(entry_reducer&&) noexcept;
+    entry_reducer& operator=(entry_reducer&&) noexcept;
+    entry_reducer(const entry_reducer&) = delete;
+    entry_reducer& operator=(const entry_reducer&) = delete;
+
+    /// Takes in one event and returns what is to be done, in order. Never fails: an event about something
+    /// unknown has no effects. Precondition: `event.now` is not before that of an earlier event.
+    std::vector<entry_effect> reduce(const entry_event& event);
+
+    /// Returns what the entry knows, for status pages and tests. Valid until the next `reduce`.
+    [[nodiscard]] const entry_state& state() const;
+
+private:
+    std::unique_ptr<entry_state> state_;
+};
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/include/hemlocknotch/core/message.hpp
@@ -0,0 +1,298 @@
+#pragma once
+
+#include <hemlocknotch/core/account_key.hpp>
+#include <hemlocknotch/core/process_identity.hpp>
+#include <hemlocknotch/core/refusal.hpp>
+#include <hemlocknotch/core/request_id.hpp>
+#include <hemlocknotch/core/time.hpp>
+#include <hemlocknotch/core/verdict.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// What entries and agents say to each other. Plain data; the `wire` package encodes it.
+/// Links run between entries and agents only; what has to reach every process is relayed over them.
+namespace hemlocknotch {
+
+/// Version of the messages. Both ends of a link must have the same one.
+inline constexpr std::uint32_t protocol_version = 1;
+
+/// One header line of a request or an answer.
+struct header_field {
+    std::string name;
+    std::string value;
+
+    friend bool operator==(const header_field&, const header_field&) = default;
+};
+
+/// First message of both ends on a new link.
+struct hello_message {
+    std::uint32_t version = protocol_version;
+    process_role role = process_role::entry;
+    process_identity sender;
+    std::string failure_domain;
+    /// The service behind an agent; empty for an entry.
+    std::string service;
+    std::uint64_t configuration_revision = 0;
+
+    friend bool operator==(const hello_message&, const hello_message&) = default;
+};
+
+/// Entry to agent: please run this request. From the first byte on it may have run.
+struct submit_message {
+    request_id id;
+    /// Counts the dispatches of one request, from 1. Answers carry it, so that those of an earlier dispatch
+    /// are told apart.
+    std::uint32_t attempt = 1;
+    /// The grant that this answers; 0 for a direct dispatch into advertised room.
+    std::uint64_t grant = 0;
+    account_key client_account;
+    /// The client account and profile by name, for logs and traces.
+    std::string account_name;
+    std::string profile;
+    bool is_idempotent = false;
+    bool is_resumable = false;
+    /// Estimated cost in units of the service.
+    double estimated_cost = 1.0;
+    /// Time left until the request must have started.
+    duration time_to_deadline{};
+    /// Hash of the prompt's beginning, 0 where there is none.
+    std::uint64_t prefix = 0;
+    /// Offset in the answer from which on parts are wanted; above 0 only for a resumable request.
+    std::uint64_t offset = 0;
+    std::string method;
+    std::string target;
+    std::vector<header_field> headers;
+    std::string body;
+    std::string traceparent;
+
+    friend bool operator==(const submit_message&, const submit_message&) = default;
+};
+
+/// Agent to entry: the dispatch was refused and did not run; a tombstone keeps any late copy from running.
+struct refuse_message {
+    request_id id;
+    std::uint32_t attempt = 1;
+    refusal_code code = refusal_code::no_room;
+    duration retry_after{};
+
+    friend bool operator==(const refuse_message&, const refuse_message&) = default;
+};
+
+/// Agent to entry: the endpoint's status and headers.
+struct head_message {
+    request_id id;
+    std::uint32_t attempt = 1;
+    std::uint32_t status = 200;
+    std::vector<header_field> headers;
+
+    friend bool operator==(const head_message&, const head_message&) = default;
+};
+
+/// Agent to entry: bytes of the answer's body from `offset` on.
+struct part_message {
+    request_id id;
+    std::uint32_t attempt = 1;
+    std::uint64_t offset = 0;
+    std::string bytes;
+
+    friend bool operator==(const part_message&, const part_message&) = default;
+};
+
+/// Agent to entry: the dispatch has ended. With verdict `ran`, `length` is the length of the whole body.
+struct end_message {
+    request_id id;
+    std::uint32_t attempt = 1;
+    verdict outcome = verdict::ran;
+    std::uint64_t length = 0;
+    /// True cost in units of the service.
+    double cost = 0.0;
+    /// Why, where the verdict is not `ran`.
+    refusal_code code = refusal_code::endpoint_failed;
+    /// Time that the request waited at the agent and ran at the endpoint.
+    duration queue_time{};
+    duration run_time{};
+
+    friend bool operator==(const end_message&, const end_message&) = default;
+};
+
+/// Entry to agent: the answer's body has been received up to `offset`; with `is_final`, the end as well, and
+/// the agent may forget the answer.
+struct ack_message {
+    request_id id;
+    std::uint32_t attempt = 1;
+    std::uint64_t offset = 0;
+    bool is_final = false;
+
+    friend bool operator==(const ack_message&, const ack_message&) = default;
+};
+
+/// Entry to agent: nobody waits for this dispatch any more. An idempotent one is stopped at the endpoint.
+struct cancel_message {
+    request_id id;
+    std::uint32_t attempt = 1;
+
+    friend bool operator==(const cancel_message&, const cancel_message&) = default;
+};
+
+/// Entry to agent, after a link change: what became of this dispatch? Parts are wanted from `offset` on.
+struct resolve_message {
+    request_id id;
+    std::uint32_t attempt = 1;
+    std::uint64_t offset = 0;
+
+    friend bool operator==(const resolve_message&, const resolve_message&) = default;
+};
+
+/// What an agent knows of a dispatch.
+enum class dispatch_state : std::uint8_t {
+    /// Waiting or running here; parts follow on this link.
+    running,
+    /// Ended here; the parts that are missing and the end follow on this link.
+    ended,
+    /// Never seen. Tombstoned with this answer, so that it will not run: the verdict is `not_run`.
+    never_seen,
+    /// Was known, and its answer is no longer kept. The verdict is `may_have_run`.
+    forgotten,
+};
+
+/// Agent to entry: the answer to `resolve_message`.
+struct resolved_message {
+    request_id id;
+    std::uint32_t attempt = 1;
+    dispatch_state state = dispatch_state::never_seen;
+
+    friend bool operator==(const resolved_message&, const resolved_message&) = default;
+};
+
+/// The waiting requests of one client account at one entry for one service.
+struct demand_item {
+    account_key client_account;
+    std::uint32_t waiting = 0;
+    /// Age of the oldest waiting request when the message was made.
+    duration oldest_age{};
+    /// Estimated cost of the request that would be sent next.
+    double estimated_cost = 1.0;
+
+    friend bool operator==(const demand_item&, const demand_item&) = default;
+};
+
+/// Entry to agent: demand for the agent's service. Items replace what was said of the same account before;
+/// `waiting` 0 removes it. With `is_whole`, accounts not named are removed.
+struct demand_message {
+    std::uint64_t sequence = 0;
+    bool is_whole = false;
+    std::vector<demand_item> items;
+
+    friend bool operator==(const demand_message&, const demand_message&) = default;
+};
+
+/// Agent to entry: this many requests may be sent without a grant. Replaces what was said before; each direct
+/// dispatch uses one up. An agent that takes no new work says so.
+struct room_message {
+    std::uint32_t room = 0;
+    bool is_draining = false;
+    /// Load, for operators: work in progress and the current concurrency limit.
+    std::uint32_t running = 0;
+    std::uint32_t limit = 0;
+
+    friend bool operator==(const room_message&, const room_message&) = default;
+};
+
+/// Agent to entry: a place is kept for one request of this client account for `time_to_live`.
+struct grant_message {
+    std::uint64_t grant = 0;
+    account_key client_account;
+    duration time_to_live{};
+    /// Hashes of prompt beginnings that the endpoint has cached, most recent first.
+    std::vector<std::uint64_t> cached_prefixes;
+
+    friend bool operator==(const grant_message&, const grant_message&) = default;
+};
+
+/// Entry to agent: nothing waits for this grant.
+struct decline_message {
+    std::uint64_t grant = 0;
+
+    friend bool operator==(const decline_message&, const decline_message&) = default;
+};
+
+/// Service that one client account has received from one agent incarnation.
+struct service_item {
+    account_key client_account;
+    /// Counts the changes of this item; the item with the highest one is current.
+    std::uint64_t sequence = 0;
+    /// Service received plus the estimated rest of what runs, in units.
+    double charged = 0.0;
+
+    friend bool operator==(const service_item&, const service_item&) = default;
+};
+
+/// What one agent incarnation has served.
+struct service_source {
+    process_identity agent;
+    std::vector<service_item> items;
+
+    friend bool operator==(const service_source&, const service_source&) = default;
+};
+
+/// Raise of one client account's counter at its return to the backlog. The highest raise is current.
+struct lift_item {
+    account_key client_account;
+    double lift = 0.0;
+
+    friend bool operator==(const lift_item&, const lift_item&) = default;
+};
+
+/// Both ways: service counters of one service, own and relayed. May be lost, doubled or reordered.
+struct service_report_message {
+    account_key service;
+    std::vector<service_source> sources;
+    std::vector<lift_item> lifts;
+
+    friend bool operator==(const service_report_message&, const service_report_message&) = default;
+};
+
+/// Both ways: the sender's configuration revision.
+struct revision_message {
+    std::uint64_t revision = 0;
+
+    friend bool operator==(const revision_message&, const revision_message&) = default;
+};
+
+/// Both ways: please send the configuration; the sender has an older revision or none.
+struct configuration_request_message {
+    friend bool operator==(const configuration_request_message&,
+                           const configuration_request_message&) = default;
+};
+
+/// Both ways: a whole configuration.
+struct configuration_message {
+    std::uint64_t revision = 0;
+    std::string document;
+
+    friend bool operator==(const configuration_message&, const configuration_message&) = default;
+};
+
+/// Both ways: sent while nothing else is. The receiver answers one with `is_reply` unset by one with it set.
+struct heartbeat_message {
+    std::uint64_t sequence = 0;
+    bool is_reply = false;
+
+    friend bool operator==(const heartbeat_message&, const heartbeat_message&) = default;
+};
+
+/// Any message.
+using message =
+    std::variant<hello_message, submit_message, refuse_message, head_message, part_message, end_message,
+                 ack_message, cancel_message, resolve_message, resolved_message, demand_message, room_message,
+                 grant_message, decline_message, service_report_message, revision_message,
+                 configuration_request_message, configuration_message, heartbeat_message>;
+
+/// Returns the name of the kind of `value`, as it stands in metrics and logs, such as `submit`.
+std::string_view kind_of(const message& value);
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/include/hemlocknotch/core/rendezvous.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hemlocknotch {
+
+/// Returns the weight of `candidate` for `key`: a 64-bit hash of both. The candidate with the highest weight
+/// owns the key (Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998). Never
+/// fails.
+std::uint64_t rendezvous_weight(std::string_view key, std::string_view candidate);
+
+/// Returns the positions in `candidates` of the `n` with the highest weights for `key`, highest first; all of
+/// them where there are fewer. A candidate that joins or leaves changes the choice of no other pair.
+std::vector<std::size_t> rendezvous_choose(std::string_view key, std::span<const std::string> candidates,
+                                           std::size_t n);
+
+/// Returns whether `self` is among the `n` processes of its failure domain that watch the key-value service.
+/// `same_domain` names all processes of the domain that the instance list shows as live; `self` counts as one
+/// of them if it is not named.
+bool is_watcher(std::string_view self, std::span<const std::string> same_domain, std::size_t n);
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/include/hemlocknotch/core/service_ledger.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <hemlocknotch/core/account_key.hpp>
+#include <hemlocknotch/core/message.hpp>
+#include <hemlocknotch/core/process_identity.hpp>
+#include <hemlocknotch/core/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace hemlocknotch {
+
+/// Service that each client account has received from each agent incarnation of one service, as far as known
+/// here. Reports merge by the highest sequence and lifts by maximum, so they may be lost, doubled or
+/// reordered (a last-writer-wins map per source and a grow-only maximum; see Shapiro et al., "Conflict-free
+/// Replicated Data Types", SSS 2011). Not safe for use by two threads at once.
+class service_ledger {
+public:
+    /// Makes an empty ledger in which `own` is the incarnation that charges. An entry, which never charges,
+    /// passes its own identity. `max_sources` bounds the incarnations kept; the one that has changed least
+    /// recently is dropped first. Precondition: `max_sources` is at least 1.
+    explicit service_ledger(process_identity own, std::size_t max_sources = default_max_sources);
+
+    static constexpr std::size_t default_max_sources = 4096;
+
+    /// Adds `units` (below zero to correct an estimate) to what this incarnation has charged
+    /// `client_account`.
+    void charge(account_key client_account, double units);
+
+    /// Takes in a report, own items excepted. Returns whether anything changed.
+    bool merge(const service_report_message& report);
+
+    /// Raises the counter of `client_account` to `floor` units of weighted service, if it is lower.
+    /// Precondition: `weight` is above zero.
+    void lift_to(account_key client_account, double weight, double floor);
+
+    /// Returns the weighted service of `client_account`: all that is charged to it, plus its lift, divided by
+    /// `weight`. Precondition: `weight` is above zero.
+    [[nodiscard]] double counter(account_key client_account, double weight) const;
+
+    /// Returns what this incarnation has charged `client_account` since the last `take_changes`, in units.
+    [[nodiscard]] double own_since_report(account_key client_account) const;
+
+    /// Returns all changes since the last call, own and relayed, as a report for `service`, and remembers
+    /// that they were told.
+    service_report_message take_changes(account_key service);
+
+    /// Returns everything known, as a report for `service`: for a peer that starts empty.
+    [[nodiscard]] service_report_message whole(account_key service) const;
+
+    /// Returns the number of incarnations known.
+    [[nodiscard]] std::size_t source_count() const { return sources_.size(); }
+
+private:
+    struct cell {
+        std::uint64_t sequence = 0;
+        double charged = 0.0;
+        bool is_changed = false;
+    };
+
+    struct source {
+        std::unordered_map<account_key, cell> cells;
+        std::uint64_t last_change = 0;
+    };
+
+    struct lift {
+        double amount = 0.0;
+        bool is_changed = false;
+    };
+
+    void drop_oldest_source();
+
+    process_identity own_;
+    std::size_t max_sources_;
+    std::uint64_t change_count_ = 0;
+    std::map<process_identity, source> sources_;
+    std::unordered_map<account_key, double> totals_;
+    std::unordered_map<account_key, double> own_since_report_;
+    std::unordered_map<account_key, lift> lifts_;
+};
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/src/placeholder.cpp
@@ -0,0 +1,2 @@
+#include <hemlocknotch/core/agent_reducer.hpp>
+#include <hemlocknotch/core/entry_reducer.hpp>
--- /dev/null
+++ b/packages/daemon/src/main_daemon.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/packages/platform/include/hemlocknotch/platform/http_platform.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/core/time.hpp>
+#include <hemlocknotch/platform/instance_list.hpp>
+#include <hemlocknotch/platform/key_value_service.hpp>
+
+#include <memory>
+
+struct event_base;
+
+namespace hemlocknotch {
+
+/// Makes a client of the key-value service's HTTP interface (docs/INTERFACES.md) at `address`. A call that
+/// has no answer after `limit` (a watch: its own limit more) ends as `unknown`. `base` must outlive it.
+std::unique_ptr<key_value_service>
+make_http_key_value_service(event_base* base, const endpoint_address& address, duration limit);
+
+/// Makes a client of the instance list's HTTP interface (docs/INTERFACES.md) at `address`. `base` must
+/// outlive it.
+std::unique_ptr<instance_list> make_http_instance_list(event_base* base, const endpoint_address& address,
+                                                       duration limit);
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/platform/src/placeholder.cpp
@@ -0,0 +1,2 @@
+#include <hemlocknotch/platform/configuration_document.hpp>
+#include <hemlocknotch/platform/http_platform.hpp>
--- /dev/null
+++ b/packages/wire/include/hemlocknotch/wire/link_factory.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/wire/link.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+struct event_base;
+
+namespace hemlocknotch {
+
+/// Largest encoded message that a link takes, in bytes.
+inline constexpr std::size_t max_message_bytes = std::size_t{32} << 20U;
+
+/// Accepts links on one address until it is destroyed. Used by the event loop's thread only.
+class link_listener {
+public:
+    virtual ~link_listener() = default;
+
+    /// Returns the address that is listened on, with the port that the system chose where 0 was asked for.
+    [[nodiscard]] virtual endpoint_address address() const = 0;
+
+    /// Emitted for each accepted link, before its handshake; `link::opened` follows. A handler takes
+    /// ownership; a link that none takes is closed.
+    sigc::signal<void(std::shared_ptr<std::unique_ptr<link>>)> accepted;
+};
+
+/// Makes links. Used by the event loop's thread only.
+class link_factory {
+public:
+    virtual ~link_factory() = default;
+
+    /// Starts to connect to `address` and returns the link, which emits `opened` or `closed` later, never
+    /// from within this call.
+    virtual std::unique_ptr<link> connect(const endpoint_address& address) = 0;
+
+    /// Listens on `address`. Returns null where the system refuses the address.
+    virtual std::unique_ptr<link_listener> listen(const endpoint_address& address) = 0;
+};
+
+/// Makes a factory of websocket links over libevent's bufferevents on `base`, which must outlive the factory
+/// and all that it makes.
+std::unique_ptr<link_factory> make_websocket_link_factory(event_base* base);
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/wire/src/placeholder.cpp
@@ -0,0 +1,1 @@
+#include <hemlocknotch/wire/link_factory.hpp>
