Agent: reducer, its modules, fair orders and limits

Cause: the agent's side of the path did not exist. Change: service ledger, fair orders (damped, fleet, local, random), concurrency limits (fixed, adaptive), and the agent reducer built from small modules: links, dispatches, tombstones, grants, demand, answers, reports. Not yet tested.

--- /dev/null
+++ b/packages/core/include/hemlocknotch/core/local_fair_order.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <hemlocknotch/core/fair_order.hpp>
+
+#include <optional>
+#include <span>
+
+namespace hemlocknotch {
+
+/// Baseline: serves the account that has received least from this agent itself, as if there were no other.
+/// Immutable; its use needs no locks beyond those of the ledger.
+class local_fair_order final : public fair_order {
+public:
+    /// Returns the position of the account with the least weighted service of this agent's own, the first of
+    /// equals; nothing where `backlogged` is empty.
+    [[nodiscard]] std::optional<std::size_t> next(std::span<const backlogged_account> backlogged,
+                                                  const service_ledger& ledger,
+                                                  const fair_order_context& context) const override;
+};
+
+} // namespace hemlocknotch
--- a/packages/core/include/hemlocknotch/core/service_ledger.hpp
+++ b/packages/core/include/hemlocknotch/core/service_ledger.hpp
@@ -41,6 +41,10 @@
     /// `weight`. Precondition: `weight` is above zero.
     [[nodiscard]] double counter(account_key client_account, double weight) const;
 
+    /// Returns the weighted service that `client_account` has received from this incarnation alone, without
+    /// lifts. Precondition: `weight` is above zero.
+    [[nodiscard]] double own_counter(account_key client_account, double weight) const;
+
     /// Returns what this incarnation has charged `client_account` since the last `take_changes`, in units.
     [[nodiscard]] double own_since_report(account_key client_account) const;
 
--- /dev/null
+++ b/packages/core/src/account_selector.cpp
@@ -0,0 +1,65 @@
+#include "account_selector.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace hemlocknotch {
+
+account_selector::account_selector(process_identity own, std::unique_ptr<fair_order> order)
+    : ledger_{std::move(own)}, order_{std::move(order)}
+{
+    assert(order_ != nullptr);
+}
+
+void account_selector::set_agent_count(std::size_t n)
+{
+    assert(n >= 1);
+    agent_count_ = n;
+}
+
+void account_selector::set_backlogged(const std::vector<account_key>& backlogged)
+{
+    std::optional<double> lowest;
+    for (const account_key it : backlogged_) {
+        lowest = lowest ? std::min(*lowest, counter(it)) : counter(it);
+    }
+    floor_ = std::max(floor_, lowest.value_or(0.0));
+    for (const account_key it : backlogged) {
+        if (!backlogged_.contains(it)) {
+            ledger_.lift_to(it, weight_of(it), lowest.value_or(floor_));
+        }
+    }
+    backlogged_ = {backlogged.begin(), backlogged.end()};
+}
+
+std::optional<std::size_t> account_selector::next(std::span<const account_demand> waiting, instant now,
+                                                  std::uint64_t entropy) const
+{
+    std::vector<backlogged_account> candidates;
+    candidates.reserve(waiting.size());
+    for (const account_demand& it : waiting) {
+        candidates.push_back(
+            {it.client_account, weight_of(it.client_account), it.estimated_cost, now - it.oldest_since});
+    }
+    return order_->next(candidates, ledger_, {now, entropy, agent_count_, mean_cost_});
+}
+
+void account_selector::on_completed(double cost)
+{
+    /// Weight of the newest request in the mean.
+    constexpr double newest_share = 0.05;
+    mean_cost_ = std::exchange(has_mean_cost_, true) ? mean_cost_ + newest_share * (cost - mean_cost_) : cost;
+}
+
+double account_selector::weight_of(account_key client_account) const
+{
+    return configuration_ ? configuration_->weight_of(client_account) : 1.0;
+}
+
+double account_selector::counter(account_key client_account) const
+{
+    return ledger_.counter(client_account, weight_of(client_account));
+}
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/src/agent_reports.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "agent_parts.hpp"
+
+/// Duty of an agent: exchange counters of service with the fleet.
+namespace hemlocknotch::agent {
+
+/// An entry told counters, its own or relayed.
+void on_service_report(agent_parts& parts, const service_report_message& value);
+
+/// Sends the changes since the last report to every entry.
+///
+/// Where this agent has links to all entries that the instance list shows, each entry hears every agent
+/// itself and only own changes are sent; otherwise changes of other agents are relayed too. Every
+/// `whole_period`-th time one entry in turn is sent all that is known, so that what was lost is made good
+/// (anti-entropy; Demers et al., "Epidemic Algorithms for Replicated Database Maintenance", 1987).
+void send_reports(agent_parts& parts);
+
+} // namespace hemlocknotch::agent
--- /dev/null
+++ b/packages/core/src/room_split.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <hemlocknotch/core/link_id.hpp>
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace hemlocknotch {
+
+/// Room that one entry believes in.
+struct link_room {
+    link_id link = 0;
+    std::uint32_t room = 0;
+
+    friend bool operator==(const link_room&, const link_room&) = default;
+};
+
+/// Divides `places` among the links of `told` so that the sum never exceeds it, and returns the new room of
+/// each in the same order. Each gets an equal part, the first ones one more where it does not come out even.
+/// To save messages, room is only raised from nothing or to at least the double.
+std::vector<link_room> split_room(std::span<const link_room> told, std::uint32_t places);
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/src/service_ledger.cpp
@@ -0,0 +1,158 @@
+#include <hemlocknotch/core/service_ledger.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace hemlocknotch {
+
+service_ledger::service_ledger(process_identity own, std::size_t max_sources)
+    : own_{std::move(own)}, max_sources_{max_sources}
+{
+    assert(max_sources_ >= 1);
+}
+
+void service_ledger::charge(account_key client_account, double units)
+{
+    if (units == 0.0) {
+        return;
+    }
+    source& own = sources_[own_];
+    cell& it = own.cells[client_account];
+    ++it.sequence;
+    it.charged += units;
+    it.is_changed = true;
+    own.last_change = ++change_count_;
+    totals_[client_account] += units;
+    own_since_report_[client_account] += units;
+}
+
+bool service_ledger::merge(const service_report_message& report)
+{
+    bool is_any_new = false;
+    for (const service_source& told : report.sources) {
+        if (told.agent == own_) {
+            continue;
+        }
+        for (const service_item& item : told.items) {
+            source& known = sources_[told.agent];
+            cell& it = known.cells[item.client_account];
+            if (item.sequence <= it.sequence) {
+                continue;
+            }
+            totals_[item.client_account] += item.charged - it.charged;
+            it = cell{item.sequence, item.charged, true};
+            known.last_change = ++change_count_;
+            is_any_new = true;
+        }
+    }
+    for (const lift_item& item : report.lifts) {
+        lift& it = lifts_[item.client_account];
+        if (item.lift > it.amount) {
+            it = lift{item.lift, true};
+            is_any_new = true;
+        }
+    }
+    while (sources_.size() > max_sources_) {
+        drop_oldest_source();
+    }
+    return is_any_new;
+}
+
+void service_ledger::lift_to(account_key client_account, double weight, double floor)
+{
+    assert(weight > 0.0);
+    const double missing = (floor - counter(client_account, weight)) * weight;
+    if (missing <= 0.0) {
+        return;
+    }
+    lift& it = lifts_[client_account];
+    it.amount += missing;
+    it.is_changed = true;
+}
+
+double service_ledger::counter(account_key client_account, double weight) const
+{
+    assert(weight > 0.0);
+    const auto total = totals_.find(client_account);
+    const auto raised = lifts_.find(client_account);
+    const double charged = total == totals_.end() ? 0.0 : total->second;
+    const double amount = raised == lifts_.end() ? 0.0 : raised->second.amount;
+    return (charged + amount) / weight;
+}
+
+double service_ledger::own_counter(account_key client_account, double weight) const
+{
+    assert(weight > 0.0);
+    const auto own = sources_.find(own_);
+    if (own == sources_.end()) {
+        return 0.0;
+    }
+    const auto it = own->second.cells.find(client_account);
+    return it == own->second.cells.end() ? 0.0 : it->second.charged / weight;
+}
+
+double service_ledger::own_since_report(account_key client_account) const
+{
+    const auto it = own_since_report_.find(client_account);
+    return it == own_since_report_.end() ? 0.0 : it->second;
+}
+
+service_report_message service_ledger::take_changes(account_key service)
+{
+    service_report_message report{service, {}, {}};
+    for (auto& [agent, known] : sources_) {
+        service_source told{agent, {}};
+        for (auto& [client_account, it] : known.cells) {
+            if (std::exchange(it.is_changed, false)) {
+                told.items.push_back({client_account, it.sequence, it.charged});
+            }
+        }
+        if (!told.items.empty()) {
+            report.sources.push_back(std::move(told));
+        }
+    }
+    for (auto& [client_account, it] : lifts_) {
+        if (std::exchange(it.is_changed, false)) {
+            report.lifts.push_back({client_account, it.amount});
+        }
+    }
+    own_since_report_.clear();
+    return report;
+}
+
+service_report_message service_ledger::whole(account_key service) const
+{
+    service_report_message report{service, {}, {}};
+    for (const auto& [agent, known] : sources_) {
+        service_source told{agent, {}};
+        for (const auto& [client_account, it] : known.cells) {
+            told.items.push_back({client_account, it.sequence, it.charged});
+        }
+        report.sources.push_back(std::move(told));
+    }
+    for (const auto& [client_account, it] : lifts_) {
+        report.lifts.push_back({client_account, it.amount});
+    }
+    return report;
+}
+
+void service_ledger::drop_oldest_source()
+{
+    const auto is_older = [this](const auto& left, const auto& right) {
+        const bool is_left_own = left.first == own_;
+        const bool is_right_own = right.first == own_;
+        if (is_left_own != is_right_own) {
+            return is_right_own;
+        }
+        return left.second.last_change < right.second.last_change;
+    };
+    const auto oldest = std::min_element(sources_.begin(), sources_.end(), is_older);
+    assert(oldest != sources_.end());
+    for (const auto& [client_account, it] : oldest->second.cells) {
+        totals_[client_account] -= it.charged;
+    }
+    sources_.erase(oldest);
+}
+
+} // namespace hemlocknotch
