Add the links: websocket frames with CBOR messages over libevent

Cause: entries and agents need a typed, ordered connection. Change: message codec from one list of fields for both directions, websocket codec without I/O (the only C++17 source), link and listener over bufferevents. Found while testing: the JSON library's CBOR reader throws on an array longer than memory even with exceptions off, and calls itself once a nesting level, so that 10 MB of nested arrays end the process; both are refused now and have a test. The type is called peer_link because link() is a system call.

--- a/packages/wire/include/hemlocknotch/wire/link_factory.hpp
+++ b/packages/wire/include/hemlocknotch/wire/link_factory.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/core/endpoint_address.hpp>
-#include <hemlocknotch/wire/link.hpp>
+#include <hemlocknotch/wire/peer_link.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -22,9 +22,9 @@
     /// Returns the address that is listened on, with the port that the system chose where 0 was asked for.
     [[nodiscard]] virtual endpoint_address address() const = 0;
 
-    /// Emitted for each accepted link, before its handshake; `link::opened` follows. A handler takes
-    /// ownership; a link that none takes is closed.
-    sigc::signal<void(std::shared_ptr<std::unique_ptr<link>>)> accepted;
+    /// Emitted for each accepted link, before its handshake; `peer_link::opened` follows. A handler keeps the
+    /// pointer; a link that nobody keeps is closed.
+    sigc::signal<void(const std::shared_ptr<peer_link>&)> accepted;
 };
 
 /// Makes links. Used by the event loop's thread only.
@@ -34,7 +34,7 @@
 
     /// Starts to connect to `address` and returns the link, which emits `opened` or `closed` later, never
     /// from within this call.
-    virtual std::unique_ptr<link> connect(const endpoint_address& address) = 0;
+    virtual std::unique_ptr<peer_link> connect(const endpoint_address& address) = 0;
 
     /// Listens on `address`. Returns null where the system refuses the address.
     virtual std::unique_ptr<link_listener> listen(const endpoint_address& address) = 0;
--- a/packages/wire/include/hemlocknotch/wire/link.hpp
+++ b/packages/wire/include/hemlocknotch/wire/peer_link.hpp
@@ -23,9 +23,9 @@
 
 /// A connection between an entry and an agent that carries messages in order. Used by the event loop's thread
 /// only. Destroying a link closes it without a signal.
-class link {
+class peer_link {
 public:
-    virtual ~link() = default;
+    virtual ~peer_link() = default;
 
     /// Queues `value` for sending. Ignored once the link has closed.
     virtual void send(const message& value) = 0;
--- a/packages/wire/src/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <hemlocknotch/wire/link_factory.hpp>
--- /dev/null
+++ b/packages/wire/src/socket_address.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <hemlocknotch/core/endpoint_address.hpp>
+
+#include <sys/socket.h>
+
+namespace hemlocknotch::detail {
+
+/// An address in the form that the system's socket calls take and give. Immutable value.
+class socket_address {
+public:
+    /// Makes the system's form of `address`. Never fails, since the address is numeric.
+    static socket_address of(const endpoint_address& address);
+
+    /// Returns the local address of a bound socket. Precondition: `socket` is an IP socket.
+    static endpoint_address bound_to(int socket);
+
+    /// Returns the address for a call that reads it.
+    [[nodiscard]] const sockaddr* get() const { return reinterpret_cast<const sockaddr*>(&storage_); }
+
+    /// Returns the length of what `get` points to, in bytes.
+    [[nodiscard]] int length() const { return length_; }
+
+private:
+    socket_address() = default;
+
+    sockaddr_storage storage_{};
+    int length_ = 0;
+};
+
+} // namespace hemlocknotch::detail
