--- a/packages/core/include/hemlocknotch/core/configuration_tracker.hpp
+++ b/packages/core/include/hemlocknotch/core/configuration_tracker.hpp
@@ -5,6 +5,7 @@
 #include <hemlocknotch/core/link_id.hpp>
 #include <hemlocknotch/core/message.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -26,11 +27,12 @@
     /// Takes in a link whose peer said `revision` in its hello. Returns the messages to send.
     std::vector<send_effect> add_link(link_id link, std::uint64_t revision);
 
-    /// Forgets a link.
-    void remove_link(link_id link);
+    /// Forgets a link. Returns a request to another peer where the removed link owed a document.
+    std::vector<send_effect> remove_link(link_id link);
 
-    /// Takes in a peer's `revision_message`. Returns a request to that peer if it is ahead and the document
-    /// has not been asked for already on that link.
+    /// Takes in a peer's `revision_message`. Returns a request to that peer if it is ahead and fewer than
+    /// `max_open_requests` links have been asked for that revision: one document is enough, and a second
+    /// request covers a link that has gone silent.
     std::vector<send_effect> on_revision(link_id link, std::uint64_t revision);
 
     /// Takes in a peer's request. Returns the document, or nothing where there is none yet.
@@ -45,12 +47,18 @@
     /// nothing. Precondition: `value` is not null.
     std::vector<send_effect> accept(const configuration_ptr& value);
 
+    /// Links that are asked for the same revision at one time.
+    static constexpr std::size_t max_open_requests = 2;
+
 private:
     struct peer_state {
         std::uint64_t revision = 0;
+        /// Revision that this link was asked for; 0 for none.
         std::uint64_t requested = 0;
     };
 
+    std::vector<send_effect> request_if_ahead(link_id link, peer_state& peer);
+
     configuration_ptr current_;
     std::map<link_id, peer_state> peers_;
 };
--- a/packages/core/src/placeholder.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-#include <hemlocknotch/core/agent_reducer.hpp>
-#include <hemlocknotch/core/entry_reducer.hpp>
