--- /dev/null
+++ b/packages/platform/src/configuration_envelope.cpp
@@ -0,0 +1,57 @@
+#include <hemlocknotch/platform/configuration_envelope.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace hemlocknotch {
+namespace {
+
+using nlohmann::json;
+
+std::string read_text(const json& value, const char* name)
+{
+    const auto it = value.find(name);
+    return it != value.end() && it->is_string() ? it->get<std::string>() : std::string{};
+}
+
+} // namespace
+
+std::string write_envelope(const configuration_envelope& value)
+{
+    const json text{{"revision", value.revision},
+                    {"author", value.author},
+                    {"applied_at", value.applied_at},
+                    {"change", value.change},
+                    {"document", value.document}};
+    return text.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<configuration_envelope> read_envelope(std::string_view text)
+{
+    const json value = json::parse(text, nullptr, false);
+    if (!value.is_object()) {
+        return std::nullopt;
+    }
+    const auto revision = value.find("revision");
+    const auto document = value.find("document");
+    if (revision == value.end() || !revision->is_number_unsigned() || document == value.end() ||
+        !document->is_string()) {
+        return std::nullopt;
+    }
+    configuration_envelope envelope;
+    envelope.revision = revision->get<std::uint64_t>();
+    if (envelope.revision == 0) {
+        return std::nullopt;
+    }
+    envelope.author = read_text(value, "author");
+    envelope.applied_at = read_text(value, "applied_at");
+    envelope.change = read_text(value, "change");
+    envelope.document = document->get<std::string>();
+    return envelope;
+}
+
+std::string history_key(std::uint64_t revision)
+{
+    return "hemlocknotch/history/" + std::to_string(revision);
+}
+
+} // namespace hemlocknotch
--- a/packages/platform/src/placeholder.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-#include <hemlocknotch/platform/configuration_document.hpp>
-#include <hemlocknotch/platform/http_platform.hpp>
--- /dev/null
+++ b/packages/platform/tests/configuration_envelope_test.cpp
@@ -0,0 +1,28 @@
+#include <hemlocknotch/platform/configuration_envelope.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+using hemlocknotch::configuration_envelope;
+using hemlocknotch::read_envelope;
+
+BOOST_AUTO_TEST_SUITE(configuration_envelope_test)
+
+BOOST_AUTO_TEST_CASE(what_is_written_is_read_back)
+{
+    const configuration_envelope value{7, "ana", "2026-01-31T12:00:00Z", "c0ffee", "{ // \"x\"\n}"};
+    const auto read = read_envelope(write_envelope(value));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((*read == value));
+}
+
+BOOST_AUTO_TEST_CASE(other_text_is_no_envelope)
+{
+    BOOST_TEST(!read_envelope("").has_value());
+    BOOST_TEST(!read_envelope("[1]").has_value());
+    BOOST_TEST(!read_envelope(R"({"revision": 0, "document": ""})").has_value());
+    BOOST_TEST(!read_envelope(R"({"revision": -1, "document": ""})").has_value());
+    BOOST_TEST(!read_envelope(R"({"revision": 1, "document": {}})").has_value());
+    BOOST_TEST(read_envelope(R"({"revision": 1, "document": ""})").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
