--- /dev/null
+++ b/packages/core/bench/fleet.hpp
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <hemlocknotch/core/agent_reducer.hpp>
+#include <hemlocknotch/core/agent_state.hpp>
+
+#include "gap_meter.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <vector>
+
+/// A fleet of real agent reducers with scripted entries, in one process and in virtual time.
+namespace hemlocknotch::bench {
+
+/// What a run looks like.
+struct fleet_options {
+    std::size_t agents = 20;
+    std::size_t entries = 6;
+    std::size_t accounts = 16;
+    std::uint32_t slots = 8;
+    std::uint64_t seed = 1;
+    duration length = std::chrono::seconds{600};
+    duration report_interval = std::chrono::seconds{1};
+    duration link_delay = std::chrono::milliseconds{1};
+    /// Time for one unit of an answer.
+    duration unit_time = std::chrono::milliseconds{20};
+    /// Standard deviation of the logarithm of a request's cost, and largest cost in units.
+    double cost_spread = 0.8;
+    double max_cost = 4000.0;
+    /// Entries that each account uses.
+    std::size_t entries_per_account = 2;
+    /// Offered load as a share of the fleet's capacity; above 1 all accounts stay backlogged.
+    double load = 0.0;
+    std::function<std::unique_ptr<fair_order>()> make_order;
+};
+
+/// What a run gave.
+struct fleet_result {
+    /// Largest gap, in units over weight, and in seconds of one account's fair share.
+    double gap_units = 0.0;
+    double gap_seconds = 0.0;
+    double jain = 1.0;
+    /// Share of the places in use while anything waited.
+    double utilisation = 0.0;
+    std::uint64_t requests = 0;
+    std::uint64_t declines = 0;
+    std::uint64_t refusals = 0;
+    /// Size of the service reports in items, over all links, for each agent and second.
+    double report_items = 0.0;
+};
+
+/// One run. Not safe for use by two threads at once.
+class fleet {
+public:
+    explicit fleet(const fleet_options& options);
+    fleet(const fleet&) = delete;
+    fleet& operator=(const fleet&) = delete;
+    fleet(fleet&&) = delete;
+    fleet& operator=(fleet&&) = delete;
+    ~fleet() = default;
+
+    /// Plays the run to its end and returns what it gave.
+    fleet_result run();
+
+private:
+    struct waiting_request {
+        double cost = 1.0;
+        instant arrived;
+    };
+
+    struct scripted_entry {
+        std::uint64_t incarnation = 0;
+        std::uint64_t last_sequence = 0;
+        std::uint64_t demand_sequence = 0;
+        std::vector<std::deque<waiting_request>> queues;
+        /// Count last told of each account.
+        std::vector<std::size_t> told;
+        std::vector<std::uint32_t> room;
+        std::unique_ptr<service_ledger> ledger;
+        bool is_telling = false;
+    };
+
+    struct running_call {
+        std::size_t agent = 0;
+        call_id call = 0;
+        std::size_t account = 0;
+        double left = 0.0;
+        bool is_stopped = false;
+    };
+
+    struct timed {
+        instant at;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        friend bool operator>(const timed& left, const timed& right)
+        {
+            return left.at != right.at ? left.at > right.at : left.order > right.order;
+        }
+    };
+
+    void later(duration delay, std::function<void()> action);
+    void set_up();
+    void give(std::size_t agent, decltype(agent_event::content) content);
+    void apply(std::size_t agent, agent_effect effect);
+    void on_message(std::size_t entry, std::size_t agent, const message& value);
+    void tell(std::size_t entry, std::size_t agent, message value);
+    void start_call(std::size_t agent, const start_call_effect& effect);
+    void step_call(const std::shared_ptr<running_call>& call);
+    void arrive(std::size_t account);
+    void add_waiting(std::size_t entry, std::size_t account);
+    void submit(std::size_t entry, std::size_t agent, std::size_t account, std::uint64_t grant);
+    void use_room(std::size_t entry);
+    void change_waiting(std::size_t account, int by);
+    void tell_demand_soon(std::size_t entry);
+    void tell_demand(std::size_t entry);
+    void report(std::size_t entry);
+    void sample();
+    [[nodiscard]] double draw_cost(std::size_t account);
+    [[nodiscard]] std::size_t account_of(account_key key) const;
+
+    fleet_options options_;
+    std::mt19937_64 random_;
+    instant now_{std::chrono::seconds{1}};
+    std::uint64_t order_ = 0;
+    std::priority_queue<timed, std::vector<timed>, std::greater<>> events_;
+    std::vector<std::unique_ptr<agent_reducer>> agents_;
+    std::vector<instant> ticks_;
+    std::vector<scripted_entry> entries_;
+    std::vector<account_key> keys_;
+    std::vector<double> medians_;
+    std::vector<std::size_t> waiting_;
+    std::vector<std::uint64_t> arrived_;
+    gap_meter meter_;
+    fleet_result result_;
+    double places_used_ = 0.0;
+    double samples_ = 0.0;
+};
+
+} // namespace hemlocknotch::bench
--- a/packages/core/include/hemlocknotch/core/fair_order.hpp
+++ b/packages/core/include/hemlocknotch/core/fair_order.hpp
@@ -4,6 +4,7 @@
 #include <hemlocknotch/core/service_ledger.hpp>
 #include <hemlocknotch/core/time.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -31,6 +32,10 @@
     std::size_t agent_count = 1;
     /// Mean cost of recent requests, in units.
     double mean_cost = 1.0;
+    /// What this agent charges in a second, in units, on average over the last reports.
+    double own_rate = 0.0;
+    /// Time between two reports.
+    duration report_interval = std::chrono::seconds{1};
 };
 
 /// Policy: which client account is served next. Implementations are deterministic given their arguments and
--- a/packages/core/src/account_selector.cpp
+++ b/packages/core/src/account_selector.cpp
@@ -6,9 +6,11 @@
 
 namespace hemlocknotch {
 
-account_selector::account_selector(process_identity own, std::unique_ptr<fair_order> order)
-    : ledger_{std::move(own)}, order_{std::move(order)}
+account_selector::account_selector(process_identity own, std::unique_ptr<fair_order> order,
+                                   duration report_interval)
+    : ledger_{std::move(own)}, order_{std::move(order)}, report_interval_{report_interval}
 {
+    assert(report_interval_ > duration::zero());
     assert(order_ != nullptr);
 }
 
@@ -42,7 +44,24 @@
         candidates.push_back(
             {it.client_account, weight_of(it.client_account), it.estimated_cost, now - it.oldest_since});
     }
-    return order_->next(candidates, ledger_, {now, entropy, agent_count_, mean_cost_});
+    return order_->next(candidates, ledger_,
+                        {now, entropy, agent_count_, mean_cost_, own_rate_, report_interval_});
+}
+
+void account_selector::charge(account_key client_account, double units)
+{
+    ledger_.charge(client_account, units);
+    charged_since_report_ += units;
+}
+
+service_report_message account_selector::take_report(account_key service)
+{
+    /// Weight of the newest report interval in the mean rate.
+    constexpr double newest_share = 0.1;
+    const double seconds = std::chrono::duration<double>(report_interval_).count();
+    const double rate = std::max(0.0, std::exchange(charged_since_report_, 0.0)) / seconds;
+    own_rate_ = own_rate_ > 0.0 ? own_rate_ + newest_share * (rate - own_rate_) : rate;
+    return ledger_.take_changes(service);
 }
 
 void account_selector::on_completed(double cost)
--- a/packages/core/src/account_selector.hpp
+++ b/packages/core/src/account_selector.hpp
@@ -23,7 +23,7 @@
 class account_selector {
 public:
     /// Precondition: `order` is not null.
-    account_selector(process_identity own, std::unique_ptr<fair_order> order);
+    account_selector(process_identity own, std::unique_ptr<fair_order> order, duration report_interval);
 
     /// Puts the weights of a configuration in force.
     void set_configuration(configuration_ptr value) { configuration_ = std::move(value); }
@@ -39,7 +39,10 @@
                                                   std::uint64_t entropy) const;
 
     /// Charges `units` to a client account; below zero to correct an estimate.
-    void charge(account_key client_account, double units) { ledger_.charge(client_account, units); }
+    void charge(account_key client_account, double units);
+
+    /// Returns the changes of the counters since the last report.
+    service_report_message take_report(account_key service);
 
     /// Takes in the true cost of a request that has ended.
     void on_completed(double cost);
@@ -63,6 +66,10 @@
     std::unique_ptr<fair_order> order_;
     configuration_ptr configuration_;
     std::size_t agent_count_ = 1;
+    duration report_interval_;
+    double charged_since_report_ = 0.0;
+    /// Units charged in a second.
+    double own_rate_ = 0.0;
     double mean_cost_ = 1.0;
     bool has_mean_cost_ = false;
     std::set<account_key> backlogged_;
--- a/packages/core/src/agent_links.cpp
+++ b/packages/core/src/agent_links.cpp
@@ -82,7 +82,9 @@
     if (!removed) {
         return;
     }
-    parts.tracker.remove_link(event.link);
+    for (send_effect& it : parts.tracker.remove_link(event.link)) {
+        parts.send(it.link, std::move(it.content));
+    }
     return_grants_of(parts, event.link);
     parts.demand.remove_link(event.link);
     parts.selector.set_backlogged(parts.demand.backlogged());
--- a/packages/core/src/agent_parts.cpp
+++ b/packages/core/src/agent_parts.cpp
@@ -10,7 +10,7 @@
     : options{settings},
       tombstones{settings.max_tombstones, settings.tombstone_kept},
       grants{settings.grant_time_to_live},
-      selector{settings.identity, std::move(order)},
+      selector{settings.identity, std::move(order), settings.report_interval},
       limit{std::move(policy)}
 {
     assert(limit != nullptr);
--- a/packages/core/src/agent_reports.cpp
+++ b/packages/core/src/agent_reports.cpp
@@ -42,7 +42,7 @@
 {
     const auto service = account_key::of(parts.options.service);
     const std::vector<link_id> links = greeted_links(parts);
-    service_report_message report = parts.selector.ledger().take_changes(service);
+    service_report_message report = parts.selector.take_report(service);
     if (!is_relaying(parts, links.size())) {
         std::erase_if(report.sources,
                       [&](const service_source& it) { return it.agent != parts.options.identity; });
