Add the entry's reducer: queue, dispatch, answers, links

Cause: an entry had a contract but no decisions.

Change: entry_reducer hands each event to one of five classes that share entry_data: caller_handler (checks, claims), dispatcher (direct dispatch, grants), outcome_handler (answers, resolve, retries), link_handler (links, heartbeats, demand, reports) and request_ender (final outcomes). The parts with rules of their own stand alone: answer_progress, waiting_queue, demand_teller, retry_budget, cost_estimator, service_rate, agent_choice. entry_state is an interface with a status in figures. refusal_code gets out_of_reach, because out-of-service tells callers of an order of the operators that nobody gave.

--- a/packages/core/include/hemlocknotch/core/refusal.hpp
+++ b/packages/core/include/hemlocknotch/core/refusal.hpp
@@ -31,6 +31,7 @@
     answer_too_large,
     cancelled,
     internal_limit,
+    out_of_reach,
 };
 
 /// Returns the text of `code` as it stands in refusals, logs and metrics, such as `queue-full`.
--- /dev/null
+++ b/packages/core/src/caller_handler.cpp
@@ -0,0 +1,197 @@
+#include "caller_handler.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <string>
+
+namespace hemlocknotch {
+namespace {
+
+constexpr duration other_instance_retry_after = std::chrono::seconds{1};
+constexpr duration store_retry_after = std::chrono::seconds{1};
+
+refusal refused(refusal_code code, duration retry_after = {})
+{
+    return refusal{code, verdict::not_run, retry_after};
+}
+
+} // namespace
+
+void caller_handler::on_request(entry_turn& turn, const caller_request_event& value)
+{
+    const request_id id{data_.options.identity.incarnation, ++data_.last_sequence};
+    const std::optional<refusal> reason = check(turn, value);
+    if (reason) {
+        turn.count_labelled("hemlocknotch_requests_total", "verdict", to_string(reason->outcome));
+        turn.count_labelled("hemlocknotch_refusals_total", "code", to_string(reason->code));
+        turn.emit(log_effect{log_level::info,
+                             "request-refused",
+                             {{"request_id", id.to_string()},
+                              {"client_account", value.client_account},
+                              {"profile", value.profile},
+                              {"code", std::string{to_string(reason->code)}},
+                              {"verdict", std::string{to_string(reason->outcome)}}}});
+        turn.emit(reply_refusal_effect{value.exchange, id, *reason});
+        return;
+    }
+    data_.budget.on_request();
+    entry_request& request = data_.requests.add(make_request(turn, id, value));
+    if (request.idempotency_key.empty()) {
+        dispatcher_.enqueue(turn, request);
+        return;
+    }
+    request.is_claim_pending = true;
+    turn.emit(claim_key_effect{id, request.account_name, request.idempotency_key});
+}
+
+std::optional<refusal> caller_handler::check(const entry_turn& turn, const caller_request_event& value) const
+{
+    const configuration_ptr& current = data_.configuration.current();
+    if (current == nullptr) {
+        return refused(refusal_code::no_configuration, other_instance_retry_after);
+    }
+    if (current->find_client_account(value.client_account) == nullptr) {
+        return refused(refusal_code::unknown_client_account);
+    }
+    const profile_definition* const profile = current->find_profile(value.profile);
+    if (profile == nullptr || current->find_service(profile->service) == nullptr) {
+        return refused(refusal_code::unknown_profile);
+    }
+    if (value.body.size() > profile->max_body_bytes) {
+        return refused(refusal_code::body_too_large);
+    }
+    if (data_.is_draining) {
+        return refused(refusal_code::shutting_down, other_instance_retry_after);
+    }
+    if (data_.is_out()) {
+        return refused(refusal_code::out_of_service, other_instance_retry_after);
+    }
+    if (!data_.reach.is_in_reach(turn.now())) {
+        return refused(refusal_code::out_of_reach, other_instance_retry_after);
+    }
+    return check_limits(turn, value);
+}
+
+std::optional<refusal> caller_handler::check_limits(const entry_turn& turn,
+                                                    const caller_request_event& value) const
+{
+    const entry_options& options = data_.options;
+    const request_table& requests = data_.requests;
+    const std::size_t waiting = requests.waiting() + data_.abandoned_claims.size();
+    const bool is_full =
+        waiting >= options.max_waiting || requests.held_bytes() + value.body.size() > options.max_held_bytes;
+    if (is_full) {
+        return refused(refusal_code::queue_full, data_.rate.time_for_all(waiting, turn.now()));
+    }
+    const auto key = account_key::of(value.client_account);
+    const std::size_t of_account = requests.waiting_of(key);
+    if (of_account >= options.max_waiting_per_account) {
+        return refused(refusal_code::account_queue_full,
+                       data_.rate.time_for_account(key, of_account, turn.now()));
+    }
+    return std::nullopt;
+}
+
+std::unique_ptr<entry_request> caller_handler::make_request(const entry_turn& turn, const request_id& id,
+                                                            const caller_request_event& value) const
+{
+    const configuration_ptr& current = data_.configuration.current();
+    const profile_definition* const profile = current->find_profile(value.profile);
+    assert(profile != nullptr);
+    const service_definition* const service = current->find_service(profile->service);
+    assert(service != nullptr);
+    auto made = std::make_unique<entry_request>();
+    made->id = id;
+    made->exchange = value.exchange;
+    made->account_name = value.client_account;
+    made->client_account = account_key::of(value.client_account);
+    made->accepted_under = current;
+    made->profile = profile;
+    made->service = service->key;
+    made->idempotency_key = value.idempotency_key;
+    made->cost_hint = value.cost_hint;
+    made->estimated_cost = data_.estimator.estimate(profile->name, made->client_account, value.cost_hint,
+                                                    service->initial_estimate);
+    made->arrived = turn.now();
+    made->queued_at = turn.now();
+    made->deadline = turn.now() + std::min(value.deadline.value_or(profile->deadline), profile->deadline);
+    made->timer_at = made->deadline;
+    made->prefix = value.prefix;
+    made->method = value.method;
+    made->target = value.target;
+    made->headers = value.headers;
+    made->body = value.body;
+    made->traceparent = value.traceparent;
+    made->state = request_state::claiming;
+    return made;
+}
+
+void caller_handler::on_claim_result(entry_turn& turn, const claim_result_event& value)
+{
+    const auto abandoned = data_.abandoned_claims.find(value.id);
+    if (abandoned != data_.abandoned_claims.end()) {
+        const claim_key_effect claim = abandoned->second;
+        data_.abandoned_claims.erase(abandoned);
+        if (value.outcome != claim_outcome::held_by_other) {
+            turn.emit(settle_claim_effect{claim.id, claim.client_account, claim.key, verdict::not_run});
+        }
+        return;
+    }
+    entry_request* const request = data_.requests.find(value.id);
+    if (request == nullptr || !request->is_claim_pending) {
+        return;
+    }
+    request->is_claim_pending = false;
+    request->is_claimed = value.outcome != claim_outcome::held_by_other;
+    switch (value.outcome) {
+    case claim_outcome::won:
+        dispatcher_.enqueue(turn, *request);
+        return;
+    case claim_outcome::held_by_other:
+        ender_.refuse(turn, *request, refusal_code::idempotency_key_in_use, verdict::not_run);
+        return;
+    case claim_outcome::unavailable:
+        // The claim may have been written all the same, so it is freed.
+        ender_.refuse(turn, *request, refusal_code::idempotency_store_unavailable, verdict::not_run,
+                      store_retry_after);
+        return;
+    }
+}
+
+void caller_handler::on_progress(entry_turn& turn, const caller_progress_event& value)
+{
+    entry_request* const request = data_.requests.find_exchange(value.exchange);
+    if (request == nullptr) {
+        return;
+    }
+    request->answer.on_taken(value.sent_bytes);
+    if (request->is_outstanding()) {
+        outcomes_.acknowledge(turn, *request);
+    }
+}
+
+void caller_handler::on_gone(entry_turn& turn, const caller_gone_event& value)
+{
+    entry_request* const request = data_.requests.find_exchange(value.exchange);
+    if (request == nullptr) {
+        return;
+    }
+    if (!request->is_outstanding()) {
+        ender_.drop(turn, *request, verdict::not_run);
+        return;
+    }
+    if (request->is_claimed && !request->profile->is_idempotent) {
+        // Followed to its end, so that the claim is settled with the true verdict.
+        data_.requests.detach_caller(*request);
+        request->answer.on_taken(request->answer.received());
+        outcomes_.acknowledge(turn, *request);
+        return;
+    }
+    agent_link* const link = data_.links.find(request->link);
+    if (link != nullptr && link->is_open) {
+        link_table::send(turn, *link, cancel_message{request->id, request->attempt});
+    }
+    ender_.drop(turn, *request, verdict::may_have_run);
+}
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/src/caller_handler.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <hemlocknotch/core/entry_event.hpp>
+
+#include "dispatcher.hpp"
+#include "entry_data.hpp"
+#include "entry_turn.hpp"
+#include "outcome_handler.hpp"
+#include "request_ender.hpp"
+
+#include <memory>
+#include <optional>
+
+namespace hemlocknotch {
+
+/// Takes in what callers do: checks new requests, claims their idempotency keys, and follows how fast callers
+/// take their answers.
+class caller_handler {
+public:
+    caller_handler(entry_data& data, dispatcher& work, outcome_handler& outcomes, request_ender& ender)
+        : data_{data}, dispatcher_{work}, outcomes_{outcomes}, ender_{ender}
+    {
+    }
+
+    void on_request(entry_turn& turn, const caller_request_event& value);
+    void on_claim_result(entry_turn& turn, const claim_result_event& value);
+    void on_progress(entry_turn& turn, const caller_progress_event& value);
+    void on_gone(entry_turn& turn, const caller_gone_event& value);
+
+private:
+    [[nodiscard]] std::optional<refusal> check(const entry_turn& turn,
+                                               const caller_request_event& value) const;
+    [[nodiscard]] std::optional<refusal> check_limits(const entry_turn& turn,
+                                                      const caller_request_event& value) const;
+    [[nodiscard]] std::unique_ptr<entry_request> make_request(const entry_turn& turn, const request_id& id,
+                                                              const caller_request_event& value) const;
+
+    entry_data& data_;
+    dispatcher& dispatcher_;
+    outcome_handler& outcomes_;
+    request_ender& ender_;
+};
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/src/demand_teller.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <hemlocknotch/core/message.hpp>
+#include <hemlocknotch/core/time.hpp>
+
+#include "agent_link.hpp"
+#include "waiting_queue.hpp"
+
+#include <optional>
+
+namespace hemlocknotch {
+
+/// Returns the demand message that brings an agent up to date with `queue`, and remembers it as told; nothing
+/// where the agent knows enough. A count is told when it changes between none and some, rises to another
+/// power of two or falls by more than one, so that a long queue costs few messages.
+std::optional<demand_message> next_demand(const waiting_queue& queue, told_demand& told, instant now);
+
+/// Follows the agent, which counts down with each grant that is used and tries the last one again only after
+/// a delay or news.
+void on_grant_used(told_demand& told, account_key client_account);
+
+/// Follows the agent, which after a declined grant waits for a delay or news.
+void on_grant_declined(told_demand& told, account_key client_account);
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/src/dispatcher.cpp
@@ -0,0 +1,160 @@
+#include "dispatcher.hpp"
+
+#include "agent_choice.hpp"
+#include "demand_teller.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+#include <utility>
+
+namespace hemlocknotch {
+namespace {
+
+submit_message submit_of(const entry_request& value, std::uint64_t grant, instant now)
+{
+    return submit_message{.id = value.id,
+                          .attempt = value.attempt,
+                          .grant = grant,
+                          .client_account = value.client_account,
+                          .account_name = value.account_name,
+                          .profile = value.profile->name,
+                          .is_idempotent = value.profile->is_idempotent,
+                          .is_resumable = value.profile->is_resumable,
+                          .estimated_cost = value.estimated_cost,
+                          .time_to_deadline = value.deadline - now,
+                          .prefix = value.prefix,
+                          .offset = value.answer.received(),
+                          .method = value.method,
+                          .target = value.target,
+                          .headers = value.headers,
+                          .body = value.body,
+                          .traceparent = value.traceparent};
+}
+
+} // namespace
+
+void dispatcher::enqueue(entry_turn& turn, entry_request& value)
+{
+    assert(value.state != request_state::waiting);
+    if (!value.pinned_agent.empty()) {
+        enqueue_pinned(turn, value);
+        return;
+    }
+    waiting_queue& queue = data_.queues[value.service];
+    data_.requests.set_state(value, request_state::waiting);
+    data_.requests.set_timer(value, value.deadline);
+    value.queued_at = turn.now();
+    const bool is_first = queue.empty();
+    queue.add(value);
+    agent_link* const link = is_first ? choose_agent(turn, value) : nullptr;
+    if (link != nullptr) {
+        --link->room;
+        submit(turn, value, *link, 0);
+    }
+}
+
+void dispatcher::enqueue_pinned(entry_turn& turn, entry_request& value)
+{
+    agent_link* const link = data_.links.usable_link_to(value.pinned_agent);
+    if (link == nullptr || !link->is_open) {
+        delay(turn, value, 1);
+        return;
+    }
+    data_.requests.set_state(value, request_state::waiting);
+    data_.queues[value.service].add(value);
+    submit(turn, value, *link, 0);
+}
+
+void dispatcher::delay(entry_turn& turn, entry_request& value, unsigned n)
+{
+    assert(value.state != request_state::waiting);
+    data_.requests.set_state(value, request_state::delayed);
+    const duration pause =
+        jittered_backoff(data_.options.retry_backoff, max_backoff, n, turn.random().next_unit());
+    data_.requests.set_timer(value, std::min(value.deadline, turn.now() + pause));
+}
+
+void dispatcher::on_grant(entry_turn& turn, agent_link& link, const grant_message& value)
+{
+    link.cached_prefixes = value.cached_prefixes;
+    entry_request* const chosen =
+        data_.may_send_work(link)
+            ? data_.queues[link.service].choose(value.client_account, value.cached_prefixes)
+            : nullptr;
+    if (chosen == nullptr) {
+        on_grant_declined(link.told, value.client_account);
+        link_table::send(turn, link, decline_message{value.grant});
+        return;
+    }
+    on_grant_used(link.told, value.client_account);
+    submit(turn, *chosen, link, value.grant);
+}
+
+void dispatcher::on_room(entry_turn& turn, agent_link& link, const room_message& value)
+{
+    link.room = value.room;
+    link.is_draining = value.is_draining;
+    while (link.room > 0 && data_.may_send_work(link)) {
+        entry_request* const next = least_served(link.service, link);
+        if (next == nullptr) {
+            return;
+        }
+        --link.room;
+        submit(turn, *next, link, 0);
+    }
+}
+
+entry_request* dispatcher::least_served(account_key service, const agent_link& link)
+{
+    waiting_queue& queue = data_.queues[service];
+    const auto ledger = data_.ledgers.find(service);
+    const configuration& current = *data_.configuration.current();
+    account_key lowest;
+    double lowest_counter = 0.0;
+    bool is_found = false;
+    for (const account_key it : queue.backlogged()) {
+        const double counter =
+            ledger == data_.ledgers.end() ? 0.0 : ledger->second.counter(it, current.weight_of(it));
+        if (!is_found || counter < lowest_counter) {
+            lowest = it;
+            lowest_counter = counter;
+            is_found = true;
+        }
+    }
+    return is_found ? queue.choose(lowest, link.cached_prefixes) : nullptr;
+}
+
+agent_link* dispatcher::choose_agent(entry_turn& turn, const entry_request& value)
+{
+    std::vector<agent_link*> with_room;
+    for (auto& [id, link] : data_.links.links()) {
+        if (link.room > 0 && link.service == value.service && data_.may_send_work(link)) {
+            with_room.push_back(&link);
+        }
+    }
+    return choose_for_direct(with_room, value.prefix, data_.options.failure_domain, turn.random());
+}
+
+void dispatcher::submit(entry_turn& turn, entry_request& value, agent_link& link, std::uint64_t grant)
+{
+    assert(value.state == request_state::waiting);
+    data_.queues[value.service].remove(value);
+    ++value.attempt;
+    value.agent = link.peer;
+    value.link = link.id;
+    value.is_resolving = false;
+    value.dispatched_at = turn.now();
+    value.last_news = turn.now();
+    data_.requests.set_state(value, request_state::dispatched);
+    data_.requests.set_timer(value, turn.now() + data_.options.resolve_limit);
+    link_table::send(turn, link, submit_of(value, grant, turn.now()));
+    data_.rate.on_dispatch(value.client_account, turn.now());
+    const std::chrono::duration<double> waited = turn.now() - value.arrived;
+    turn.emit(metric_effect{metric_kind::histogram, "hemlocknotch_wait_seconds", "client_account",
+                            value.account_name, waited.count()});
+    turn.emit(span_effect{value.id, "entry-queue", value.queued_at, turn.now(), value.traceparent,
+                          value.account_name, value.profile->name, link.peer.name});
+}
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/src/entry_core.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <hemlocknotch/core/entry_state.hpp>
+
+#include "caller_handler.hpp"
+#include "dispatcher.hpp"
+#include "entry_data.hpp"
+#include "entry_turn.hpp"
+#include "link_handler.hpp"
+#include "outcome_handler.hpp"
+#include "request_ender.hpp"
+
+#include <optional>
+
+namespace hemlocknotch {
+
+/// An entry's state and the classes that decide on it. Hands each event to the one that it concerns, then
+/// brings up to date what depends on several: demand, readiness, timers and the end of a planned stop.
+class entry_core : public entry_state {
+public:
+    /// Makes an entry that starts with its first event.
+    explicit entry_core(const entry_options& options);
+
+    std::vector<entry_effect> reduce(const entry_event& event) override;
+    [[nodiscard]] entry_status status() const override;
+
+private:
+    void start(entry_turn& turn);
+    void on(entry_turn& turn, const members_event& value);
+    void on(entry_turn& turn, const configuration_event& value);
+    void on(entry_turn& turn, const store_contact_event& value);
+    void on(entry_turn& turn, const stop_event& value);
+    void run_timers(entry_turn& turn);
+    void run_timer(entry_turn& turn, entry_request& value);
+    void run_periodic_work(entry_turn& turn);
+    void end_all(entry_turn& turn);
+    void update_readiness(entry_turn& turn);
+    void update_watch(entry_turn& turn);
+    void finish_stop(entry_turn& turn);
+    void schedule(entry_turn& turn, std::optional<instant> demand_at);
+    [[nodiscard]] instant next_maintenance(instant now) const;
+
+    entry_data data_;
+    request_ender ender_;
+    dispatcher dispatcher_;
+    outcome_handler outcomes_;
+    caller_handler callers_;
+    link_handler links_;
+    std::optional<bool> told_ready_;
+    std::optional<bool> told_watch_;
+    bool is_started_ = false;
+    bool is_stopped_ = false;
+    instant maintain_at_;
+    instant report_at_;
+    instant scheduled_at_ = instant::max();
+};
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/src/entry_data.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <hemlocknotch/core/configuration_tracker.hpp>
+#include <hemlocknotch/core/entry_options.hpp>
+#include <hemlocknotch/core/reach_rule.hpp>
+#include <hemlocknotch/core/service_ledger.hpp>
+
+#include "cost_estimator.hpp"
+#include "link_table.hpp"
+#include "request_table.hpp"
+#include "retry_budget.hpp"
+#include "service_rate.hpp"
+#include "waiting_queue.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace hemlocknotch {
+
+/// Everything that an entry knows. The classes that decide share it by reference.
+struct entry_data {
+    /// Makes the data of an entry that starts at `now`.
+    entry_data(const entry_options& chosen, instant now)
+        : options{chosen}, budget{chosen.retry_share, now}, reach{chosen.out_of_reach_limit, now}
+    {
+    }
+
+    entry_options options;
+    configuration_tracker configuration;
+    request_table requests;
+    /// By service.
+    std::map<account_key, waiting_queue> queues;
+    std::map<account_key, service_ledger> ledgers;
+    link_table links;
+    cost_estimator estimator;
+    retry_budget budget;
+    service_rate rate;
+    reach_rule reach;
+    std::vector<member> members;
+    std::uint64_t last_sequence = 0;
+    /// Requests given up while their claim was under way; a claim that is won after all is freed.
+    std::map<request_id, claim_key_effect> abandoned_claims;
+    bool is_draining = false;
+    /// End of a planned stop's time; set while draining.
+    instant stop_at;
+
+    /// Returns whether this entry has been taken out of service.
+    [[nodiscard]] bool is_out() const
+    {
+        const configuration_ptr& current = configuration.current();
+        return current != nullptr && current->is_out(options.identity.name, options.failure_domain);
+    }
+
+    /// Returns whether the agent behind `link` may be sent new work.
+    [[nodiscard]] bool may_send_work(const agent_link& link)
+    {
+        const agent_target* const target = links.find_target(link.target);
+        const configuration_ptr& current = configuration.current();
+        return link.is_open && link.has_hello && !link.is_draining && target != nullptr &&
+               target->is_chosen && target->link == link.id && current != nullptr &&
+               !current->is_out(link.peer.name, link.failure_domain);
+    }
+};
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/src/link_handler.cpp
@@ -0,0 +1,364 @@
+#include "link_handler.hpp"
+
+#include <hemlocknotch/core/link_subset.hpp>
+
+#include "demand_teller.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace hemlocknotch {
+namespace {
+
+/// Heartbeats are rarer by this factor on a link on which nothing is outstanding and nothing waits.
+constexpr int idle_factor = 4;
+
+template <class... Handlers>
+struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+/// Returns `report` without what its receiver has said itself.
+service_report_message without_source(service_report_message report, const process_identity& receiver)
+{
+    std::erase_if(report.sources, [&](const service_source& it) { return it.agent == receiver; });
+    return report;
+}
+
+/// Returns why a link cannot be used; empty where it can.
+std::string_view fault_of(const hello_message& value, const agent_link& link)
+{
+    if (value.version != protocol_version) {
+        return "the peer has another protocol version";
+    }
+    if (value.role != process_role::agent) {
+        return "the peer is no agent";
+    }
+    if (value.sender.name != link.target) {
+        return "the instance list gives this address to another instance";
+    }
+    return {};
+}
+
+bool is_empty(const service_report_message& report)
+{
+    return report.sources.empty() && report.lifts.empty();
+}
+
+} // namespace
+
+void link_handler::on_members(entry_turn& turn, const members_event& value)
+{
+    data_.members = value.members;
+    const auto positions =
+        choose_links(data_.options.identity.name, data_.options.failure_domain, data_.members,
+                     link_subset_options{.agents_per_service = data_.options.agents_per_service});
+    std::vector<member> chosen;
+    for (const std::size_t it : positions) {
+        chosen.push_back(data_.members.at(it));
+    }
+    data_.links.choose(turn, chosen);
+    const bool has_other_domains =
+        std::any_of(data_.members.begin(), data_.members.end(),
+                    [&](const auto& it) { return it.failure_domain != data_.options.failure_domain; });
+    data_.reach.set_has_other_domains(has_other_domains);
+    maintain(turn);
+}
+
+void link_handler::on_opened(entry_turn& turn, const link_opened_event& value)
+{
+    agent_link* const link = data_.links.find(value.link);
+    if (link == nullptr || link->is_open || link->is_closing) {
+        return;
+    }
+    link->is_open = true;
+    link->last_heard = turn.now();
+    link_table::send(turn, *link,
+                     hello_message{.role = process_role::entry,
+                                   .sender = data_.options.identity,
+                                   .failure_domain = data_.options.failure_domain,
+                                   .service = {},
+                                   .configuration_revision = data_.configuration.revision()});
+}
+
+void link_handler::on_closed(entry_turn& turn, const link_closed_event& value)
+{
+    agent_link* const link = data_.links.find(value.link);
+    if (link == nullptr) {
+        return;
+    }
+    turn.emit(
+        log_effect{log_level::info, "link-closed", {{"agent", link->target}, {"reason", value.reason}}});
+    const std::string name = link->target;
+    const bool was_in_use = !link->peer.name.empty();
+    agent_target* const target = data_.links.find_target(link->target);
+    data_.configuration.remove_link(value.link);
+    data_.links.remove(value.link);
+    if (target != nullptr) {
+        target->failures = was_in_use ? 1 : target->failures + 1;
+        target->retry_at = turn.now() + jittered_backoff(data_.options.reconnect_backoff,
+                                                         data_.options.reconnect_backoff_limit,
+                                                         target->failures, turn.random().next_unit());
+    }
+    for (const request_id& id : data_.requests.outstanding_at(name)) {
+        entry_request* const request = data_.requests.find(id);
+        if (request->link == value.link) {
+            outcomes_.on_link_lost(turn, *request);
+        }
+    }
+    agent_link* const other = data_.links.usable_link_to(name);
+    if (other != nullptr) {
+        take_over(turn, *other);
+    }
+}
+
+void link_handler::on_message(entry_turn& turn, const link_message_event& value)
+{
+    agent_link* const link = data_.links.find(value.link);
+    if (link == nullptr || !link->is_open) {
+        return;
+    }
+    link->last_heard = turn.now();
+    link->probed_at.reset();
+    if (const auto* const hello = std::get_if<hello_message>(&value.content)) {
+        if (!link->has_hello) {
+            on_hello(turn, *link, *hello);
+        }
+        return;
+    }
+    if (link->has_hello) {
+        on_contact(turn, *link);
+        dispatch_message(turn, *link, value.content);
+    }
+}
+
+void link_handler::on_hello(entry_turn& turn, agent_link& link, const hello_message& value)
+{
+    const std::string_view fault = fault_of(value, link);
+    if (!fault.empty()) {
+        turn.emit(log_effect{
+            log_level::warning,
+            "link-refused",
+            {{"agent", link.target}, {"peer", value.sender.name}, {"reason", std::string{fault}}}});
+        link_table::close(turn, link, std::string{fault});
+        return;
+    }
+    link.has_hello = true;
+    link.peer = value.sender;
+    link.failure_domain = value.failure_domain;
+    link.service = account_key::of(value.service);
+    on_contact(turn, link);
+    data_.links.find_target(link.target)->failures = 0;
+    if (agent_link* const before = data_.links.put_in_use(link)) {
+        link_table::close(turn, *before, "replaced by a new link");
+    }
+    turn.emit(log_effect{
+        log_level::info,
+        "link-opened",
+        {{"agent", link.peer.name}, {"service", value.service}, {"failure_domain", link.failure_domain}}});
+    data_.links.send_all(turn, data_.configuration.add_link(link.id, value.configuration_revision));
+    const auto ledger = data_.ledgers.find(link.service);
+    if (ledger != data_.ledgers.end()) {
+        service_report_message report = without_source(ledger->second.whole(link.service), link.peer);
+        if (!is_empty(report)) {
+            link_table::send(turn, link, std::move(report));
+        }
+    }
+    take_over(turn, link);
+}
+
+void link_handler::take_over(entry_turn& turn, agent_link& link)
+{
+    for (const request_id& id : data_.requests.outstanding_at(link.peer.name)) {
+        entry_request* const request = data_.requests.find(id);
+        if (request == nullptr || request->link == link.id) {
+            continue;
+        }
+        if (request->agent != link.peer) {
+            outcomes_.on_unresolvable(turn, *request);
+            continue;
+        }
+        outcomes_.on_link_lost(turn, *request);
+        outcomes_.resolve(turn, link, *request);
+    }
+}
+
+void link_handler::on_contact(const entry_turn& turn, const agent_link& link)
+{
+    if (link.failure_domain == data_.options.failure_domain) {
+        data_.reach.on_own_domain_reached(turn.now());
+    }
+    else {
+        data_.reach.on_other_domain_reached(turn.now());
+    }
+}
+
+void link_handler::dispatch_message(entry_turn& turn, agent_link& link, const message& content)
+{
+    std::visit(overloaded{
+                   [&](const refuse_message& it) { outcomes_.on_refuse(turn, link, it); },
+                   [&](const head_message& it) { outcomes_.on_head(turn, link, it); },
+                   [&](const part_message& it) { outcomes_.on_part(turn, link, it); },
+                   [&](const end_message& it) { outcomes_.on_end(turn, link, it); },
+                   [&](const resolved_message& it) { outcomes_.on_resolved(turn, link, it); },
+                   [&](const room_message& it) { dispatcher_.on_room(turn, link, it); },
+                   [&](const grant_message& it) { dispatcher_.on_grant(turn, link, it); },
+                   [&](const service_report_message& it) { on_service_report(link, it); },
+                   [&](const revision_message& it) {
+                       data_.links.send_all(turn, data_.configuration.on_revision(link.id, it.revision));
+                   },
+                   [&](const configuration_request_message& /*it*/) {
+                       data_.links.send_all(turn, data_.configuration.on_request(link.id));
+                   },
+                   [&](const configuration_message& it) {
+                       if (auto order = data_.configuration.on_document(it)) {
+                           turn.emit(std::move(*order));
+                       }
+                   },
+                   [&](const heartbeat_message& it) {
+                       if (!it.is_reply) {
+                           link_table::send(turn, link, heartbeat_message{it.sequence, true});
+                       }
+                   },
+                   [&](const auto& /*it*/) {
+                       turn.emit(
+                           log_effect{log_level::warning,
+                                      "unexpected-message",
+                                      {{"agent", link.peer.name}, {"kind", std::string{kind_of(content)}}}});
+                   },
+               },
+               content);
+}
+
+void link_handler::on_service_report(agent_link& link, const service_report_message& value)
+{
+    if (value.service != link.service) {
+        return;
+    }
+    const auto [it, is_new] = data_.ledgers.try_emplace(value.service, data_.options.identity);
+    it->second.merge(value);
+}
+
+void link_handler::report_service(entry_turn& turn)
+{
+    for (auto& [service, ledger] : data_.ledgers) {
+        const service_report_message changes = ledger.take_changes(service);
+        if (is_empty(changes)) {
+            continue;
+        }
+        for (auto& [id, link] : data_.links.links()) {
+            if (!link.has_hello || link.service != service) {
+                continue;
+            }
+            service_report_message report = without_source(changes, link.peer);
+            if (!is_empty(report)) {
+                link_table::send(turn, link, std::move(report));
+            }
+        }
+    }
+}
+
+std::optional<instant> link_handler::tell_demand(entry_turn& turn)
+{
+    const waiting_queue no_work;
+    std::optional<instant> again_at;
+    for (auto& [id, link] : data_.links.links()) {
+        if (!link.has_hello) {
+            continue;
+        }
+        const bool is_work_allowed = data_.may_send_work(link);
+        if (link.told.is_work_allowed != is_work_allowed) {
+            link.told.is_work_allowed = is_work_allowed;
+            link.told.queue_version = 0;
+        }
+        const waiting_queue& queue = is_work_allowed ? data_.queues[link.service] : no_work;
+        if (link.told.queue_version == queue.version()) {
+            continue;
+        }
+        if (link.told.next_at > turn.now()) {
+            again_at = std::min(again_at.value_or(link.told.next_at), link.told.next_at);
+            continue;
+        }
+        if (auto demand = next_demand(queue, link.told, turn.now())) {
+            link.told.next_at = turn.now() + data_.options.demand_interval;
+            link_table::send(turn, link, std::move(*demand));
+        }
+    }
+    return again_at;
+}
+
+bool link_handler::is_active(const agent_link& link) const
+{
+    return data_.requests.has_outstanding_at(link.peer.name) || !link.told.accounts.empty();
+}
+
+void link_handler::maintain(entry_turn& turn)
+{
+    for (auto& [id, link] : data_.links.links()) {
+        maintain_link(turn, link);
+    }
+    auto& targets = data_.links.targets();
+    for (auto it = targets.begin(); it != targets.end();) {
+        agent_target& target = it->second;
+        const bool is_needed = target.is_chosen || data_.requests.has_outstanding_at(it->first);
+        if (!is_needed && target.link == 0 && target.replacement == 0) {
+            it = targets.erase(it);
+            continue;
+        }
+        maintain_target(turn, target);
+        ++it;
+    }
+}
+
+void link_handler::maintain_link(entry_turn& turn, agent_link& link)
+{
+    const entry_options& options = data_.options;
+    if (link.is_closing) {
+        return;
+    }
+    if (!link.has_hello) {
+        if (turn.now() - link.last_heard >= options.silence_limit) {
+            link_table::close(turn, link, "no hello in time");
+        }
+        return;
+    }
+    const duration interval = options.heartbeat_interval * (is_active(link) ? 1 : idle_factor);
+    const duration quiet = turn.now() - std::min(link.last_heard, link.last_sent);
+    if (quiet < interval || (link.probed_at && turn.now() - link.last_sent < interval)) {
+        return;
+    }
+    link.probed_at = link.probed_at.value_or(turn.now());
+    link_table::send(turn, link, heartbeat_message{++link.heartbeat_sequence, false});
+}
+
+void link_handler::maintain_target(entry_turn& turn, agent_target& target)
+{
+    const bool is_needed = target.is_chosen || data_.requests.has_outstanding_at(target.description.name);
+    if (!is_needed) {
+        for (const link_id it : {target.link, target.replacement}) {
+            if (agent_link* const link = data_.links.find(it)) {
+                link_table::close(turn, *link, "no longer needed");
+            }
+        }
+        return;
+    }
+    if (turn.now() < target.retry_at || target.replacement != 0) {
+        return;
+    }
+    const agent_link* const link = data_.links.find(target.link);
+    const duration allowed = data_.options.silence_limit - data_.options.heartbeat_interval;
+    const bool is_silent =
+        link != nullptr && link->has_hello && link->probed_at && turn.now() - *link->probed_at >= allowed;
+    if (is_silent) {
+        turn.emit(log_effect{log_level::warning, "link-silent", {{"agent", link->target}}});
+    }
+    if (link == nullptr || is_silent) {
+        data_.links.open(turn, target);
+    }
+}
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/src/link_handler.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <hemlocknotch/core/entry_event.hpp>
+
+#include "dispatcher.hpp"
+#include "entry_data.hpp"
+#include "entry_turn.hpp"
+#include "outcome_handler.hpp"
+
+namespace hemlocknotch {
+
+/// Keeps the links to agents: which there are, that they are alive, and what is exchanged on them besides
+/// requests and answers.
+class link_handler {
+public:
+    link_handler(entry_data& data, dispatcher& work, outcome_handler& outcomes)
+        : data_{data}, dispatcher_{work}, outcomes_{outcomes}
+    {
+    }
+
+    void on_members(entry_turn& turn, const members_event& value);
+    void on_opened(entry_turn& turn, const link_opened_event& value);
+    void on_closed(entry_turn& turn, const link_closed_event& value);
+    void on_message(entry_turn& turn, const link_message_event& value);
+
+    /// Sends heartbeats, replaces silent links and connects again, as far as it is time to.
+    void maintain(entry_turn& turn);
+
+    /// Tells agents of the demand, as far as it has changed and it is time to. Returns when to call again, if
+    /// there is more to tell.
+    std::optional<instant> tell_demand(entry_turn& turn);
+
+    /// Tells agents what has changed in the service counters.
+    void report_service(entry_turn& turn);
+
+private:
+    void on_hello(entry_turn& turn, agent_link& link, const hello_message& value);
+    void take_over(entry_turn& turn, agent_link& link);
+    void on_service_report(agent_link& link, const service_report_message& value);
+    void dispatch_message(entry_turn& turn, agent_link& link, const message& content);
+    void on_contact(const entry_turn& turn, const agent_link& link);
+    void maintain_link(entry_turn& turn, agent_link& link);
+    void maintain_target(entry_turn& turn, agent_target& target);
+    [[nodiscard]] bool is_active(const agent_link& link) const;
+
+    entry_data& data_;
+    dispatcher& dispatcher_;
+    outcome_handler& outcomes_;
+};
+
+} // namespace hemlocknotch
--- a/packages/core/src/refusal.cpp
+++ b/packages/core/src/refusal.cpp
@@ -82,6 +82,9 @@
     refusal_text{refusal_code::internal_limit, "internal-limit", unavailable,
                  "A limit of this instance was reached.",
                  "Send the request again after the time in Retry-After."},
+    refusal_text{refusal_code::out_of_reach, "out-of-reach", unavailable,
+                 "This instance reaches neither the key-value service nor another failure domain.",
+                 "Send the request again; the balancer will choose another instance."},
 };
 
 const refusal_text& text_of(refusal_code code)
--- /dev/null
+++ b/packages/core/src/request_table.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "entry_request.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace hemlocknotch {
+
+/// All requests that an entry holds, by id, by caller's exchange, by agent and by timer. Counts what the
+/// limits apply to.
+class request_table {
+public:
+    /// Takes in a new request. Precondition: its id and exchange are new.
+    entry_request& add(std::unique_ptr<entry_request> value);
+
+    /// Returns the request with `id`, or null.
+    [[nodiscard]] entry_request* find(const request_id& id);
+
+    /// Returns the request of a caller's exchange, or null.
+    [[nodiscard]] entry_request* find_exchange(exchange_id exchange);
+
+    /// Forgets a request.
+    void erase(entry_request& value);
+
+    /// Moves a request to another state. Precondition: `agent` is set before a move to an outstanding state.
+    void set_state(entry_request& value, request_state state);
+
+    /// Sets the time at which the request's timer goes off.
+    void set_timer(entry_request& value, instant at);
+
+    /// Returns the request whose timer went off first and is due, or null.
+    [[nodiscard]] entry_request* first_due(instant now);
+
+    /// Returns when the next timer goes off; nothing without requests.
+    [[nodiscard]] std::optional<instant> next_timer() const;
+
+    /// Frees the body of a request that will not be dispatched again.
+    void release_body(entry_request& value);
+
+    /// Detaches a request from its caller, who has gone.
+    void detach_caller(entry_request& value);
+
+    /// Returns the ids dispatched to the agent called `name` that have not ended.
+    [[nodiscard]] std::vector<request_id> outstanding_at(std::string_view name) const;
+
+    /// Returns whether anything dispatched to the agent called `name` has not ended.
+    [[nodiscard]] bool has_outstanding_at(std::string_view name) const;
+
+    /// Returns the ids of all requests.
+    [[nodiscard]] std::vector<request_id> ids() const;
+
+    /// Returns the number of requests, those not yet dispatched, and those of one client account.
+    [[nodiscard]] std::size_t size() const { return requests_.size(); }
+
+    [[nodiscard]] std::size_t waiting() const { return waiting_; }
+
+    [[nodiscard]] std::size_t waiting_of(account_key client_account) const;
+
+    /// Returns the bytes of request bodies held.
+    [[nodiscard]] std::size_t held_bytes() const { return held_bytes_; }
+
+private:
+    void enter(entry_request& value);
+    void leave(entry_request& value);
+
+    std::unordered_map<request_id, std::unique_ptr<entry_request>> requests_;
+    std::unordered_map<exchange_id, request_id> exchanges_;
+    std::unordered_map<account_key, std::size_t> waiting_by_account_;
+    std::map<std::string, std::set<request_id>, std::less<>> outstanding_;
+    std::set<std::pair<instant, request_id>> timers_;
+    std::size_t waiting_ = 0;
+    std::size_t held_bytes_ = 0;
+};
+
+} // namespace hemlocknotch
