Call the key-value service and the instance list over HTTP

Cause: daemons and the command line need the platform's services; a write whose answer is lost must be told from one that did nothing.

Change: http_client over evhttp, one connection a running call, reused after whole answers only, so that a waiting watch holds up nothing and no late answer can reach a later call; the two services on it; the instance list's document with the operators' address; a fake key-value service for tests that loses calls and answers, refuses, and lets calls take effect late.

Conclusion: the tests run against a real HTTP server on the loopback and cover each status, a lost, a broken and a missing answer.

--- a/packages/platform/src/configuration_document.cpp
+++ b/packages/platform/src/configuration_document.cpp
@@ -5,9 +5,9 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <map>
 #include <memory>
 #include <optional>
+#include <unordered_map>
 #include <utility>
 
 namespace hemlocknotch {
@@ -25,7 +25,7 @@
 constexpr double max_estimate = 1e9;
 constexpr std::int64_t max_deadline_ms = 86'400'000;
 /// A message of a link holds a body and the rest of the request.
-constexpr std::int64_t max_max_body_bytes = 16 * 1024 * 1024;
+constexpr std::int64_t max_max_body_bytes = std::int64_t{16} * 1024 * 1024;
 constexpr std::int64_t max_max_attempts = 10;
 
 constexpr std::array<std::string_view, 2> cost_units{"lines", "requests"};
@@ -153,7 +153,7 @@
     template <class Map>
     void check_keys(std::string_view group, const Map& definitions)
     {
-        std::map<account_key, std::string> names;
+        std::unordered_map<account_key, std::string> names;
         for (const auto& [name, definition] : definitions) {
             const auto [it, is_new] = names.emplace(definition.key, name);
             if (!is_new) {
--- /dev/null
+++ b/packages/platform/src/http_key_value_service.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <hemlocknotch/platform/key_value_service.hpp>
+
+#include "http_client.hpp"
+
+#include <string_view>
+
+namespace hemlocknotch {
+
+/// The key-value service over HTTP, as docs/INTERFACES.md describes it. Watches have connections of their
+/// own.
+class http_key_value_service final : public key_value_service {
+public:
+    /// `base` must outlive the object. Precondition: `limit` is above zero.
+    http_key_value_service(event_base* base, const endpoint_address& address, duration limit);
+
+    void get(std::string_view key, callback done) override;
+    void compare_and_swap(std::string_view key, std::uint64_t expected, std::string_view value,
+                          std::uint64_t lease, callback done) override;
+    void remove(std::string_view key, std::uint64_t expected, callback done) override;
+    void watch(std::string_view key, std::uint64_t known, duration limit, callback done) override;
+    void grant_lease(duration time_to_live, callback done) override;
+    void keep_lease(std::uint64_t lease, callback done) override;
+
+    [[nodiscard]] std::uint64_t call_count() const override { return call_count_; }
+
+private:
+    void send(const http_call& call, duration limit, std::string_view version_header, callback done);
+
+    http_client client_;
+    duration limit_;
+    std::uint64_t call_count_ = 0;
+};
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/platform/src/http_platform.cpp
@@ -0,0 +1,20 @@
+#include <hemlocknotch/platform/http_platform.hpp>
+
+#include "http_instance_list.hpp"
+#include "http_key_value_service.hpp"
+
+namespace hemlocknotch {
+
+std::unique_ptr<key_value_service>
+make_http_key_value_service(event_base* base, const endpoint_address& address, duration limit)
+{
+    return std::make_unique<http_key_value_service>(base, address, limit);
+}
+
+std::unique_ptr<instance_list> make_http_instance_list(event_base* base, const endpoint_address& address,
+                                                       duration limit)
+{
+    return std::make_unique<http_instance_list>(base, address, limit);
+}
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/platform/src/instance_document.cpp
@@ -0,0 +1,58 @@
+#include <hemlocknotch/platform/instance_document.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace hemlocknotch {
+namespace {
+
+using nlohmann::json;
+
+std::string read_text(const json& value, const char* name)
+{
+    const auto it = value.find(name);
+    return it != value.end() && it->is_string() ? it->get<std::string>() : std::string{};
+}
+
+std::optional<listed_instance> read_instance(const json& value)
+{
+    if (!value.is_object()) {
+        return std::nullopt;
+    }
+    const std::string name = read_text(value, "name");
+    const std::string role = read_text(value, "role");
+    const std::string state = read_text(value, "state");
+    const auto address = endpoint_address::parse(read_text(value, "address"));
+    if (name.empty() || !address || (role != "entry" && role != "agent") ||
+        (state != "live" && state != "leaving")) {
+        return std::nullopt;
+    }
+    return listed_instance{{name, role == "entry" ? process_role::entry : process_role::agent, *address,
+                            read_text(value, "failure_domain"), read_text(value, "service"),
+                            state == "live" ? member_state::live : member_state::leaving},
+                           endpoint_address::parse(read_text(value, "operators"))};
+}
+
+} // namespace
+
+std::optional<std::vector<listed_instance>> read_instance_document(std::string_view text)
+{
+    const json document = json::parse(text, nullptr, false);
+    if (!document.is_object()) {
+        return std::nullopt;
+    }
+    const auto instances = document.find("instances");
+    if (instances == document.end() || !instances->is_array()) {
+        return std::nullopt;
+    }
+    std::vector<listed_instance> read;
+    for (const json& it : *instances) {
+        if (auto instance = read_instance(it)) {
+            read.push_back(*instance);
+        }
+    }
+    return read;
+}
+
+} // namespace hemlocknotch
