Begin the daemon: callers' front, endpoint client, claims, settings list

Cause: the daemon's program is a placeholder. Change: the parts that turn HTTP and link activity into events, not yet joined.

--- /dev/null
+++ b/packages/daemon/src/caller_headers.cpp
@@ -0,0 +1,203 @@
+#include "caller_headers.hpp"
+
+#include <hemlocknotch/core/account_key.hpp>
+
+#include "traceparent.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <cstddef>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace hemlocknotch {
+namespace {
+
+constexpr std::size_t max_name_length = 128;
+constexpr std::int64_t max_deadline_ms = 86'400'000;
+
+constexpr std::array<std::string_view, 11> hop_headers{
+    "connection", "keep-alive", "proxy-authenticate",  "proxy-authorization", "proxy-connection", "te",
+    "trailer",    "upgrade",    "transfer-encoding", "content-length",      "expect"};
+
+enum class own_header : std::uint8_t { account, profile, idempotency_key, cost_hint, deadline, prefix, trace };
+
+struct own_header_name {
+    own_header header;
+    std::string_view name;
+};
+
+constexpr std::array own_headers{
+    own_header_name{own_header::account, "Hemlocknotch-Account"},
+    own_header_name{own_header::profile, "Hemlocknotch-Profile"},
+    own_header_name{own_header::idempotency_key, "Idempotency-Key"},
+    own_header_name{own_header::cost_hint, "Hemlocknotch-Cost-Hint"},
+    own_header_name{own_header::deadline, "Hemlocknotch-Deadline-Ms"},
+    own_header_name{own_header::prefix, "Hemlocknotch-Prefix"},
+    own_header_name{own_header::trace, "traceparent"},
+};
+
+char lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+bool is_visible_ascii(std::string_view text)
+{
+    return std::ranges::all_of(text, [](char c) { return c > ' ' && c <= '~'; });
+}
+
+bool is_name(std::string_view text)
+{
+    return !text.empty() && text.size() <= max_name_length && is_visible_ascii(text);
+}
+
+/// Names that the `Connection` header declares as hop-by-hop, comma-separated.
+std::vector<std::string_view> connection_options(std::span<const header_field> headers)
+{
+    std::vector<std::string_view> names;
+    for (const auto& field : headers) {
+        if (!is_same_header(field.name, "connection")) {
+            continue;
+        }
+        std::string_view rest = field.value;
+        while (!rest.empty()) {
+            const auto comma = std::min(rest.find(','), rest.size());
+            auto name = rest.substr(0, comma);
+            name.remove_prefix(std::min(name.find_first_not_of(" \t"), name.size()));
+            name = name.substr(0, name.find_last_not_of(" \t") + 1);
+            names.push_back(name);
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    return names;
+}
+
+std::optional<own_header> own_header_of(std::string_view name)
+{
+    const auto* it =
+        std::ranges::find_if(own_headers, [&](const auto& own) { return is_same_header(own.name, name); });
+    return it == own_headers.end() ? std::nullopt : std::optional{it->header};
+}
+
+template <class Number>
+std::optional<Number> parse_number(std::string_view text)
+{
+    Number value{};
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (ec != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+/// Returns a fault, or nothing where `value` is taken into `out`.
+std::optional<caller_header_fault> take_own(own_header header, const std::string& value,
+                                            caller_request_event& out)
+{
+    const auto fault = [&](std::string_view name, std::string_view allowed) {
+        return caller_header_fault{std::string{name} + " is \"" + value + "\"; allowed: " +
+                                   std::string{allowed} + "."};
+    };
+    switch (header) {
+    case own_header::account:
+        out.client_account = value;
+        return is_name(value) ? std::nullopt
+                              : std::optional{fault("Hemlocknotch-Account",
+                                                    "the name of a client account, 1 to 128 visible ASCII "
+                                                    "characters")};
+    case own_header::profile:
+        out.profile = value;
+        return is_name(value)
+                   ? std::nullopt
+                   : std::optional{fault("Hemlocknotch-Profile",
+                                         "the name of a profile, 1 to 128 visible ASCII characters")};
+    case own_header::idempotency_key:
+        out.idempotency_key = value;
+        return is_name(value)
+                   ? std::nullopt
+                   : std::optional{fault("Idempotency-Key", "1 to 128 visible ASCII characters")};
+    case own_header::cost_hint:
+        out.cost_hint = parse_number<double>(value);
+        if (!out.cost_hint || !std::isfinite(*out.cost_hint) || *out.cost_hint <= 0) {
+            return fault("Hemlocknotch-Cost-Hint", "a number of units above 0");
+        }
+        return std::nullopt;
+    case own_header::deadline: {
+        const auto ms = parse_number<std::int64_t>(value);
+        if (!ms || *ms < 1 || *ms > max_deadline_ms) {
+            return fault("Hemlocknotch-Deadline-Ms", "a whole number from 1 to 86400000");
+        }
+        out.deadline = std::chrono::milliseconds{*ms};
+        return std::nullopt;
+    }
+    case own_header::prefix:
+        if (!is_name(value)) {
+            return fault("Hemlocknotch-Prefix", "1 to 128 visible ASCII characters");
+        }
+        out.prefix = XXH64(value.data(), value.size(), 0);
+        return std::nullopt;
+    case own_header::trace:
+        // W3C Trace Context: a receiver that cannot read the header starts a new trace.
+        out.traceparent = traceparent::parse(value) ? value : std::string{};
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+bool is_same_header(std::string_view a, std::string_view b)
+{
+    return std::ranges::equal(a, b, {}, lower, lower);
+}
+
+bool is_hop_header(std::string_view name)
+{
+    return std::ranges::any_of(hop_headers, [&](auto hop) { return is_same_header(hop, name); });
+}
+
+std::variant<caller_request_event, caller_header_fault>
+read_caller_headers(std::span<const header_field> headers)
+{
+    caller_request_event out;
+    const auto dropped = connection_options(headers);
+    std::array<bool, own_headers.size()> is_seen{};
+    for (const auto& field : headers) {
+        const auto own = own_header_of(field.name);
+        if (!own) {
+            const auto is_dropped = std::ranges::any_of(
+                dropped, [&](auto name) { return is_same_header(name, field.name); });
+            if (!is_dropped && !is_hop_header(field.name)) {
+                out.headers.push_back(field);
+            }
+            continue;
+        }
+        auto& seen = is_seen.at(static_cast<std::size_t>(*own));
+        if (seen) {
+            return caller_header_fault{field.name + " is there more than once; allowed: once."};
+        }
+        seen = true;
+        if (auto fault = take_own(*own, field.value, out)) {
+            return *std::move(fault);
+        }
+        // Engines name cached prompt beginnings by the hash of this header's text.
+        if (*own == own_header::prefix) {
+            out.headers.push_back(field);
+        }
+    }
+    for (const auto needed : {own_header::account, own_header::profile}) {
+        if (!is_seen.at(static_cast<std::size_t>(needed))) {
+            const auto& name = own_headers.at(static_cast<std::size_t>(needed)).name;
+            return caller_header_fault{std::string{name} + " is missing; allowed: exactly one."};
+        }
+    }
+    return out;
+}
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/daemon/src/connection_outputs.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <hemlocknotch/core/link_id.hpp>
+
+#include "timer.hpp"
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
+
+namespace hemlocknotch {
+
+/// Watches the output of every connection of an evhttp server, for two things that evhttp of libevent 2.1 has
+/// no calls for: how much of an answer the peer has taken, and the pages that evhttp writes by itself on a
+/// malformed or oversized request, which are replaced. Used by the event loop's thread only.
+class connection_outputs {
+public:
+    /// Receives the exchange whose connection has taken bytes, before the loop waits again.
+    using taken_callback = std::function<void(exchange_id)>;
+    /// Returns what replaces evhttp's own page with this status: a whole answer, after which the connection
+    /// is closed.
+    using page_callback = std::function<std::string(int status)>;
+
+    /// `base` must outlive it. Preconditions: no callback is empty.
+    connection_outputs(event_base* base, taken_callback taken, page_callback page);
+
+    /// Makes the bufferevent of a new connection, as `evhttp_set_bevcb` asks for. The caller owns it.
+    bufferevent* make_connection();
+
+    /// Tells that an answer of `writer` is written to `output` from now on.
+    void begin(const evbuffer* output, exchange_id writer);
+
+    /// Tells that all of that answer has been written to `output`.
+    void end(const evbuffer* output);
+
+private:
+    struct connection_state {
+        bufferevent* connection = nullptr;
+        /// 0 while no exchange writes.
+        exchange_id writer = 0;
+        bool is_page_noted = false;
+    };
+
+    static void handle_change(evbuffer* output, const evbuffer_cb_info* info, void* self);
+    void note_page(connection_state& state);
+    void work_off();
+    void replace_page(bufferevent* connection);
+
+    event_base* base_;
+    taken_callback taken_;
+    page_callback page_;
+    /// Keyed by output buffer; an element outlives its connection until the buffer's address is used again.
+    std::unordered_map<const evbuffer*, connection_state> states_;
+    /// Each holds a reference.
+    std::vector<bufferevent*> pages_;
+    std::vector<exchange_id> progressed_;
+    timer later_;
+};
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/daemon/src/endpoint_sink.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <hemlocknotch/core/agent_event.hpp>
+
+namespace hemlocknotch {
+
+/// Receiver of what the endpoint answers. Called on the event loop's thread, never from within a call to the
+/// client.
+class endpoint_sink {
+public:
+    virtual ~endpoint_sink() = default;
+
+    /// A call's answer has begun.
+    virtual void on_head(endpoint_head_event head) = 0;
+
+    /// Bytes of a call's answer have come.
+    virtual void on_part(endpoint_part_event part) = 0;
+
+    /// A call has ended. Nothing more of it follows.
+    virtual void on_end(const endpoint_end_event& end) = 0;
+
+    /// The health page has answered, or not.
+    virtual void on_health(const endpoint_health_event& health) = 0;
+
+    /// The endpoint has told changes of its cache.
+    virtual void on_cache(endpoint_cache_event cache) = 0;
+};
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/daemon/src/entropy_source.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+namespace hemlocknotch {
+
+/// Source of the random bits that events carry, seeded by the system. Used by one thread.
+class entropy_source {
+public:
+    entropy_source();
+
+    /// Returns 64 random bits.
+    std::uint64_t next() { return engine_(); }
+
+private:
+    std::mt19937_64 engine_;
+};
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/daemon/src/process_clock.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <hemlocknotch/core/time.hpp>
+
+#include <cstdint>
+
+namespace hemlocknotch {
+
+/// The one clock of a process: monotonic time for events, and the wall-clock time that belongs to it for
+/// spans. Safe for use by several threads.
+class process_clock {
+public:
+    /// Notes the wall-clock time of now, so that later changes of the system's clock do not reorder spans.
+    process_clock();
+
+    /// Returns the monotonic time.
+    [[nodiscard]] instant now() const;
+
+    /// Returns the microseconds since 1970-01-01T00:00:00Z at `at`.
+    [[nodiscard]] std::int64_t wall_microseconds(instant at) const;
+
+private:
+    std::int64_t offset_;
+};
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/daemon/src/refusal_document.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <hemlocknotch/core/refusal.hpp>
+#include <hemlocknotch/core/request_id.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace hemlocknotch {
+
+/// Returns the JSON body of a refusal as a caller receives it (docs/INTERFACES.md). Never fails.
+std::string refusal_document(const request_id& id, const refusal& reason, std::string_view detail);
+
+/// Returns the value of `Retry-After` for `reason`: whole seconds, rounded up; empty where there is none.
+std::string retry_after_of(const refusal& reason);
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/daemon/src/settings_reading.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <hemlocknotch/core/process_identity.hpp>
+#include <hemlocknotch/platform/configuration_document.hpp>
+
+#include "settings.hpp"
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace hemlocknotch {
+
+/// Outcome of reading a settings file: settings, or all of its faults.
+struct settings_reading {
+    std::optional<settings> accepted;
+    std::vector<document_error> errors;
+};
+
+/// Reads and checks the settings of a daemon of `role` (JSON with comments). All faults are reported at once:
+/// unknown or repeated key, wrong type, out of range, missing, combinations that cannot work. Pure.
+settings_reading read_settings(std::string_view text, process_role role);
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/daemon/src/timer.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <hemlocknotch/core/time.hpp>
+
+#include "libevent_handles.hpp"
+
+#include <functional>
+
+namespace hemlocknotch {
+
+/// Calls a function later on the event loop's thread. Used by that thread only.
+class timer {
+public:
+    /// Makes a stopped timer on `base`, which must outlive it. Precondition: `callback` is not empty.
+    timer(event_base* base, std::function<void()> callback);
+
+    timer(const timer&) = delete;
+    timer(timer&&) = delete;
+    timer& operator=(const timer&) = delete;
+    timer& operator=(timer&&) = delete;
+    ~timer() = default;
+
+    /// Calls the function once after `delay`; replaces an earlier start. A negative delay counts as none.
+    void start(duration delay);
+
+    /// Calls the function once before the loop waits again. Repeated calls before that count as one.
+    void activate();
+
+    /// Cancels a start.
+    void stop();
+
+private:
+    std::function<void()> callback_;
+    event_ptr event_;
+};
+
+} // namespace hemlocknotch
