--- a/packages/daemon/src/caller_exchange.cpp
+++ b/packages/daemon/src/caller_exchange.cpp
@@ -8,7 +8,7 @@
 #include <cassert>
 #include <utility>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 /// Bytes that a caller may send ahead, such as its next request, while its answer is being made.
@@ -16,8 +16,10 @@
 
 } // namespace
 
-caller_exchange::caller_exchange(exchange_id number, evhttp_request* request, gone_callback gone)
+caller_exchange::caller_exchange(exchange_id number, evhttp_request* request, connection_outputs& outputs,
+                                 gone_callback gone)
     : number_{number},
+      outputs_{outputs},
       gone_{std::move(gone)},
       request_{request},
       connection_{evhttp_request_get_connection(request)},
@@ -51,6 +53,7 @@
     assert(!is_started_);
     is_started_ = true;
     add_headers(headers);
+    outputs_.begin(output_, number_);
     evhttp_send_reply_start(request_, status, nullptr);
 }
 
@@ -71,6 +74,7 @@
     assert(is_started_);
     give_back();
     evhttp_send_reply_end(std::exchange(request_, nullptr));
+    outputs_.end(output_);
 }
 
 void caller_exchange::reply(int status, std::span<const header_field> headers, std::string_view body)
@@ -79,13 +83,16 @@
     add_headers(headers);
     const evbuffer_ptr buf{evbuffer_new()};
     evbuffer_add(buf.get(), body.data(), body.size());
+    outputs_.begin(output_, number_);
     give_back();
     evhttp_send_reply(std::exchange(request_, nullptr), status, nullptr, buf.get());
+    outputs_.end(output_);
 }
 
 void caller_exchange::abort()
 {
     evhttp_connection_set_closecb(connection_, nullptr, nullptr);
+    outputs_.forget(output_);
     evhttp_connection_free(connection_);
     request_ = nullptr;
     forget_connection();
@@ -94,11 +101,18 @@
 void caller_exchange::handle_close(evhttp_connection* /*connection*/, void* self)
 {
     auto& exchange = *static_cast<caller_exchange*>(self);
+    exchange.outputs_.forget(exchange.output_);
     exchange.forget_connection();
     const auto gone = exchange.gone_;
     gone(exchange.number_);
 }
 
+void caller_exchange::handle_idle_close(evhttp_connection* connection, void* outputs)
+{
+    const auto* output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+    static_cast<connection_outputs*>(outputs)->forget(output);
+}
+
 void caller_exchange::forget_connection()
 {
     connection_ = nullptr;
@@ -110,7 +124,7 @@
     if (stream_ == nullptr) {
         return std::nullopt;
     }
-    const auto taken = body_bytes_ - std::min<std::uint64_t>(body_bytes_, unsent_bytes());
+    const auto taken = body_bytes_ - std::min<std::uint64_t>(body_bytes_, evbuffer_get_length(output_));
     if (taken < reported_bytes_ + step) {
         return std::nullopt;
     }
@@ -118,9 +132,10 @@
     return taken;
 }
 
-std::size_t caller_exchange::unsent_bytes() const
+void caller_exchange::close_after_answer()
 {
-    return stream_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(stream_));
+    assert(!is_started_);
+    evhttp_add_header(evhttp_request_get_output_headers(request_), "Connection", "close");
 }
 
 void caller_exchange::add_headers(std::span<const header_field> headers)
@@ -133,9 +148,9 @@
 
 void caller_exchange::give_back()
 {
-    evhttp_connection_set_closecb(connection_, nullptr, nullptr);
+    evhttp_connection_set_closecb(connection_, handle_idle_close, &outputs_);
     bufferevent_setwatermark(stream_, EV_READ, 0, 0);
     forget_connection();
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/caller_exchange.hpp
+++ b/packages/daemon/src/caller_exchange.hpp
@@ -3,6 +3,8 @@
 #include <hemlocknotch/core/link_id.hpp>
 #include <hemlocknotch/core/message.hpp>
 
+#include "connection_outputs.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -16,7 +18,7 @@
 struct evhttp_connection;
 struct evhttp_request;
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// One caller's request that evhttp has handed over, until its answer has been written or its caller has gone.
 /// Used by the event loop's thread only.
@@ -26,8 +28,10 @@
     /// be destroyed by it.
     using gone_callback = std::function<void(exchange_id)>;
 
-    /// Takes over `request` and watches its connection. Bytes that the caller sends meanwhile are left alone.
-    caller_exchange(exchange_id number, evhttp_request* request, gone_callback gone);
+    /// Takes over `request` and watches its connection, which `outputs` has made and must know longer than this
+    /// object lives. Bytes that the caller sends meanwhile are left alone.
+    caller_exchange(exchange_id number, evhttp_request* request, connection_outputs& outputs,
+                    gone_callback gone);
 
     /// Frees the request where its connection has gone. Otherwise an answer or `abort` must have come before.
     ~caller_exchange();
@@ -39,9 +43,6 @@
     /// Returns the number given to the constructor.
     [[nodiscard]] exchange_id number() const { return number_; }
 
-    /// Returns the output buffer of the connection, as a name for it.
-    [[nodiscard]] const evbuffer* output() const { return output_; }
-
     /// Returns whether `start` was called.
     [[nodiscard]] bool is_started() const { return is_started_; }
 
@@ -64,17 +65,19 @@
     /// was returned before.
     std::optional<std::uint64_t> progress(std::size_t step);
 
-    /// Returns the number of bytes written and not yet taken by the system.
-    [[nodiscard]] std::size_t unsent_bytes() const;
+    /// Asks for the connection to be closed after the answer. Precondition: not started.
+    void close_after_answer();
 
 private:
     static void handle_close(evhttp_connection* connection, void* self);
+    static void handle_idle_close(evhttp_connection* connection, void* outputs);
 
     void forget_connection();
     void add_headers(std::span<const header_field> headers);
     void give_back();
 
     exchange_id number_;
+    connection_outputs& outputs_;
     gone_callback gone_;
     evhttp_request* request_;
     evhttp_connection* connection_;
@@ -85,4 +88,4 @@
     std::uint64_t reported_bytes_ = 0;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/caller_front.cpp
+++ b/packages/daemon/src/caller_front.cpp
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr std::string_view request_id_header = "Hemlocknotch-Request-Id";
@@ -112,7 +112,9 @@
     }
     headers.push_back({std::string{request_id_header}, head.id.to_string()});
     headers.push_back({std::string{verdict_header}, std::string{to_string(verdict::ran)}});
-    outputs_.begin(exchange->output(), head.exchange);
+    if (is_draining_) {
+        exchange->close_after_answer();
+    }
     exchange->start(static_cast<int>(head.status), headers);
 }
 
@@ -171,13 +173,13 @@
 {
     const auto number = ++last_exchange_;
     auto gone = [this](exchange_id exchange) { report_gone(exchange); };
-    exchanges_.emplace(number, std::make_unique<caller_exchange>(number, request, std::move(gone)));
+    exchanges_.emplace(number, std::make_unique<caller_exchange>(number, request, outputs_, std::move(gone)));
     if (const auto detail = unreadable_part(request); !detail.empty()) {
         refuse_unread(number, detail);
         return;
     }
     if (has_unread_body(request)) {
-        evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+        find(number)->close_after_answer();
         refuse_unread(number, "The request has a body; allowed: a body with POST, PUT and PATCH only.");
         return;
     }
@@ -207,7 +209,9 @@
 {
     auto* it = find(exchange);
     assert(it != nullptr);
-    outputs_.begin(it->output(), exchange);
+    if (is_draining_) {
+        it->close_after_answer();
+    }
     it->reply(http_status_of(reason.code), refusal_headers(id, reason), refusal_document(id, reason, detail));
     drop(exchange);
 }
@@ -267,8 +271,7 @@
 {
     const auto it = exchanges_.find(exchange);
     assert(it != exchanges_.end());
-    outputs_.end(it->second->output());
     exchanges_.erase(it);
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/caller_front.hpp
+++ b/packages/daemon/src/caller_front.hpp
@@ -19,7 +19,7 @@
 #include <string_view>
 #include <unordered_map>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Limits of the callers' interface.
 struct caller_front_options {
@@ -63,6 +63,13 @@
     /// Answers with a refusal.
     void refuse(const reply_refusal_effect& refused);
 
+    /// From now on closes each connection after its answer, so that no caller sends its next request to a
+    /// process that is about to exit.
+    void drain() { is_draining_ = true; }
+
+    /// Returns whether any caller's connection has bytes that the system has not yet taken.
+    [[nodiscard]] bool has_unsent_bytes() const { return outputs_.has_unsent_bytes(); }
+
     /// Returns the number of exchanges that have not ended.
     [[nodiscard]] std::size_t exchange_count() const { return exchanges_.size(); }
 
@@ -83,6 +90,7 @@
 
     caller_front_options options_;
     caller_sink& sink_;
+    bool is_draining_ = false;
     exchange_id last_exchange_ = 0;
     std::uint64_t refused_count_ = 0;
     std::unordered_map<exchange_id, std::unique_ptr<caller_exchange>> exchanges_;
@@ -90,4 +98,4 @@
     http_server server_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/caller_headers.cpp
+++ b/packages/daemon/src/caller_headers.cpp
@@ -15,7 +15,7 @@
 #include <utility>
 #include <vector>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr std::size_t max_name_length = 128;
@@ -200,4 +200,4 @@
     return out;
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/caller_headers.hpp
+++ b/packages/daemon/src/caller_headers.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <variant>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Header of a caller's request that cannot be taken.
 struct caller_header_fault {
@@ -28,4 +28,4 @@
 /// Returns whether two header names are the same; case does not matter.
 bool is_same_header(std::string_view a, std::string_view b);
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/caller_sink.hpp
+++ b/packages/daemon/src/caller_sink.hpp
@@ -3,7 +3,7 @@
 #include <hemlocknotch/core/entry_event.hpp>
 #include <hemlocknotch/core/refusal.hpp>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Receiver of what callers do. Called on the event loop's thread, never from within a call to the front.
 class caller_sink {
@@ -23,4 +23,4 @@
     virtual void on_refused_by_front(refusal_code code) = 0;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/claim_keeper.cpp
+++ b/packages/daemon/src/claim_keeper.cpp
@@ -5,7 +5,7 @@
 #include <cassert>
 #include <utility>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr std::string_view path_start = "hemlocknotch/claims/";
@@ -216,4 +216,4 @@
     clean_up_.activate();
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/claim_keeper.hpp
+++ b/packages/daemon/src/claim_keeper.hpp
@@ -17,7 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// What the key-value service holds under an idempotency key.
 struct claim_record {
@@ -87,4 +87,4 @@
     timer clean_up_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/configuration_watcher.cpp
+++ b/packages/daemon/src/configuration_watcher.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 configuration_watcher::configuration_watcher(event_base* base, key_value_service& store,
                                              const configuration_watcher_options& options,
@@ -56,7 +56,7 @@
     delay_ = options_.retry_delay;
     if (answer.version != known_version_) {
         known_version_ = answer.version;
-        if (const auto envelope = read_configuration_envelope(answer.value)) {
+        if (const auto envelope = read_envelope(answer.value)) {
             sink_.on_envelope(*envelope);
         }
         else {
@@ -72,4 +72,4 @@
     delay_ = std::min(delay_ * 2, options_.retry_delay_limit);
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/configuration_watcher.hpp
+++ b/packages/daemon/src/configuration_watcher.hpp
@@ -1,16 +1,17 @@
 #pragma once
 
 #include <hemlocknotch/core/time.hpp>
+#include <hemlocknotch/platform/configuration_envelope.hpp>
 #include <hemlocknotch/platform/key_value_service.hpp>
 
-#include "configuration_envelope.hpp"
+
 #include "entropy_source.hpp"
 #include "timer.hpp"
 
 #include <cstdint>
 #include <functional>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// How the configuration is watched.
 struct configuration_watcher_options {
@@ -64,4 +65,4 @@
     timer retry_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/connection_outputs.cpp
+++ b/packages/daemon/src/connection_outputs.cpp
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <charconv>
@@ -10,7 +11,7 @@
 #include <string_view>
 #include <utility>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr std::string_view status_line_start = "HTTP/1.1 ";
@@ -47,7 +48,7 @@
 {
     auto* connection = bufferevent_socket_new(base_, -1, 0);
     auto* output = bufferevent_get_output(connection);
-    states_[output] = connection_state{connection, 0, false};
+    states_[output] = connection_state{connection, 0, false, false};
     evbuffer_add_cb(output, handle_change, this);
     return connection;
 }
@@ -55,7 +56,9 @@
 void connection_outputs::begin(const evbuffer* output, exchange_id writer)
 {
     assert(writer != 0);
-    states_[output].writer = writer;
+    auto& state = states_[output];
+    state.writer = writer;
+    state.has_answered = true;
 }
 
 void connection_outputs::end(const evbuffer* output)
@@ -63,6 +66,18 @@
     states_[output].writer = 0;
 }
 
+void connection_outputs::forget(const evbuffer* output)
+{
+    states_.erase(output);
+}
+
+bool connection_outputs::has_unsent_bytes() const
+{
+    return std::ranges::any_of(states_, [](const auto& it) {
+        return it.second.has_answered && evbuffer_get_length(it.first) > 0;
+    });
+}
+
 void connection_outputs::handle_change(evbuffer* output, const evbuffer_cb_info* info, void* self)
 {
     auto& outputs = *static_cast<connection_outputs*>(self);
@@ -114,4 +129,4 @@
     states_[output].is_page_noted = false;
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/connection_outputs.hpp
+++ b/packages/daemon/src/connection_outputs.hpp
@@ -13,7 +13,7 @@
 struct evbuffer;
 struct evbuffer_cb_info;
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Watches the output of every connection of an evhttp server, for two things that evhttp of libevent 2.1 has
 /// no calls for: how much of an answer the peer has taken, and the pages that evhttp writes by itself on a
@@ -38,12 +38,21 @@
     /// Tells that all of that answer has been written to `output`.
     void end(const evbuffer* output);
 
+    /// Tells that the connection has been closed.
+    void forget(const evbuffer* output);
+
+    /// Returns whether any connection that an answer was written to has bytes that the system has not yet
+    /// taken.
+    [[nodiscard]] bool has_unsent_bytes() const;
+
 private:
     struct connection_state {
         bufferevent* connection = nullptr;
         /// 0 while no exchange writes.
         exchange_id writer = 0;
         bool is_page_noted = false;
+        /// Whether an answer was written; such a connection's end is told by `forget`.
+        bool has_answered = false;
     };
 
     static void handle_change(evbuffer* output, const evbuffer_cb_info* info, void* self);
@@ -62,4 +71,4 @@
     timer later_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/endpoint_call.cpp
+++ b/packages/daemon/src/endpoint_call.cpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <utility>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr int not_found = 404;
@@ -164,4 +164,4 @@
     sink_.on_part({number_, std::exchange(pending_, {})});
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/endpoint_call.hpp
+++ b/packages/daemon/src/endpoint_call.hpp
@@ -14,7 +14,7 @@
 #include <functional>
 #include <string>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// How a call is made.
 struct endpoint_call_options {
@@ -71,4 +71,4 @@
     evhttp_connection_ptr connection_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/endpoint_client.cpp
+++ b/packages/daemon/src/endpoint_client.cpp
@@ -6,7 +6,7 @@
 #include <limits>
 #include <utility>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr duration cancel_limit = std::chrono::seconds{5};
@@ -80,4 +80,4 @@
     clean_up_.activate();
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/endpoint_client.hpp
+++ b/packages/daemon/src/endpoint_client.hpp
@@ -13,7 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// What kind of endpoint an agent stands beside.
 enum class endpoint_kind : std::uint8_t {
@@ -51,4 +51,4 @@
     timer clean_up_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/endpoint_probe.cpp
+++ b/packages/daemon/src/endpoint_probe.cpp
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr duration answer_limit = std::chrono::seconds{2};
@@ -97,4 +97,4 @@
     }
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/endpoint_probe.hpp
+++ b/packages/daemon/src/endpoint_probe.hpp
@@ -12,7 +12,7 @@
 #include <string>
 #include <string_view>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Reads the body of an endpoint's `GET /health`. Returns an event that says the endpoint was not reached
 /// where the body is missing or malformed. Pure.
@@ -51,4 +51,4 @@
     timer cache_timer_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/endpoint_request.cpp
+++ b/packages/daemon/src/endpoint_request.cpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <utility>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr std::string_view request_id_header = "X-Request-Id";
@@ -71,4 +71,4 @@
     return out;
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/endpoint_request.hpp
+++ b/packages/daemon/src/endpoint_request.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// One HTTP request as it is sent to an endpoint.
 struct endpoint_request {
@@ -29,4 +29,4 @@
 /// Returns a request without body for `target`. Pure.
 endpoint_request request_of_page(std::string target, const endpoint_address& endpoint);
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/endpoint_sink.hpp
+++ b/packages/daemon/src/endpoint_sink.hpp
@@ -2,7 +2,7 @@
 
 #include <hemlocknotch/core/agent_event.hpp>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Receiver of what the endpoint answers. Called on the event loop's thread, never from within a call to the
 /// client.
@@ -26,4 +26,4 @@
     virtual void on_cache(endpoint_cache_event cache) = 0;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/entropy_source.cpp
+++ b/packages/daemon/src/entropy_source.cpp
@@ -1,6 +1,6 @@
 #include "entropy_source.hpp"
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 std::mt19937_64 seeded_engine()
@@ -14,4 +14,4 @@
 
 entropy_source::entropy_source() : engine_{seeded_engine()} {}
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/entropy_source.hpp
+++ b/packages/daemon/src/entropy_source.hpp
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <random>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Source of the random bits that events carry, seeded by the system. Used by one thread.
 class entropy_source {
@@ -17,4 +17,4 @@
     std::mt19937_64 engine_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/daemon/src/entry_shell.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <hemlocknotch/core/entry_reducer.hpp>
+
+#include "caller_front.hpp"
+#include "caller_sink.hpp"
+#include "claim_keeper.hpp"
+#include "operators_front.hpp"
+#include "process_links.hpp"
+#include "process_runtime.hpp"
+#include "reducer_pump.hpp"
+#include "runtime_sink.hpp"
+#include "settings.hpp"
+
+#include <boost/leaf/result.hpp>
+
+#include <memory>
+#include <string>
+
+namespace hemlocknotch::daemon {
+
+/// An entry as a process: turns what callers, links and the platform do into events of its reducer, and the
+/// reducer's effects into calls. Used by one thread.
+class entry_shell final : private caller_sink,
+                          private link_sink,
+                          private runtime_sink,
+                          private operators_pages {
+public:
+    /// Makes the parts but starts nothing. Precondition: the settings have passed their check.
+    explicit entry_shell(const settings& values);
+    ~entry_shell() override;
+    entry_shell(const entry_shell&) = delete;
+    entry_shell(entry_shell&&) = delete;
+    entry_shell& operator=(const entry_shell&) = delete;
+    entry_shell& operator=(entry_shell&&) = delete;
+
+    /// Listens and starts to work. Returns the line that says where, or a `start_error`.
+    boost::leaf::result<std::string> start();
+
+    /// Returns the parts that do not depend on the role.
+    [[nodiscard]] process_runtime& runtime() { return runtime_; }
+
+private:
+    void on_request(caller_request_event request) override;
+    void on_gone(const caller_gone_event& gone) override;
+    void on_progress(const caller_progress_event& progress) override;
+    void on_refused_by_front(refusal_code code) override;
+    void on_link_open(link_id link) override;
+    void on_link_message(link_id link, const message& content) override;
+    void on_link_closed(link_id link, const std::string& reason) override;
+    void on_members(members_event members) override;
+    void on_configuration(configuration_event accepted) override;
+    void on_store_contact(store_contact_event contact) override;
+    void on_tick() override;
+    void on_stop(stop_event stop) override;
+    bool has_unsent_bytes() override;
+    std::string unready_reason() override;
+    std::string metrics_page() override;
+    std::string status_page() override;
+
+    template <class Effect>
+    void execute(Effect& effect);
+    void execute(send_effect& effect);
+    void execute(open_link_effect& effect);
+    void execute(close_link_effect& effect);
+    void execute(reply_head_effect& effect);
+    void execute(reply_part_effect& effect);
+    void execute(reply_end_effect& effect);
+    void execute(reply_abort_effect& effect);
+    void execute(reply_refusal_effect& effect);
+    void execute(claim_key_effect& effect);
+    void execute(settle_claim_effect& effect);
+
+    settings settings_;
+    process_runtime runtime_;
+    entry_reducer reducer_;
+    std::unique_ptr<link_factory> factory_;
+    process_links links_;
+    claim_keeper claims_;
+    caller_front callers_;
+    operators_front operators_;
+    reducer_pump<entry_reducer, entry_event, entry_effect> pump_;
+};
+
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/event_log.cpp
+++ b/packages/daemon/src/event_log.cpp
@@ -13,7 +13,7 @@
 #include <memory>
 #include <utility>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr std::array<std::string_view, 4> level_names{"debug", "info", "warning", "error"};
@@ -112,4 +112,4 @@
     logger.log(library_level(record.level), log_line(record, format_, time_text(), process_name_));
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/event_log.hpp
+++ b/packages/daemon/src/event_log.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// How log lines look.
 enum class log_format : std::uint8_t {
@@ -41,4 +41,4 @@
     std::string process_name_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/http_server.cpp
+++ b/packages/daemon/src/http_server.cpp
@@ -15,7 +15,7 @@
 #include <cerrno>
 #include <cstring>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 struct method_name {
@@ -111,4 +111,4 @@
     return out;
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/http_server.hpp
+++ b/packages/daemon/src/http_server.hpp
@@ -12,7 +12,7 @@
 #include <string_view>
 #include <vector>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// An evhttp server on one address. Used by the event loop's thread only.
 class http_server {
@@ -43,4 +43,4 @@
 /// Returns all bytes of `buf` and removes them from it.
 std::string take_bytes(evbuffer* buf);
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/jitter.cpp
+++ b/packages/daemon/src/jitter.cpp
@@ -1,6 +1,6 @@
 #include "jitter.hpp"
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 duration with_jitter(duration interval, std::uint64_t entropy)
 {
@@ -12,4 +12,4 @@
     return interval - duration{spread / 2} + duration{offset};
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/libevent_handles.hpp
+++ b/packages/daemon/src/libevent_handles.hpp
@@ -7,7 +7,7 @@
 #include <memory>
 
 /// Owners of libevent's objects. Each frees its object when it goes out of scope.
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 struct event_base_deleter {
     void operator()(event_base* base) const { event_base_free(base); }
@@ -35,4 +35,4 @@
 using evhttp_ptr = std::unique_ptr<evhttp, evhttp_deleter>;
 using evhttp_connection_ptr = std::unique_ptr<evhttp_connection, evhttp_connection_deleter>;
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/main_daemon.cpp
+++ b/packages/daemon/src/main_daemon.cpp
@@ -1,4 +1,6 @@
-int main()
+#include "command_line.hpp"
+
+int main(int argc, char** argv)
 {
-    return 0;
+    return hemlocknotch::daemon::run_command_line(argc, argv);
 }
--- a/packages/daemon/src/metric_catalog.cpp
+++ b/packages/daemon/src/metric_catalog.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr std::array descriptions{
@@ -58,4 +58,4 @@
     return unit_bounds;
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/metric_catalog.hpp
+++ b/packages/daemon/src/metric_catalog.hpp
@@ -3,7 +3,7 @@
 #include <span>
 #include <string_view>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Meaning of one metric.
 struct metric_description {
@@ -21,4 +21,4 @@
 /// order.
 std::span<const double> bucket_bounds_of(std::string_view name);
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/metrics.cpp
+++ b/packages/daemon/src/metrics.cpp
@@ -9,7 +9,7 @@
 #include <limits>
 #include <span>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 std::string number_text(double value)
@@ -185,4 +185,4 @@
     write_line(out, name, "_count", labels, static_cast<double>(value.count));
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/metrics.hpp
+++ b/packages/daemon/src/metrics.hpp
@@ -12,7 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Metrics of one process, written in the Prometheus text format. Used by one thread.
 class metrics {
@@ -66,4 +66,4 @@
     std::map<std::string, family, std::less<>> families_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/page_client.cpp
+++ b/packages/daemon/src/page_client.cpp
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr int ok_status = 200;
@@ -48,4 +48,4 @@
     done(take_bytes(evhttp_request_get_input_buffer(request)));
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/page_client.hpp
+++ b/packages/daemon/src/page_client.hpp
@@ -9,7 +9,7 @@
 #include <optional>
 #include <string>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Fetches small pages by GET over one kept connection. Used by the event loop's thread only.
 class page_client {
@@ -32,4 +32,4 @@
     evhttp_connection_ptr connection_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/process_clock.cpp
+++ b/packages/daemon/src/process_clock.cpp
@@ -2,7 +2,7 @@
 
 #include <chrono>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 template <class Clock>
@@ -28,4 +28,4 @@
     return at.time_since_epoch().count() + offset_;
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/process_clock.hpp
+++ b/packages/daemon/src/process_clock.hpp
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// The one clock of a process: monotonic time for events, and the wall-clock time that belongs to it for
 /// spans. Safe for use by several threads.
@@ -23,4 +23,4 @@
     std::int64_t offset_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/link_table.cpp
+++ b/packages/daemon/src/process_links.cpp
@@ -1,11 +1,11 @@
-#include "link_table.hpp"
+#include "process_links.hpp"
 
 #include <algorithm>
 #include <cassert>
 #include <utility>
 #include <variant>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 void add(link_traffic& sum, const link_traffic& it)
@@ -23,7 +23,7 @@
 
 } // namespace
 
-link_table::link_table(event_base* base, link_factory& factory, metrics& counts, link_sink& sink)
+process_links::process_links(event_base* base, link_factory& factory, metrics& counts, link_sink& sink)
     : factory_{factory},
       metrics_{counts},
       sink_{sink},
@@ -33,19 +33,19 @@
 {
 }
 
-void link_table::open(link_id number, const endpoint_address& address)
+void process_links::open(link_id number, const endpoint_address& address)
 {
     assert(!links_.contains(number));
-    watch(number, {factory_.connect(address), false, false, 0});
+    watch(number, {factory_.connect(address), false, address, 0});
 }
 
-void link_table::adopt(std::unique_ptr<link> accepted)
+void process_links::adopt(std::unique_ptr<link> accepted)
 {
     assert(accepted);
-    watch(++last_accepted_, {std::move(accepted), false, true, 0});
+    watch(++last_accepted_, {std::move(accepted), false, std::nullopt, 0});
 }
 
-void link_table::watch(link_id number, entry it)
+void process_links::watch(link_id number, entry it)
 {
     auto& connection = *it.connection;
     links_.emplace(number, std::move(it));
@@ -54,7 +54,7 @@
     connection.closed.connect([this, number](const std::string& reason) { handle_closed(number, reason); });
 }
 
-void link_table::send(link_id number, const message& content)
+void process_links::send(link_id number, const message& content)
 {
     const auto it = links_.find(number);
     if (it == links_.end() || !it->second.is_open) {
@@ -70,7 +70,7 @@
     count.sent_bytes += connection.traffic().sent_bytes - before;
 }
 
-void link_table::close(link_id number, std::string_view reason)
+void process_links::close(link_id number, std::string_view reason)
 {
     const auto it = links_.find(number);
     if (it != links_.end()) {
@@ -78,13 +78,20 @@
     }
 }
 
-bool link_table::has_unsent_bytes() const
+const endpoint_address& process_links::address_of(link_id number) const
+{
+    const auto it = links_.find(number);
+    assert(it != links_.end() && it->second.address);
+    return *it->second.address;
+}
+
+bool process_links::has_unsent_bytes() const
 {
     return std::ranges::any_of(links_,
                                [](const auto& it) { return it.second.connection->queued_bytes() > 0; });
 }
 
-void link_table::handle_open(link_id number)
+void process_links::handle_open(link_id number)
 {
     const auto it = links_.find(number);
     assert(it != links_.end());
@@ -92,7 +99,7 @@
     sink_.on_link_open(number);
 }
 
-void link_table::handle_message(link_id number, const message& content)
+void process_links::handle_message(link_id number, const message& content)
 {
     const auto it = links_.find(number);
     if (it == links_.end()) {
@@ -109,14 +116,14 @@
     sink_.on_link_message(number, content);
 }
 
-void link_table::handle_closed(link_id number, const std::string& reason)
+void process_links::handle_closed(link_id number, const std::string& reason)
 {
     const auto it = links_.find(number);
     if (it == links_.end()) {
         return;
     }
     add(closed_traffic_, it->second.connection->traffic());
-    const auto was_announced = it->second.is_open || !it->second.is_accepted;
+    const auto was_announced = it->second.is_open || it->second.address.has_value();
     closed_.push_back(std::move(it->second.connection));
     links_.erase(it);
     clean_up_.activate();
@@ -125,7 +132,7 @@
     }
 }
 
-link_traffic link_table::total_traffic() const
+link_traffic process_links::total_traffic() const
 {
     auto sum = closed_traffic_;
     for (const auto& [number, it] : links_) {
@@ -134,7 +141,7 @@
     return sum;
 }
 
-void link_table::update_metrics()
+void process_links::update_metrics()
 {
     const auto sum = total_traffic();
     metrics_.set("hemlocknotch_links", as_number(links_.size()));
@@ -159,4 +166,4 @@
     }
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/link_table.hpp
+++ b/packages/daemon/src/process_links.hpp
@@ -12,12 +12,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Receiver of what happens on links. Called on the event loop's thread, possibly from within a call to the
 /// table.
@@ -36,10 +37,10 @@
 };
 
 /// The links of one process by number, and the count of their traffic. Used by the event loop's thread only.
-class link_table {
+class process_links {
 public:
     /// All references must outlive the table.
-    link_table(event_base* base, link_factory& factory, metrics& counts, link_sink& sink);
+    process_links(event_base* base, link_factory& factory, metrics& counts, link_sink& sink);
 
     /// Opens link `number` to `address`. Precondition: the number is not in use.
     void open(link_id number, const endpoint_address& address);
@@ -53,6 +54,9 @@
     /// Closes a link; ignored where it has closed.
     void close(link_id number, std::string_view reason);
 
+    /// Returns the address that link `number` was opened to. Precondition: `open` was called for it.
+    [[nodiscard]] const endpoint_address& address_of(link_id number) const;
+
     /// Returns the number of links, those included that are being opened.
     [[nodiscard]] std::size_t count() const { return links_.size(); }
 
@@ -66,7 +70,8 @@
     struct entry {
         std::unique_ptr<link> connection;
         bool is_open = false;
-        bool is_accepted = false;
+        /// Nothing for an accepted link.
+        std::optional<endpoint_address> address;
         std::uint64_t seen_received_bytes = 0;
     };
 
@@ -96,4 +101,4 @@
     link_traffic closed_traffic_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/refusal_document.cpp
+++ b/packages/daemon/src/refusal_document.cpp
@@ -4,7 +4,7 @@
 
 #include <chrono>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 std::string refusal_document(const request_id& id, const refusal& reason, std::string_view detail)
 {
@@ -26,4 +26,4 @@
     return std::to_string(std::chrono::ceil<std::chrono::seconds>(reason.retry_after).count());
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/refusal_document.hpp
+++ b/packages/daemon/src/refusal_document.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Returns the JSON body of a refusal as a caller receives it (docs/INTERFACES.md). Never fails.
 std::string refusal_document(const request_id& id, const refusal& reason, std::string_view detail);
@@ -14,4 +14,4 @@
 /// Returns the value of `Retry-After` for `reason`: whole seconds, rounded up; empty where there is none.
 std::string retry_after_of(const refusal& reason);
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/setting_description.cpp
+++ b/packages/daemon/src/setting_description.cpp
@@ -7,7 +7,7 @@
 #include <type_traits>
 #include <utility>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 struct unit_ending {
@@ -126,4 +126,4 @@
     return std::visit([&](auto field) { return text_of(field(defaults)); }, setting.field);
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/setting_description.hpp
+++ b/packages/daemon/src/setting_description.hpp
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <variant>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Where a setting is kept; its type is the setting's type.
 using setting_field =
@@ -51,4 +51,4 @@
 /// Returns the default as it would stand in a settings file; `none` where the setting is required.
 std::string default_text(const setting_description& setting);
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/setting_list.cpp
+++ b/packages/daemon/src/setting_list.cpp
@@ -2,7 +2,7 @@
 
 #include <array>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr double hour_ms = 3'600'000;
@@ -55,10 +55,10 @@
                         .meaning = "Where spans are written as JSON lines: the path of a file, stderr, or "
                                    "nowhere where empty."},
     setting_description{.path = "fair_order", .scope = setting_scope::agent,
-                        .field = PLACE(std::string, fair_order_name), .choices = "damped|local|random",
-                        .meaning = "Which client account is served next: by fleet-wide counters (damped), or "
-                                   "by two baselines for measurements, this agent's counters alone (local) "
-                                   "and chance (random)."},
+                        .field = PLACE(std::string, fair_order_name), .choices = "damped|fleet|local|random",
+                        .meaning = "Which client account is served next: by damped fleet-wide counters "
+                                   "(damped), or by a baseline for measurements: fleet-wide counters as they "
+                                   "come (fleet), this agent's counters alone (local), chance (random)."},
     setting_description{.path = "concurrency.initial", .scope = setting_scope::agent,
                         .field = PLACE(std::uint32_t, agent.initial_limit), .least = 1, .most = 4096,
                         .meaning = "Requests that a cold endpoint is given at once."},
@@ -196,4 +196,4 @@
     return descriptions;
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/settings.hpp
+++ b/packages/daemon/src/settings.hpp
@@ -11,7 +11,7 @@
 #include <optional>
 #include <string>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// All settings of one daemon, with their defaults. What each means, its unit and its range stand in the list
 /// of `setting_descriptions`.
@@ -48,4 +48,4 @@
     agent_options agent;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/settings_reading.hpp
+++ b/packages/daemon/src/settings_reading.hpp
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Outcome of reading a settings file: settings, or all of its faults.
 struct settings_reading {
@@ -21,4 +21,4 @@
 /// unknown or repeated key, wrong type, out of range, missing, combinations that cannot work. Pure.
 settings_reading read_settings(std::string_view text, process_role role);
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/span_recorder.cpp
+++ b/packages/daemon/src/span_recorder.cpp
@@ -9,7 +9,7 @@
 #include <iostream>
 #include <utility>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr std::string_view request_operation = "request";
@@ -26,6 +26,13 @@
     return hash == 0 ? 1 : hash;
 }
 
+std::string outgoing_traceparent(const request_id& id, std::string_view received)
+{
+    const auto context = traceparent::parse(received);
+    const auto trace = context ? std::string{context->trace_id()} : id.to_string();
+    return traceparent::of(trace, to_hex(span_number(id, request_operation, {}))).text();
+}
+
 std::string span_line(const span_effect& effect, const process_clock& clock, std::string_view process_name)
 {
     const auto context = traceparent::parse(effect.traceparent);
@@ -80,4 +87,4 @@
     *output_ << span_line(effect, clock, process_name_) + '\n' << std::flush;
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/start_error.hpp
+++ b/packages/daemon/src/start_error.hpp
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Why a daemon could not start, carried by Boost.LEAF from where it was found to `main`.
 struct start_error {
@@ -12,4 +12,4 @@
     std::string remedy;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/timer.cpp
+++ b/packages/daemon/src/timer.cpp
@@ -4,7 +4,7 @@
 #include <cassert>
 #include <utility>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 void run_callback(evutil_socket_t /*fd*/, short /*what*/, void* arg)
@@ -42,4 +42,4 @@
     event_del(event_.get());
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/timer.hpp
+++ b/packages/daemon/src/timer.hpp
@@ -6,7 +6,7 @@
 
 #include <functional>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// Calls a function later on the event loop's thread. Used by that thread only.
 class timer {
@@ -34,4 +34,4 @@
     event_ptr event_;
 };
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/traceparent.cpp
+++ b/packages/daemon/src/traceparent.cpp
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <utility>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 namespace {
 
 constexpr std::size_t trace_id_at = 3;
@@ -76,4 +76,4 @@
     return out;
 }
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/traceparent.hpp
+++ b/packages/daemon/src/traceparent.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace hemlocknotch {
+namespace hemlocknotch::daemon {
 
 /// W3C Trace Context's `traceparent`, version 00. Immutable value; safe to share between threads.
 class traceparent {
@@ -35,4 +35,4 @@
 /// Returns `value` as 16 lower-case hexadecimal digits.
 std::string to_hex(std::uint64_t value);
 
-} // namespace hemlocknotch
+} // namespace hemlocknotch::daemon
