--- a/packages/daemon/src/agent_shell.cpp
+++ b/packages/daemon/src/agent_shell.cpp
@@ -61,9 +61,8 @@
                         "Choose an address of this machine and a free port in links_address, or port 0 to let "
                         "the system choose."});
     }
-    listener_->accepted.connect([this](const std::shared_ptr<std::unique_ptr<link>>& accepted) {
-        links_.adopt(std::move(*accepted));
-    });
+    listener_->accepted.connect(
+        [this](const std::shared_ptr<peer_link>& accepted) { links_.adopt(accepted); });
     BOOST_LEAF_AUTO(operators, operators_.listen(*settings_.operators_address));
     pump_.post(tick_event{});
     return listening_line("links", listener_->address(), operators);
--- a/packages/daemon/src/event_log.cpp
+++ b/packages/daemon/src/event_log.cpp
@@ -1,6 +1,7 @@
 #include "event_log.hpp"
 
 #include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
--- a/packages/daemon/src/process_links.cpp
+++ b/packages/daemon/src/process_links.cpp
@@ -39,7 +39,7 @@
     watch(number, {factory_.connect(address), false, address, 0});
 }
 
-void process_links::adopt(std::unique_ptr<link> accepted)
+void process_links::adopt(std::shared_ptr<peer_link> accepted)
 {
     assert(accepted);
     watch(++last_accepted_, {std::move(accepted), false, std::nullopt, 0});
--- a/packages/daemon/src/process_links.hpp
+++ b/packages/daemon/src/process_links.hpp
@@ -3,7 +3,7 @@
 #include <hemlocknotch/core/endpoint_address.hpp>
 #include <hemlocknotch/core/link_id.hpp>
 #include <hemlocknotch/core/message.hpp>
-#include <hemlocknotch/wire/link.hpp>
+#include <hemlocknotch/wire/peer_link.hpp>
 #include <hemlocknotch/wire/link_factory.hpp>
 
 #include "metrics.hpp"
@@ -46,7 +46,7 @@
     void open(link_id number, const endpoint_address& address);
 
     /// Takes over a link that was accepted, under a number that the table chooses. Precondition: not null.
-    void adopt(std::unique_ptr<link> accepted);
+    void adopt(std::shared_ptr<peer_link> accepted);
 
     /// Sends on a link; ignored where it has closed.
     void send(link_id number, const message& content);
@@ -68,7 +68,7 @@
 
 private:
     struct entry {
-        std::unique_ptr<link> connection;
+        std::shared_ptr<peer_link> connection;
         bool is_open = false;
         /// Nothing for an accepted link.
         std::optional<endpoint_address> address;
@@ -93,7 +93,7 @@
     link_sink& sink_;
     link_id last_accepted_ = 0;
     std::unordered_map<link_id, entry> links_;
-    std::vector<std::unique_ptr<link>> closed_;
+    std::vector<std::shared_ptr<peer_link>> closed_;
     timer clean_up_;
     /// By position of the kind in `message`.
     std::vector<kind_count> kinds_;
--- a/packages/daemon/src/setting_description.hpp
+++ b/packages/daemon/src/setting_description.hpp
@@ -31,9 +31,9 @@
     double least = 0.0;
     double most = 0.0;
     /// Texts only: the allowed values, separated by `|`; empty where any text will do.
-    std::string_view choices;
+    std::string_view choices = {};
     bool is_required = false;
-    std::string_view meaning;
+    std::string_view meaning = {};
 };
 
 /// Returns all settings, in the order of the reference.
