--- a/packages/core/include/hemlocknotch/core/entry_state.hpp
+++ b/packages/core/include/hemlocknotch/core/entry_state.hpp
@@ -10,7 +10,7 @@
 namespace hemlocknotch {
 
 /// Weighted service of one client account of one service, as far as this process knows.
-struct account_counter {
+struct service_counter {
     account_key service;
     account_key client_account;
     double counter = 0.0;
@@ -29,7 +29,7 @@
     std::size_t outstanding = 0;
     /// Bytes of request bodies held.
     std::size_t held_bytes = 0;
-    std::vector<account_counter> counters;
+    std::vector<service_counter> counters;
 };
 
 /// What an entry knows. Owned and driven by `entry_reducer`. Not safe for use by two threads at once.
--- a/packages/core/src/agent_choice.hpp
+++ b/packages/core/src/agent_choice.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "agent_link.hpp"
 #include "choice_random.hpp"
+#include "outgoing_link.hpp"
 
 #include <cstdint>
 #include <span>
@@ -14,7 +14,7 @@
 /// then one of the entry's own failure domain if there is one; among equals that with more room of two drawn
 /// at random, so that entries which see the same room do not all choose one agent (Mitzenmacher, "The Power
 /// of Two Choices in Randomized Load Balancing", IEEE TPDS 2001). Null where `with_room` is empty.
-agent_link* choose_for_direct(std::span<agent_link* const> with_room, std::uint64_t prefix,
-                              std::string_view own_domain, choice_random& random);
+outgoing_link* choose_for_direct(std::span<outgoing_link* const> with_room, std::uint64_t prefix,
+                                 std::string_view own_domain, choice_random& random);
 
 } // namespace hemlocknotch
--- a/packages/core/src/caller_handler.cpp
+++ b/packages/core/src/caller_handler.cpp
@@ -187,7 +187,7 @@
         outcomes_.acknowledge(turn, *request);
         return;
     }
-    agent_link* const link = data_.links.find(request->link);
+    outgoing_link* const link = data_.links.find(request->link);
     if (link != nullptr && link->is_open) {
         link_table::send(turn, *link, cancel_message{request->id, request->attempt});
     }
--- a/packages/core/src/demand_teller.cpp
+++ b/packages/core/src/demand_teller.cpp
@@ -11,7 +11,7 @@
 /// Returns the number of binary digits of a count.
 int level_of(std::size_t count)
 {
-    return std::bit_width(count);
+    return static_cast<int>(std::bit_width(count));
 }
 
 bool is_change_told(const believed_count& believed, std::size_t count)
--- a/packages/core/src/demand_teller.hpp
+++ b/packages/core/src/demand_teller.hpp
@@ -3,7 +3,7 @@
 #include <hemlocknotch/core/message.hpp>
 #include <hemlocknotch/core/time.hpp>
 
-#include "agent_link.hpp"
+#include "outgoing_link.hpp"
 #include "waiting_queue.hpp"
 
 #include <optional>
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -47,7 +47,7 @@
     value.queued_at = turn.now();
     const bool is_first = queue.empty();
     queue.add(value);
-    agent_link* const link = is_first ? choose_agent(turn, value) : nullptr;
+    outgoing_link* const link = is_first ? choose_agent(turn, value) : nullptr;
     if (link != nullptr) {
         --link->room;
         submit(turn, value, *link, 0);
@@ -56,7 +56,7 @@
 
 void dispatcher::enqueue_pinned(entry_turn& turn, entry_request& value)
 {
-    agent_link* const link = data_.links.usable_link_to(value.pinned_agent);
+    outgoing_link* const link = data_.links.usable_link_to(value.pinned_agent);
     if (link == nullptr || !link->is_open) {
         delay(turn, value, 1);
         return;
@@ -75,7 +75,7 @@
     data_.requests.set_timer(value, std::min(value.deadline, turn.now() + pause));
 }
 
-void dispatcher::on_grant(entry_turn& turn, agent_link& link, const grant_message& value)
+void dispatcher::on_grant(entry_turn& turn, outgoing_link& link, const grant_message& value)
 {
     link.cached_prefixes = value.cached_prefixes;
     entry_request* const chosen =
@@ -91,7 +91,7 @@
     submit(turn, *chosen, link, value.grant);
 }
 
-void dispatcher::on_room(entry_turn& turn, agent_link& link, const room_message& value)
+void dispatcher::on_room(entry_turn& turn, outgoing_link& link, const room_message& value)
 {
     link.room = value.room;
     link.is_draining = value.is_draining;
@@ -105,7 +105,7 @@
     }
 }
 
-entry_request* dispatcher::least_served(account_key service, const agent_link& link)
+entry_request* dispatcher::least_served(account_key service, const outgoing_link& link)
 {
     waiting_queue& queue = data_.queues[service];
     const auto ledger = data_.ledgers.find(service);
@@ -125,9 +125,9 @@
     return is_found ? queue.choose(lowest, link.cached_prefixes) : nullptr;
 }
 
-agent_link* dispatcher::choose_agent(entry_turn& turn, const entry_request& value)
+outgoing_link* dispatcher::choose_agent(entry_turn& turn, const entry_request& value)
 {
-    std::vector<agent_link*> with_room;
+    std::vector<outgoing_link*> with_room;
     for (auto& [id, link] : data_.links.links()) {
         if (link.room > 0 && link.service == value.service && data_.may_send_work(link)) {
             with_room.push_back(&link);
@@ -136,7 +136,7 @@
     return choose_for_direct(with_room, value.prefix, data_.options.failure_domain, turn.random());
 }
 
-void dispatcher::submit(entry_turn& turn, entry_request& value, agent_link& link, std::uint64_t grant)
+void dispatcher::submit(entry_turn& turn, entry_request& value, outgoing_link& link, std::uint64_t grant)
 {
     assert(value.state == request_state::waiting);
     data_.queues[value.service].remove(value);
--- a/packages/core/src/dispatcher.hpp
+++ b/packages/core/src/dispatcher.hpp
@@ -2,7 +2,6 @@
 
 #include "entry_data.hpp"
 #include "entry_turn.hpp"
-#include "request_ender.hpp"
 
 namespace hemlocknotch {
 
@@ -12,7 +11,7 @@
     /// Refusals after which a request waits for this long before it is sent again, at the most.
     static constexpr duration max_backoff = std::chrono::seconds{1};
 
-    dispatcher(entry_data& data, request_ender& ender) : data_{data}, ender_{ender} {}
+    explicit dispatcher(entry_data& data) : data_{data} {}
 
     /// Makes a request ready to be dispatched and dispatches it where there is room. Precondition: it is not
     /// waiting.
@@ -22,19 +21,18 @@
     void delay(entry_turn& turn, entry_request& value, unsigned n);
 
     /// Answers a grant with the request that fits best, or declines it.
-    void on_grant(entry_turn& turn, agent_link& link, const grant_message& value);
+    void on_grant(entry_turn& turn, outgoing_link& link, const grant_message& value);
 
     /// Takes in advertised room and uses it for what waits.
-    void on_room(entry_turn& turn, agent_link& link, const room_message& value);
+    void on_room(entry_turn& turn, outgoing_link& link, const room_message& value);
 
 private:
-    void submit(entry_turn& turn, entry_request& value, agent_link& link, std::uint64_t grant);
+    void submit(entry_turn& turn, entry_request& value, outgoing_link& link, std::uint64_t grant);
     void enqueue_pinned(entry_turn& turn, entry_request& value);
-    [[nodiscard]] agent_link* choose_agent(entry_turn& turn, const entry_request& value);
-    [[nodiscard]] entry_request* least_served(account_key service, const agent_link& link);
+    [[nodiscard]] outgoing_link* choose_agent(entry_turn& turn, const entry_request& value);
+    [[nodiscard]] entry_request* least_served(account_key service, const outgoing_link& link);
 
     entry_data& data_;
-    request_ender& ender_;
 };
 
 } // namespace hemlocknotch
--- a/packages/core/src/entry_core.cpp
+++ b/packages/core/src/entry_core.cpp
@@ -11,7 +11,7 @@
 entry_core::entry_core(const entry_options& options)
     : data_{options, instant{}},
       ender_{data_},
-      dispatcher_{data_, ender_},
+      dispatcher_{data_},
       outcomes_{data_, dispatcher_, ender_},
       callers_{data_, dispatcher_, outcomes_, ender_},
       links_{data_, dispatcher_, outcomes_}
@@ -151,7 +151,7 @@
     for (const request_id& id : data_.requests.ids()) {
         entry_request* const it = data_.requests.find(id);
         const bool is_outstanding = it->is_outstanding();
-        agent_link* const link = data_.links.find(it->link);
+        outgoing_link* const link = data_.links.find(it->link);
         if (is_outstanding && link != nullptr && link->is_open) {
             link_table::send(turn, *link, cancel_message{it->id, it->attempt});
         }
--- a/packages/core/src/entry_data.hpp
+++ b/packages/core/src/entry_data.hpp
@@ -55,7 +55,7 @@
     }
 
     /// Returns whether the agent behind `link` may be sent new work.
-    [[nodiscard]] bool may_send_work(const agent_link& link)
+    [[nodiscard]] bool may_send_work(const outgoing_link& link)
     {
         const agent_target* const target = links.find_target(link.target);
         const configuration_ptr& current = configuration.current();
--- a/packages/core/src/link_handler.cpp
+++ b/packages/core/src/link_handler.cpp
@@ -30,7 +30,7 @@
 }
 
 /// Returns why a link cannot be used; empty where it can.
-std::string_view fault_of(const hello_message& value, const agent_link& link)
+std::string_view fault_of(const hello_message& value, const outgoing_link& link)
 {
     if (value.version != protocol_version) {
         return "the peer has another protocol version";
@@ -58,6 +58,7 @@
         choose_links(data_.options.identity.name, data_.options.failure_domain, data_.members,
                      link_subset_options{.agents_per_service = data_.options.agents_per_service});
     std::vector<member> chosen;
+    chosen.reserve(positions.size());
     for (const std::size_t it : positions) {
         chosen.push_back(data_.members.at(it));
     }
@@ -71,7 +72,7 @@
 
 void link_handler::on_opened(entry_turn& turn, const link_opened_event& value)
 {
-    agent_link* const link = data_.links.find(value.link);
+    outgoing_link* const link = data_.links.find(value.link);
     if (link == nullptr || link->is_open || link->is_closing) {
         return;
     }
@@ -87,7 +88,7 @@
 
 void link_handler::on_closed(entry_turn& turn, const link_closed_event& value)
 {
-    agent_link* const link = data_.links.find(value.link);
+    outgoing_link* const link = data_.links.find(value.link);
     if (link == nullptr) {
         return;
     }
@@ -95,7 +96,12 @@
         log_effect{log_level::info, "link-closed", {{"agent", link->target}, {"reason", value.reason}}});
     const std::string name = link->target;
     const bool was_in_use = !link->peer.name.empty();
+    const bool was_opened = link->is_open || link->is_closing;
     agent_target* const target = data_.links.find_target(link->target);
+    if (target != nullptr && target->replacement == value.link && was_opened) {
+        // The agent may have taken it for the link in use and may listen to the other one no more.
+        close_in_use(turn, *target);
+    }
     data_.configuration.remove_link(value.link);
     data_.links.remove(value.link);
     if (target != nullptr) {
@@ -110,15 +116,22 @@
             outcomes_.on_link_lost(turn, *request);
         }
     }
-    agent_link* const other = data_.links.usable_link_to(name);
+    outgoing_link* const other = data_.links.usable_link_to(name);
     if (other != nullptr) {
         take_over(turn, *other);
     }
 }
 
+void link_handler::close_in_use(entry_turn& turn, const agent_target& target)
+{
+    if (outgoing_link* const link = data_.links.find(target.link)) {
+        link_table::close(turn, *link, "the link that was to replace it has closed");
+    }
+}
+
 void link_handler::on_message(entry_turn& turn, const link_message_event& value)
 {
-    agent_link* const link = data_.links.find(value.link);
+    outgoing_link* const link = data_.links.find(value.link);
     if (link == nullptr || !link->is_open) {
         return;
     }
@@ -136,7 +149,7 @@
     }
 }
 
-void link_handler::on_hello(entry_turn& turn, agent_link& link, const hello_message& value)
+void link_handler::on_hello(entry_turn& turn, outgoing_link& link, const hello_message& value)
 {
     const std::string_view fault = fault_of(value, link);
     if (!fault.empty()) {
@@ -153,7 +166,7 @@
     link.service = account_key::of(value.service);
     on_contact(turn, link);
     data_.links.find_target(link.target)->failures = 0;
-    if (agent_link* const before = data_.links.put_in_use(link)) {
+    if (outgoing_link* const before = data_.links.put_in_use(link)) {
         link_table::close(turn, *before, "replaced by a new link");
     }
     turn.emit(log_effect{
@@ -171,7 +184,7 @@
     take_over(turn, link);
 }
 
-void link_handler::take_over(entry_turn& turn, agent_link& link)
+void link_handler::take_over(entry_turn& turn, outgoing_link& link)
 {
     for (const request_id& id : data_.requests.outstanding_at(link.peer.name)) {
         entry_request* const request = data_.requests.find(id);
@@ -187,7 +200,7 @@
     }
 }
 
-void link_handler::on_contact(const entry_turn& turn, const agent_link& link)
+void link_handler::on_contact(const entry_turn& turn, const outgoing_link& link)
 {
     if (link.failure_domain == data_.options.failure_domain) {
         data_.reach.on_own_domain_reached(turn.now());
@@ -197,7 +210,7 @@
     }
 }
 
-void link_handler::dispatch_message(entry_turn& turn, agent_link& link, const message& content)
+void link_handler::dispatch_message(entry_turn& turn, outgoing_link& link, const message& content)
 {
     std::visit(overloaded{
                    [&](const refuse_message& it) { outcomes_.on_refuse(turn, link, it); },
@@ -234,7 +247,7 @@
                content);
 }
 
-void link_handler::on_service_report(agent_link& link, const service_report_message& value)
+void link_handler::on_service_report(outgoing_link& link, const service_report_message& value)
 {
     if (value.service != link.service) {
         return;
@@ -291,7 +304,7 @@
     return again_at;
 }
 
-bool link_handler::is_active(const agent_link& link) const
+bool link_handler::is_active(const outgoing_link& link) const
 {
     return data_.requests.has_outstanding_at(link.peer.name) || !link.told.accounts.empty();
 }
@@ -314,7 +327,7 @@
     }
 }
 
-void link_handler::maintain_link(entry_turn& turn, agent_link& link)
+void link_handler::maintain_link(entry_turn& turn, outgoing_link& link)
 {
     const entry_options& options = data_.options;
     if (link.is_closing) {
@@ -340,7 +353,7 @@
     const bool is_needed = target.is_chosen || data_.requests.has_outstanding_at(target.description.name);
     if (!is_needed) {
         for (const link_id it : {target.link, target.replacement}) {
-            if (agent_link* const link = data_.links.find(it)) {
+            if (outgoing_link* const link = data_.links.find(it)) {
                 link_table::close(turn, *link, "no longer needed");
             }
         }
@@ -349,7 +362,7 @@
     if (turn.now() < target.retry_at || target.replacement != 0) {
         return;
     }
-    const agent_link* const link = data_.links.find(target.link);
+    const outgoing_link* const link = data_.links.find(target.link);
     const duration allowed = data_.options.silence_limit - data_.options.heartbeat_interval;
     const bool is_silent =
         link != nullptr && link->has_hello && link->probed_at && turn.now() - *link->probed_at >= allowed;
--- a/packages/core/src/link_handler.hpp
+++ b/packages/core/src/link_handler.hpp
@@ -34,14 +34,15 @@
     void report_service(entry_turn& turn);
 
 private:
-    void on_hello(entry_turn& turn, agent_link& link, const hello_message& value);
-    void take_over(entry_turn& turn, agent_link& link);
-    void on_service_report(agent_link& link, const service_report_message& value);
-    void dispatch_message(entry_turn& turn, agent_link& link, const message& content);
-    void on_contact(const entry_turn& turn, const agent_link& link);
-    void maintain_link(entry_turn& turn, agent_link& link);
+    void close_in_use(entry_turn& turn, const agent_target& target);
+    void on_hello(entry_turn& turn, outgoing_link& link, const hello_message& value);
+    void take_over(entry_turn& turn, outgoing_link& link);
+    void on_service_report(outgoing_link& link, const service_report_message& value);
+    void dispatch_message(entry_turn& turn, outgoing_link& link, const message& content);
+    void on_contact(const entry_turn& turn, const outgoing_link& link);
+    void maintain_link(entry_turn& turn, outgoing_link& link);
     void maintain_target(entry_turn& turn, agent_target& target);
-    [[nodiscard]] bool is_active(const agent_link& link) const;
+    [[nodiscard]] bool is_active(const outgoing_link& link) const;
 
     entry_data& data_;
     dispatcher& dispatcher_;
--- a/packages/core/src/link_table.cpp
+++ b/packages/core/src/link_table.cpp
@@ -5,7 +5,7 @@
 
 namespace hemlocknotch {
 
-void link_table::send(entry_turn& turn, agent_link& link, message content)
+void link_table::send(entry_turn& turn, outgoing_link& link, message content)
 {
     assert(link.is_open);
     link.last_sent = turn.now();
@@ -15,14 +15,14 @@
 void link_table::send_all(entry_turn& turn, std::vector<send_effect> messages)
 {
     for (send_effect& it : messages) {
-        agent_link* const link = find(it.link);
+        outgoing_link* const link = find(it.link);
         if (link != nullptr && link->is_open) {
             send(turn, *link, std::move(it.content));
         }
     }
 }
 
-agent_link* link_table::find(link_id id)
+outgoing_link* link_table::find(link_id id)
 {
     const auto it = links_.find(id);
     return it == links_.end() ? nullptr : &it->second;
@@ -34,13 +34,13 @@
     return it == targets_.end() ? nullptr : &it->second;
 }
 
-agent_link* link_table::usable_link_to(std::string_view name)
+outgoing_link* link_table::usable_link_to(std::string_view name)
 {
     const agent_target* const target = find_target(name);
     if (target == nullptr) {
         return nullptr;
     }
-    agent_link* const link = find(target->link);
+    outgoing_link* const link = find(target->link);
     return link != nullptr && link->has_hello ? link : nullptr;
 }
 
@@ -67,7 +67,7 @@
 void link_table::open(entry_turn& turn, agent_target& target)
 {
     const link_id id = ++last_link_;
-    agent_link link;
+    outgoing_link link;
     link.id = id;
     link.target = target.description.name;
     link.last_heard = turn.now();
@@ -77,7 +77,7 @@
     turn.emit(open_link_effect{id, target.description.address});
 }
 
-void link_table::close(entry_turn& turn, agent_link& link, std::string reason)
+void link_table::close(entry_turn& turn, outgoing_link& link, std::string reason)
 {
     if (link.is_closing) {
         return;
@@ -102,14 +102,14 @@
     links_.erase(it);
 }
 
-agent_link* link_table::put_in_use(agent_link& link)
+outgoing_link* link_table::put_in_use(outgoing_link& link)
 {
     agent_target* const target = find_target(link.target);
     if (target == nullptr || target->link == link.id) {
         return nullptr;
     }
     assert(target->replacement == link.id);
-    agent_link* const before = find(target->link);
+    outgoing_link* const before = find(target->link);
     target->link = link.id;
     target->replacement = 0;
     return before;
--- a/packages/core/src/link_table.hpp
+++ b/packages/core/src/link_table.hpp
@@ -3,8 +3,8 @@
 #include <hemlocknotch/core/endpoint_address.hpp>
 #include <hemlocknotch/core/message.hpp>
 
-#include "agent_link.hpp"
 #include "entry_turn.hpp"
+#include "outgoing_link.hpp"
 
 #include <cstddef>
 #include <map>
@@ -20,19 +20,19 @@
 class link_table {
 public:
     /// Sends a message. Precondition: the link is open.
-    static void send(entry_turn& turn, agent_link& link, message content);
+    static void send(entry_turn& turn, outgoing_link& link, message content);
 
     /// Sends effects made by another module, on links that may have closed meanwhile.
     void send_all(entry_turn& turn, std::vector<send_effect> messages);
 
     /// Returns the link with `id`, or null.
-    [[nodiscard]] agent_link* find(link_id id);
+    [[nodiscard]] outgoing_link* find(link_id id);
 
     /// Returns the agent called `name`, or null.
     [[nodiscard]] agent_target* find_target(std::string_view name);
 
     /// Returns the link in use to the agent called `name`, if its agent has said hello; else null.
-    [[nodiscard]] agent_link* usable_link_to(std::string_view name);
+    [[nodiscard]] outgoing_link* usable_link_to(std::string_view name);
 
     /// Makes the agents in `chosen` those to link to. An agent whose address has changed is linked to anew.
     void choose(entry_turn& turn, std::span<const member> chosen);
@@ -41,27 +41,27 @@
     void open(entry_turn& turn, agent_target& target);
 
     /// Asks the shell to close a link and uses it no more.
-    static void close(entry_turn& turn, agent_link& link, std::string reason);
+    static void close(entry_turn& turn, outgoing_link& link, std::string reason);
 
     /// Forgets a link that has closed.
     void remove(link_id id);
 
     /// Makes `link` the one in use for its target. Returns the one before, or null.
-    agent_link* put_in_use(agent_link& link);
+    outgoing_link* put_in_use(outgoing_link& link);
 
     /// Forgets a target that has no link.
     void drop_target(std::string_view name);
 
-    [[nodiscard]] std::map<link_id, agent_link>& links() { return links_; }
+    [[nodiscard]] std::map<link_id, outgoing_link>& links() { return links_; }
 
-    [[nodiscard]] const std::map<link_id, agent_link>& links() const { return links_; }
+    [[nodiscard]] const std::map<link_id, outgoing_link>& links() const { return links_; }
 
     [[nodiscard]] std::map<std::string, agent_target, std::less<>>& targets() { return targets_; }
 
     [[nodiscard]] const std::map<std::string, agent_target, std::less<>>& targets() const { return targets_; }
 
 private:
-    std::map<link_id, agent_link> links_;
+    std::map<link_id, outgoing_link> links_;
     std::map<std::string, agent_target, std::less<>> targets_;
     link_id last_link_ = 0;
 };
--- a/packages/core/src/outcome_handler.cpp
+++ b/packages/core/src/outcome_handler.cpp
@@ -17,7 +17,7 @@
                                    std::max<std::size_t>(1, options.reply_window_bytes / 4));
 }
 
-void ack_end(entry_turn& turn, agent_link& link, const end_message& end)
+void ack_end(entry_turn& turn, outgoing_link& link, const end_message& end)
 {
     link_table::send(
         turn, link,
@@ -26,7 +26,7 @@
 
 } // namespace
 
-entry_request* outcome_handler::current_dispatch(entry_turn& turn, const agent_link& link,
+entry_request* outcome_handler::current_dispatch(entry_turn& turn, const outgoing_link& link,
                                                  const request_id& id, std::uint32_t attempt)
 {
     entry_request* const value = data_.requests.find(id);
@@ -47,7 +47,7 @@
     value.last_news = turn.now();
 }
 
-void outcome_handler::on_refuse(entry_turn& turn, const agent_link& link, const refuse_message& value)
+void outcome_handler::on_refuse(entry_turn& turn, const outgoing_link& link, const refuse_message& value)
 {
     entry_request* const request = current_dispatch(turn, link, value.id, value.attempt);
     if (request != nullptr) {
@@ -55,7 +55,7 @@
     }
 }
 
-void outcome_handler::on_head(entry_turn& turn, agent_link& link, const head_message& value)
+void outcome_handler::on_head(entry_turn& turn, outgoing_link& link, const head_message& value)
 {
     entry_request* const request = current_dispatch(turn, link, value.id, value.attempt);
     if (request == nullptr) {
@@ -79,7 +79,7 @@
     }
 }
 
-void outcome_handler::on_part(entry_turn& turn, agent_link& link, const part_message& value)
+void outcome_handler::on_part(entry_turn& turn, outgoing_link& link, const part_message& value)
 {
     entry_request* const request = current_dispatch(turn, link, value.id, value.attempt);
     if (request == nullptr) {
@@ -108,7 +108,7 @@
     }
 }
 
-void outcome_handler::on_end(entry_turn& turn, agent_link& link, const end_message& value)
+void outcome_handler::on_end(entry_turn& turn, outgoing_link& link, const end_message& value)
 {
     entry_request* const request = current_dispatch(turn, link, value.id, value.attempt);
     if (request == nullptr) {
@@ -133,7 +133,7 @@
     }
 }
 
-void outcome_handler::ran(entry_turn& turn, agent_link& link, entry_request& value, const end_message& end)
+void outcome_handler::ran(entry_turn& turn, outgoing_link& link, entry_request& value, const end_message& end)
 {
     const answer_progress& answer = value.answer;
     if (answer.is_head_passed() && answer.received() > end.length) {
@@ -152,7 +152,7 @@
     ender_.complete(turn, value);
 }
 
-void outcome_handler::on_resolved(entry_turn& turn, agent_link& link, const resolved_message& value)
+void outcome_handler::on_resolved(entry_turn& turn, outgoing_link& link, const resolved_message& value)
 {
     entry_request* const request = current_dispatch(turn, link, value.id, value.attempt);
     if (request == nullptr || !request->is_resolving || request->link != link.id) {
@@ -175,7 +175,7 @@
     }
 }
 
-void outcome_handler::resolve(entry_turn& turn, agent_link& link, entry_request& value)
+void outcome_handler::resolve(entry_turn& turn, outgoing_link& link, entry_request& value)
 {
     assert(value.is_outstanding() && value.agent == link.peer);
     if (value.is_resolving && value.link == link.id) {
@@ -190,7 +190,7 @@
     link_table::send(turn, link, resolve_message{value.id, value.attempt, value.answer.received()});
 }
 
-void outcome_handler::ask_for_missing(entry_turn& turn, agent_link& link, entry_request& value)
+void outcome_handler::ask_for_missing(entry_turn& turn, outgoing_link& link, entry_request& value)
 {
     if (value.answer.is_window_full(data_.options.reply_window_bytes)) {
         value.answer.set_cut();
@@ -211,7 +211,7 @@
 
 void outcome_handler::on_unresolvable(entry_turn& turn, entry_request& value)
 {
-    agent_link* const link = data_.links.usable_link_to(value.agent.name);
+    outgoing_link* const link = data_.links.usable_link_to(value.agent.name);
     if (link != nullptr && link->peer == value.agent) {
         link_table::send(turn, *link, cancel_message{value.id, value.attempt});
     }
@@ -226,7 +226,7 @@
         data_.requests.set_timer(value, silent_until);
         return;
     }
-    agent_link* const link = data_.links.find(value.link);
+    outgoing_link* const link = data_.links.find(value.link);
     if (is_asked || link == nullptr || !link->is_open) {
         on_unresolvable(turn, value);
         return;
@@ -237,7 +237,7 @@
 void outcome_handler::acknowledge(entry_turn& turn, entry_request& value)
 {
     const std::uint64_t offset = value.answer.take_ack(ack_step(data_.options));
-    agent_link* const link = data_.links.find(value.link);
+    outgoing_link* const link = data_.links.find(value.link);
     if (offset == 0 || link == nullptr || !link->is_open) {
         return;
     }
--- a/packages/core/src/agent_link.hpp
+++ b/packages/core/src/outgoing_link.hpp
@@ -36,7 +36,7 @@
 };
 
 /// One link to an agent, from the order to open it until it has closed.
-struct agent_link {
+struct outgoing_link {
     link_id id = 0;
     /// Name of the agent as the instance list gives it.
     std::string target;
