Edit the operators' configuration by compare-and-swap

Cause: operators race each other, and the service's answers can be lost after taking effect; nobody may be told something false about a change.

Change: config_editor reads, checks and writes; a lost answer is settled by reading back against a random change id, and the write is sent again only against the same version. The envelope names the changes before it, so that a change is found again when another one has followed. Taking out and returning edit out_of_service in the document's text, comments kept, and run again after a lost race, since they commute with other edits.

Ruled out: concluding from an unchanged version that a lost write did nothing (it may arrive later); writing a history entry after the change (its writer may stop in between). The history is written by the successor.

--- /dev/null
+++ b/packages/ctl/include/hemlocknotch/ctl/document_editor.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <hemlocknotch/core/configuration.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hemlocknotch {
+
+/// Returns `document` with what is out of service replaced by `out`. Everything else, comments and layout
+/// included, stays as it is; comments inside of `out_of_service` are lost. Returns nothing where the document
+/// is no JSON object. Precondition: the document passes `read_configuration`. Safe to call from any thread.
+std::optional<std::string> replace_out_of_service(std::string_view document, const out_of_service& out);
+
+} // namespace hemlocknotch
--- a/packages/platform/include/hemlocknotch/platform/configuration_envelope.hpp
+++ b/packages/platform/include/hemlocknotch/platform/configuration_envelope.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hemlocknotch {
 
@@ -13,6 +15,9 @@
 /// Number of earlier revisions that are kept.
 inline constexpr std::uint64_t kept_revisions = 50;
 
+/// Number of earlier changes that an envelope names.
+inline constexpr std::size_t kept_changes = 32;
+
 /// What stands in the key-value service under `configuration_key` and in the history: one accepted change.
 struct configuration_envelope {
     /// Counts accepted changes, from 1.
@@ -23,6 +28,9 @@
     std::string applied_at;
     /// Drawn at random for each change, so that its writer knows it again where an answer was lost.
     std::string change;
+    /// The `change` of the revisions before this one, latest first, at most `kept_changes`: so that a writer
+    /// whose answer was lost sees that its change was accepted, also when another has followed.
+    std::vector<std::string> previous_changes;
     /// The document as it was written, comments included.
     std::string document;
 
@@ -33,7 +41,7 @@
 std::string write_envelope(const configuration_envelope& value);
 
 /// Reads what `write_envelope` writes. Returns nothing where a field is missing or of another type, or the
-/// revision is 0. `change` may be missing. Never throws.
+/// revision is 0. Only revision and document are needed. Never throws.
 std::optional<configuration_envelope> read_envelope(std::string_view text);
 
 /// Returns the key under which `revision` is kept.
--- a/packages/platform/src/configuration_envelope.cpp
+++ b/packages/platform/src/configuration_envelope.cpp
@@ -13,6 +13,21 @@
     return it != value.end() && it->is_string() ? it->get<std::string>() : std::string{};
 }
 
+std::vector<std::string> read_texts(const json& value, const char* name)
+{
+    std::vector<std::string> read;
+    const auto list = value.find(name);
+    if (list == value.end() || !list->is_array()) {
+        return read;
+    }
+    for (const json& it : *list) {
+        if (it.is_string()) {
+            read.push_back(it.get<std::string>());
+        }
+    }
+    return read;
+}
+
 } // namespace
 
 std::string write_envelope(const configuration_envelope& value)
@@ -21,6 +36,7 @@
                     {"author", value.author},
                     {"applied_at", value.applied_at},
                     {"change", value.change},
+                    {"previous_changes", value.previous_changes},
                     {"document", value.document}};
     return text.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -45,6 +61,7 @@
     envelope.author = read_text(value, "author");
     envelope.applied_at = read_text(value, "applied_at");
     envelope.change = read_text(value, "change");
+    envelope.previous_changes = read_texts(value, "previous_changes");
     envelope.document = document->get<std::string>();
     return envelope;
 }
--- a/packages/platform/tests/configuration_envelope_test.cpp
+++ b/packages/platform/tests/configuration_envelope_test.cpp
@@ -9,7 +9,8 @@
 
 BOOST_AUTO_TEST_CASE(what_is_written_is_read_back)
 {
-    const configuration_envelope value{7, "ana", "2026-01-31T12:00:00Z", "c0ffee", "{ // \"x\"\n}"};
+    const configuration_envelope value{
+        7, "ana", "2026-01-31T12:00:00Z", "c0ffee", {"beef", "cafe"}, "{ // \"x\"\n}"};
     const auto read = read_envelope(write_envelope(value));
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST((*read == value));
