Add the fleet launcher and a TCP relay that can be cut or silenced

Cause: partitions and silent connections have to be made on loopback without isolation tools, and fleets have to be started and ended the same way by the demo and by every measurement. Change: standin-relay with named routes; tools/fleet starts stand-ins, lists, daemons and the configuration, waits with bounds and ends its own processes by id. With relays each failure domain has its own instance list, so that a cut parts exactly the chosen domains. Ruled out: one relayed address for each agent, which cannot tell who connects. Not run yet: a whole fleet, since the daemon is not there.

--- /dev/null
+++ b/packages/standins/include/hemlocknotch/standins/relay_route.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/standins/relay_connection.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+struct evconnlistener;
+struct event_base;
+struct sockaddr;
+
+namespace hemlocknotch::standins {
+
+/// What a route does with its connections.
+enum class relay_mode : std::uint8_t {
+    /// Passes everything on.
+    pass,
+    /// Closes every connection, and each new one at once.
+    cut,
+    /// Keeps old connections and closes each new one at once.
+    refuse,
+    /// Takes connections and passes nothing on; what was held back is passed on when the mode changes.
+    silent,
+};
+
+/// Reads `pass`, `cut`, `refuse` or `silent`. Returns nothing on any other text.
+std::optional<relay_mode> parse_relay_mode(std::string_view text);
+
+/// One listener whose connections are passed on to one target. One thread.
+class relay_route {
+public:
+    /// Listens on loopback at a port that the system chooses. Throws std::runtime_error where it cannot.
+    /// `base` must outlive it.
+    relay_route(event_base* base, endpoint_address target);
+    relay_route(const relay_route&) = delete;
+    relay_route& operator=(const relay_route&) = delete;
+    relay_route(relay_route&&) = delete;
+    relay_route& operator=(relay_route&&) = delete;
+    ~relay_route() = default;
+
+    /// Returns where it listens.
+    [[nodiscard]] const endpoint_address& address() const { return *address_; }
+
+    /// Passes new connections on to `target`.
+    void set_target(endpoint_address target);
+
+    /// Changes the mode, for open connections too.
+    void set_mode(relay_mode mode);
+
+    /// Makes the connections that are open now silent for good; new ones follow the mode.
+    void silence_open();
+
+    /// Returns the number of open connections.
+    [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
+
+private:
+    struct listener_deleter {
+        void operator()(evconnlistener* it) const;
+    };
+
+    struct open_connection {
+        std::unique_ptr<relay_connection> connection;
+        bool is_silenced = false;
+    };
+
+    static void on_accepted(evconnlistener* listener, int fd, sockaddr* from, int n, void* self);
+    void accept(int fd);
+
+    event_base* base_;
+    endpoint_address target_;
+    relay_mode mode_ = relay_mode::pass;
+    std::unique_ptr<evconnlistener, listener_deleter> listener_;
+    std::optional<endpoint_address> address_;
+    std::list<open_connection> connections_;
+};
+
+} // namespace hemlocknotch::standins
--- /dev/null
+++ b/tools/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Starts fleets of the real programs with stand-ins on loopback, and ends them."""
