Build benches with the sources that they share

Cause: a bench split over several files did not link. Change: hemlocknotch_benches adds the other files under bench/.

--- a/cmake/hemlocknotch_package.cmake
+++ b/cmake/hemlocknotch_package.cmake
@@ -53,13 +53,16 @@
   set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
 
-# hemlocknotch_benches([DEPENDS target...]): a program NAME_bench from each bench/NAME_bench.cpp.
+# hemlocknotch_benches([DEPENDS target...]): a program NAME_bench from each bench/NAME_bench.cpp and all other
+# files there.
 function(hemlocknotch_benches)
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS bench/*_bench.cpp)
+  file(GLOB shared_sources CONFIGURE_DEPENDS bench/*.cpp)
+  list(FILTER shared_sources EXCLUDE REGEX "_bench\\.cpp$")
   foreach(source ${sources})
     get_filename_component(bench ${source} NAME_WE)
-    add_executable(${bench} ${source})
+    add_executable(${bench} ${source} ${shared_sources})
     target_link_libraries(${bench} PRIVATE ${ARG_DEPENDS})
     target_include_directories(${bench} PRIVATE bench src)
   endforeach()
