--- a/packages/standins/include/hemlocknotch/standins/engine_service.hpp
+++ b/packages/standins/include/hemlocknotch/standins/engine_service.hpp
@@ -82,6 +82,7 @@
     std::uint64_t highest_fencing_ = 0;
     std::uint64_t fall_count_ = 0;
     std::uint64_t token_count_ = 0;
+    std::uint64_t started_count_ = 0;
     bool is_down_ = false;
     std::map<std::string, std::unique_ptr<engine_stream>> running_;
     std::map<std::string, std::unique_ptr<engine_stream>> ended_;
--- a/packages/standins/src/engine_service.cpp
+++ b/packages/standins/src/engine_service.cpp
@@ -107,6 +107,7 @@
         request.reply_json(200, {{"running", running_.size()},
                                  {"capacity", is_down_ ? 0.0 : model_.capacity()},
                                  {"falls", fall_count_},
+                                 {"started", started_count_},
                                  {"tokens", token_count_},
                                  {"incarnation", incarnation_}});
         return;
@@ -185,6 +186,7 @@
     if (running_.empty()) {
         next_step_ = now();
     }
+    ++started_count_;
     running_[*id] = std::move(stream);
     schedule();
 }
--- a/packages/standins/src/plain_service.cpp
+++ b/packages/standins/src/plain_service.cpp
@@ -77,7 +77,7 @@
     else if (path == "/model") {
         request.reply_json(200, {{"running", running_.size()},
                                  {"capacity", options_.max_running},
-                                 {"executed", total_},
+                                 {"started", total_},
                                  {"incarnation", incarnation_}});
     }
     else if (path == "/faults") {
