--- a/packages/core/include/hemlocknotch/core/adaptive_concurrency_limit.hpp
+++ b/packages/core/include/hemlocknotch/core/adaptive_concurrency_limit.hpp
@@ -2,7 +2,10 @@
 
 #include <hemlocknotch/core/concurrency_limit.hpp>
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
+#include <vector>
 
 namespace hemlocknotch {
 
@@ -10,28 +13,82 @@
 struct adaptive_limit_options {
     std::uint32_t initial_limit = 2;
     std::uint32_t max_limit = 64;
+    /// Time without a further try after one that slowed the endpoint down; doubles with each such try in a
+    /// row, up to `max_hold_time`.
+    duration hold_time = std::chrono::milliseconds{500};
+    duration max_hold_time = std::chrono::seconds{4};
+    /// At the limit, one request fewer is tried this often, to see whether the last one is still worth it.
+    duration check_time = std::chrono::seconds{5};
+    /// A number of running requests not reached for this long is no longer relied on.
+    duration proven_time = std::chrono::seconds{5};
 };
 
-/// Finds the number of requests that an endpoint bears by the time between the units of its answers. Starts
-/// small and grows while that time stays near the shortest known for the load, as TCP Vegas compares the
-/// present round trip with the shortest (Brakmo and Peterson, "TCP Vegas: End to End Congestion Avoidance on
-/// a Global Internet", 1995); falls by half where it does not or the endpoint fails a request, as TCP's
-/// multiplicative decrease (Jacobson, "Congestion Avoidance and Control", SIGCOMM 1988); and starts over
-/// where the endpoint is cold.
+/// Finds the number of requests that an endpoint bears, by the time between the units of its answers.
+///
+/// For each number of running requests it keeps the time between units that the endpoint has shown it can
+/// keep (TCP Vegas: Brakmo and Peterson, "TCP Vegas: End to End Congestion Avoidance on a Global Internet",
+/// 1995).
+/// - One more request is tried at a time. It stays if the endpoint's rate in units a second grows by a fair
+///   part of what one more request would bring without any slowing; else the limit returns.
+/// - From time to time one request fewer is tried in the same way.
+/// - Numbers borne before are returned to in larger steps, as long as the time between units is what it was.
+/// - Where that time rises otherwise, the limit falls by half at once (Jacobson, "Congestion Avoidance and
+/// Control",
+///   1988).
+/// - Because an endpoint may turn cold without a sign while little runs, the limit is never far above what
+/// has
+///   run in the last `proven_time` (congestion window validation, RFC 2861).
 class adaptive_concurrency_limit final : public concurrency_limit {
 public:
-    /// Precondition: `initial_limit` is at least 1 and at most `max_limit`.
+    /// Precondition: `initial_limit` is at least 1 and at most `max_limit`; times are above zero.
     explicit adaptive_concurrency_limit(const adaptive_limit_options& options);
 
-    [[nodiscard]] std::uint32_t limit() const override;
+    [[nodiscard]] std::uint32_t limit() const override { return limit_; }
+
     void on_unit(instant now, duration interval, bool is_first, std::uint32_t running) override;
     void on_completed(instant now, duration run_time, std::uint32_t running) override;
     void on_failed(instant now) override;
     void on_cold(instant now) override;
 
 private:
+    /// Units that came while one number of requests ran.
+    struct window {
+        std::uint32_t running = 0;
+        /// Units still passed over, because they began while another number ran.
+        std::uint32_t to_skip = 0;
+        std::uint32_t count = 0;
+        double sum = 0.0;
+    };
+
+    void restart_window(std::uint32_t running);
+    void close_window(instant now);
+    void note_peak(instant now, std::uint32_t running);
+    void hold(instant now);
+    void on_slowed(instant now, std::uint32_t running, double factor);
+    void fall(instant now, std::uint32_t running);
+    void grow(instant now, std::uint32_t running);
+    void forget_not_worth(std::uint32_t running);
+    [[nodiscard]] double slowed_by(std::uint32_t running, double interval) const;
+    [[nodiscard]] bool is_worth(std::uint32_t running, double interval) const;
+
+    [[nodiscard]] bool is_known(std::uint32_t running) const { return known_[running] > 0.0; }
+
     adaptive_limit_options options_;
-    double limit_;
+    std::uint32_t limit_;
+    window window_;
+    /// Time between units, in microseconds, that the endpoint keeps with each number of running requests; 0
+    /// where that number has not been borne.
+    std::vector<double> known_;
+    std::optional<instant> hold_until_;
+    duration next_hold_;
+    /// Number of running requests in the last window that was not slowed.
+    std::uint32_t borne_ = 0;
+    instant checked_at_;
+    std::uint32_t slowed_windows_ = 0;
+    /// Highest number of running requests in the last `proven_time`, and when it ran.
+    std::uint32_t peak_ = 0;
+    instant peak_at_;
+    bool has_units_ = false;
 };
 
 } // namespace hemlocknotch
