--- a/packages/core/include/hemlocknotch/core/adaptive_concurrency_limit.hpp
+++ b/packages/core/include/hemlocknotch/core/adaptive_concurrency_limit.hpp
@@ -16,7 +16,7 @@
     /// Time without a further try after one that slowed the endpoint down; doubles with each such try in a
     /// row, up to `max_hold_time`.
     duration hold_time = std::chrono::milliseconds{500};
-    duration max_hold_time = std::chrono::seconds{4};
+    duration max_hold_time = std::chrono::seconds{8};
     /// At the limit, one request fewer is tried this often, to see whether the last one is still worth it.
     duration check_time = std::chrono::seconds{5};
     /// A number of running requests not reached for this long is no longer relied on.
@@ -84,6 +84,7 @@
     /// Number of running requests in the last window that was not slowed.
     std::uint32_t borne_ = 0;
     instant checked_at_;
+    bool is_checking_ = false;
     std::uint32_t slowed_windows_ = 0;
     /// Highest number of running requests in the last `proven_time`, and when it ran.
     std::uint32_t peak_ = 0;
--- a/packages/core/src/adaptive_concurrency_limit.cpp
+++ b/packages/core/src/adaptive_concurrency_limit.cpp
@@ -23,8 +23,9 @@
 /// Step towards a number of requests that was borne before.
 constexpr double known_step = 1.3;
 
-/// Share of the newest window in the known time between units.
-constexpr double newest_share = 0.3;
+/// Share of the newest window in the known time between units, where it is longer and where it is shorter.
+constexpr double longer_share = 0.3;
+constexpr double shorter_share = 0.8;
 
 /// Slowed windows in a row, with no more running than at the start, after which all is learnt anew: what the
 /// requests need has changed, and fewer of them do not help.
@@ -129,7 +130,8 @@
         next_hold_ = options_.hold_time;
     }
     double& known = known_[running];
-    known = is_known(running) ? known + newest_share * (interval - known) : interval;
+    const double share = interval < known ? shorter_share : longer_share;
+    known = is_known(running) ? known + share * (interval - known) : interval;
     borne_ = running;
     forget_not_worth(running);
     grow(now, running);
@@ -185,11 +187,15 @@
 
 void adaptive_concurrency_limit::grow(instant now, std::uint32_t running)
 {
-    if (running < limit_ || (hold_until_ && now < *hold_until_)) {
+    const bool is_draining_for_check =
+        is_checking_ && running > limit_ && now - checked_at_ < options_.check_time;
+    if (is_draining_for_check || running < limit_ || (hold_until_ && now < *hold_until_)) {
         return;
     }
+    is_checking_ = false;
     if (running > 1 && now - checked_at_ >= options_.check_time) {
         checked_at_ = now;
+        is_checking_ = true;
         limit_ = running - 1;
         return;
     }
