--- a/packages/core/tests/adaptive_concurrency_limit_test.cpp
+++ b/packages/core/tests/adaptive_concurrency_limit_test.cpp
@@ -154,7 +154,7 @@
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         engine_run it{20.0, seed};
         it.run(60.0);
-        while (it.left.size() > cold_capacity) {
+        while (static_cast<double>(it.left.size()) > cold_capacity) {
             it.run(1.0, 2);
         }
         const double proven_seconds =
--- /dev/null
+++ b/packages/core/tests/agent_endpoint_test.cpp
@@ -0,0 +1,134 @@
+#include "agent_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hemlocknotch;
+using namespace hemlocknotch::test;
+
+namespace {
+
+/// An agent with request 1 running, resumable or not.
+struct called_fixture : agent_fixture {
+    explicit called_fixture(bool is_resumable) : agent_fixture{4}
+    {
+        make_ready();
+        submit_message value = make_submit(1);
+        value.is_resumable = is_resumable;
+        call = started_call(tell(1, value));
+    }
+
+    void answer(std::string bytes)
+    {
+        give(endpoint_head_event{call, 200, {}, 0});
+        give(endpoint_part_event{call, std::move(bytes)});
+    }
+
+    call_id call = 0;
+};
+
+/// A limit that counts how often the endpoint was called cold.
+class counting_limit final : public concurrency_limit {
+public:
+    explicit counting_limit(int& cold) : cold_{&cold} {}
+
+    std::uint32_t limit() const override { return 4; }
+
+    void on_unit(instant /*now*/, duration /*interval*/, bool /*is_first*/,
+                 std::uint32_t /*running*/) override
+    {
+    }
+
+    void on_completed(instant /*now*/, duration /*run_time*/, std::uint32_t /*running*/) override {}
+
+    void on_failed(instant /*now*/) override {}
+
+    void on_cold(instant /*now*/) override { ++*cold_; }
+
+private:
+    int* cold_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(agent_endpoint_test)
+
+BOOST_AUTO_TEST_CASE(request_that_the_endpoint_did_not_take_is_refused_and_does_not_run_again)
+{
+    called_fixture it{true};
+    const auto effects = it.give(endpoint_end_event{it.call, call_outcome::not_started});
+    BOOST_TEST((sent<refuse_message>(effects).at(0).code == refusal_code::endpoint_failed));
+    BOOST_TEST(it.agent.state().running() == 0U);
+    BOOST_TEST(it.agent.state().ledger().counter(some_account, 1.0) == 0.0);
+    BOOST_TEST(all_of<start_call_effect>(it.tell(1, agent_fixture::make_submit(1))).empty());
+}
+
+BOOST_AUTO_TEST_CASE(broken_answer_goes_on_at_its_offset)
+{
+    called_fixture it{true};
+    it.answer("abc");
+    const auto resumed = it.give(endpoint_end_event{it.call, call_outcome::broken});
+    const start_call_effect again = all_of<start_call_effect>(resumed).at(0);
+    BOOST_TEST(again.offset == 3U);
+    BOOST_TEST(again.call != it.call);
+    it.give(endpoint_part_event{it.call, "late bytes of the broken call"});
+    it.give(endpoint_head_event{again.call, 200, {}, 0});
+    BOOST_TEST(sent<part_message>(it.give(endpoint_part_event{again.call, "de"})).at(0).offset == 3U);
+    const auto end = it.give(endpoint_end_event{again.call, call_outcome::complete});
+    BOOST_TEST(sent<end_message>(end).at(0).length == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(broken_answer_that_cannot_be_resumed_may_have_run)
+{
+    called_fixture it{false};
+    it.answer("abc");
+    const auto effects = it.give(endpoint_end_event{it.call, call_outcome::broken});
+    BOOST_TEST((sent<end_message>(effects).at(0).outcome == verdict::may_have_run));
+}
+
+BOOST_AUTO_TEST_CASE(broken_call_without_bytes_is_not_started_again)
+{
+    called_fixture it{true};
+    const auto effects = it.give(endpoint_end_event{it.call, call_outcome::broken});
+    BOOST_TEST(all_of<start_call_effect>(effects).empty());
+    BOOST_TEST((sent<end_message>(effects).at(0).outcome == verdict::may_have_run));
+}
+
+BOOST_AUTO_TEST_CASE(stream_that_the_endpoint_no_longer_knows_may_have_run)
+{
+    called_fixture it{true};
+    it.answer("abc");
+    const call_id again = started_call(it.give(endpoint_end_event{it.call, call_outcome::broken}));
+    const auto effects = it.give(endpoint_head_event{again, 404, {}, 0});
+    BOOST_TEST((sent<end_message>(effects).at(0).outcome == verdict::may_have_run));
+    BOOST_TEST(sent<head_message>(effects).empty());
+}
+
+BOOST_AUTO_TEST_CASE(silent_call_is_replaced_as_often_as_allowed_and_then_may_have_run)
+{
+    called_fixture it{true};
+    it.answer("abc");
+    for (std::uint32_t n = 0; n < it.options.max_resumes; ++n) {
+        const auto effects = it.pass(it.options.endpoint_silence_limit);
+        BOOST_TEST(!all_of<stop_call_effect>(effects).at(0).is_cancel);
+        BOOST_TEST(all_of<start_call_effect>(effects).at(0).offset == 3U);
+    }
+    const auto last = it.pass(it.options.endpoint_silence_limit);
+    BOOST_TEST((sent<end_message>(last).at(0).outcome == verdict::may_have_run));
+    BOOST_TEST(it.agent.state().running() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(new_incarnation_of_the_endpoint_makes_the_limit_cold)
+{
+    int cold = 0;
+    agent_fixture settings;
+    agent_reducer agent{settings.options, std::make_unique<fleet_fair_order>(),
+                        std::make_unique<counting_limit>(cold)};
+    const instant now = settings.now;
+    agent.reduce({now, 1, endpoint_health_event{true, 7, 0}});
+    agent.reduce({now, 2, endpoint_health_event{true, 7, 0}});
+    BOOST_TEST(cold == 0);
+    agent.reduce({now, 3, endpoint_health_event{true, 8, 0}});
+    BOOST_TEST(cold == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
