Fuzz entries and agents against each other; mend what it found

Cause: nothing drove the two reducers through lost, silent and late links, restarts and endpoint failures with an oracle that knows what ran.

Change: core_fuzz connects two real entries and three real agents through a queue drawn from a seed; oracle.cpp judges by what the fake endpoints executed. Ten faults of the harness itself (--check-mutation) show that each promise is seen when it is broken; all are tests.

--- /dev/null
+++ b/packages/core/fuzz/fake_endpoint.cpp
@@ -0,0 +1,132 @@
+#include "fake_endpoint.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlocknotch::fuzz {
+
+namespace {
+
+constexpr std::uint32_t ok = 200;
+constexpr std::uint32_t not_found = 404;
+
+/// Some requests are answered with an error of the endpoint's, which is an answer like any other.
+std::uint32_t status_of(std::size_t n)
+{
+    return n % 4 == 0 ? not_found : ok;
+}
+
+} // namespace
+
+void fake_endpoint::start(const start_call_effect& call, listener to)
+{
+    const call_id id = first_key_ + call.call;
+    calls_[id] = {.number = call.call, .body = {}, .to = std::move(to)};
+    if (call.offset > 0) {
+        const auto stream = streams_.find(call.id);
+        if (stream == streams_.end()) {
+            calls_[id].body = "no such stream";
+            time_.after(time_.time(100, 3000), [this, id] { answer(id, not_found); });
+            return;
+        }
+        const std::string body = oracle::body_of(stream->second);
+        calls_[id].body = body.substr(std::min<std::size_t>(call.offset, body.size()));
+        time_.after(time_.time(100, 3000), [this, id] { answer(id, ok); });
+        return;
+    }
+    if (is_faulty && time_.once_in(30)) {
+        if (is_lying_) {
+            oracle_.on_execute(std::stoul(call.target));
+        }
+        time_.after(time_.time(100, 3000), [this, id] { end(id, call_outcome::not_started); });
+        return;
+    }
+    const std::size_t n = std::stoul(call.target);
+    oracle_.on_execute(n);
+    streams_[call.id] = n;
+    calls_[id].body = oracle::body_of(n);
+    if (is_cutting_ && !calls_[id].body.empty()) {
+        calls_[id].body.pop_back();
+    }
+    if (is_faulty && time_.once_in(30)) {
+        time_.after(time_.time(100, 9000), [this, id] { end(id, call_outcome::broken); });
+    }
+    else if (!is_faulty || !time_.once_in(60)) {
+        time_.after(time_.time(100, 30000), [this, id, n] { answer(id, status_of(n)); });
+    }
+}
+
+void fake_endpoint::answer(call_id id, std::uint32_t status)
+{
+    const auto it = calls_.find(id);
+    if (it == calls_.end()) {
+        return;
+    }
+    it->second.to(endpoint_head_event{it->second.number, status, {}, incarnation_});
+    go_on(id);
+}
+
+void fake_endpoint::go_on(call_id id)
+{
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || (is_faulty && time_.once_in(200))) {
+        return; // Stopped, or silent from here on.
+    }
+    if (is_faulty && time_.once_in(100)) {
+        end(id, call_outcome::broken);
+        return;
+    }
+    running_call& value = it->second;
+    if (value.sent == value.body.size()) {
+        end(id, call_outcome::complete);
+        return;
+    }
+    const std::string bytes = value.body.substr(value.sent, time_.between(1, 60));
+    value.sent += bytes.size();
+    value.to(endpoint_part_event{value.number, bytes});
+    time_.after(time_.time(100, 12000), [this, id] { go_on(id); });
+}
+
+void fake_endpoint::end(call_id id, call_outcome outcome)
+{
+    const auto it = calls_.find(id);
+    if (it == calls_.end()) {
+        return;
+    }
+    const running_call value = std::move(it->second);
+    calls_.erase(it);
+    value.to(endpoint_end_event{value.number, outcome});
+}
+
+void fake_endpoint::stop(const stop_call_effect& call)
+{
+    calls_.erase(first_key_ + call.call);
+    if (call.is_cancel) {
+        streams_.erase(call.id);
+    }
+}
+
+void fake_endpoint::forget_calls()
+{
+    constexpr call_id numbers_per_agent = 1ULL << 32U;
+    first_key_ += numbers_per_agent;
+    calls_.clear();
+}
+
+void fake_endpoint::probe(const listener& to)
+{
+    const endpoint_health_event health{true, incarnation_, static_cast<std::uint32_t>(calls_.size())};
+    time_.after(time_.time(100, 9000), [to, health] { to(health); });
+}
+
+void fake_endpoint::restart()
+{
+    ++incarnation_;
+    streams_.clear();
+    const auto broken = calls_;
+    for (const auto& [id, value] : broken) {
+        end(id, call_outcome::broken);
+    }
+}
+
+} // namespace hemlocknotch::fuzz
--- /dev/null
+++ b/packages/core/fuzz/fleet.hpp
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <hemlocknotch/core/agent_reducer.hpp>
+#include <hemlocknotch/core/agent_state.hpp>
+#include <hemlocknotch/core/entry_reducer.hpp>
+#include <hemlocknotch/core/entry_state.hpp>
+
+#include "fake_endpoint.hpp"
+#include "oracle.hpp"
+#include "timeline.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hemlocknotch::fuzz {
+
+/// What one run is to be.
+struct fleet_options {
+    std::uint64_t seed = 1;
+    /// Events handed to reducers while faults come.
+    std::uint64_t steps = 100000;
+    /// Whether messages on one link also come doubled and out of order.
+    bool is_disordered = false;
+    /// A fault of the harness itself that the oracle must see; empty for none.
+    std::string mutation;
+    /// Messages and faults are printed from this step on.
+    std::uint64_t trace_from = UINT64_MAX;
+};
+
+/// Real entries and agents in one process, with links, endpoints, callers, a key-value service and an
+/// instance list that fail at random, all drawn from one seed.
+class fleet {
+public:
+    explicit fleet(const fleet_options& options);
+
+    /// Runs the steps, then heals everything and runs until all is quiet. Throws `broken_promise`.
+    void run();
+
+    [[nodiscard]] std::uint64_t steps() const { return steps_; }
+
+    [[nodiscard]] const oracle& judge() const { return oracle_; }
+
+private:
+    struct connection;
+    using connection_ptr = std::shared_ptr<connection>;
+
+    template <class Reducer>
+    struct node {
+        process_identity identity;
+        std::string domain;
+        std::unique_ptr<Reducer> reducer;
+        std::map<link_id, connection_ptr> links;
+        instant tick_at;
+        bool is_watching = false;
+        bool is_stopping = false;
+        std::uint64_t revision = 0;
+        member_state state = member_state::live;
+    };
+
+    struct entry_node : node<entry_reducer> {
+        std::map<exchange_id, std::size_t> callers;
+    };
+
+    struct agent_node : node<agent_reducer> {
+        std::unique_ptr<fake_endpoint> endpoint;
+        link_id last_link = 0;
+        /// Last dispatch seen of each request, and whether the agent knew then that it was out of service.
+        std::map<request_id, std::pair<std::uint32_t, bool>> seen;
+    };
+
+    /// Both ends of one link. A silent one swallows what is sent; a stalled one delivers it later.
+    struct connection {
+        std::size_t entry = 0;
+        std::size_t agent = 0;
+        process_identity entry_process;
+        process_identity agent_process;
+        link_id entry_link = 0;
+        link_id agent_link = 0;
+        bool is_open = false;
+        bool is_silent = false;
+        instant stalled_until;
+        instant last_down;
+        instant last_up;
+    };
+
+    void start_entry(std::size_t n);
+    void start_agent(std::size_t n);
+    void stop_links(std::map<link_id, connection_ptr> links);
+    void feed(entry_node& to, decltype(entry_event::content) content);
+    void feed(agent_node& to, decltype(agent_event::content) content);
+    template <class Node, class Content>
+    void feed_if(Node& to, const process_identity& process, Content content);
+
+    void on(entry_node& from, const open_link_effect& effect);
+    void on(entry_node& from, const reply_head_effect& effect);
+    void on(entry_node& from, const reply_part_effect& effect);
+    void on(entry_node& from, const reply_end_effect& effect);
+    void on(entry_node& from, const reply_abort_effect& effect);
+    void on(entry_node& from, const reply_refusal_effect& effect);
+    void on(entry_node& from, const claim_key_effect& effect);
+    void on(entry_node& from, const settle_claim_effect& effect);
+    void on(agent_node& from, const start_call_effect& effect);
+    void on(agent_node& from, const stop_call_effect& effect);
+    void on(agent_node& from, const probe_endpoint_effect& effect);
+    template <class Node>
+    void on(Node& from, const send_effect& effect);
+    template <class Node>
+    void on(Node& from, const close_link_effect& effect);
+    template <class Node>
+    void on(Node& from, const read_configuration_effect& effect);
+    template <class Node>
+    void on(Node& from, const watch_store_effect& effect);
+    template <class Node>
+    void on(Node& from, const schedule_tick_effect& effect);
+    template <class Node>
+    void on(Node& from, const stopped_effect& effect);
+
+    template <class Node, class Other>
+    void on(Node& /*from*/, const Other& /*effect*/)
+    {
+    }
+
+    void deliver(const connection_ptr& link, bool is_down, message content);
+    void hand_over(const connection_ptr& link, bool is_down, const message& content);
+    void cut(const connection_ptr& link);
+    void check(entry_node& of);
+    void check(agent_node& of);
+    void call_in();
+    void break_something();
+    void heal();
+    void tell_members();
+    void watch_store();
+    void apply(const out_of_service& out);
+    void break_link();
+    void break_process();
+    void change_service();
+    template <class Node>
+    [[nodiscard]] configuration_ptr as_read_by(const Node& reader, std::uint64_t revision) const;
+    [[nodiscard]] bool is_out(const agent_node& it) const;
+
+    [[nodiscard]] bool is_mutated(std::string_view name) const { return options_.mutation == name; }
+
+    void trace(const std::string& text) const;
+
+    fleet_options options_;
+    timeline time_;
+    oracle oracle_;
+    std::vector<entry_node> entries_;
+    std::vector<agent_node> agents_;
+    std::vector<configuration_ptr> revisions_;
+    std::map<std::string, request_id> claims_;
+    bool is_store_up_ = true;
+    bool is_faulty_ = true;
+    exchange_id last_exchange_ = 0;
+    std::uint64_t steps_ = 0;
+};
+
+} // namespace hemlocknotch::fuzz
--- /dev/null
+++ b/packages/core/fuzz/main_core_fuzz.cpp
@@ -0,0 +1,63 @@
+#include "fleet.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace {
+
+using hemlocknotch::fuzz::broken_promise;
+using hemlocknotch::fuzz::fleet;
+using hemlocknotch::fuzz::fleet_options;
+
+void print_outcomes(const fleet& value)
+{
+    for (const auto& [outcome, count] : value.judge().outcomes()) {
+        std::cout << "  " << count << " " << outcome << "\n";
+    }
+}
+
+/// Returns whether no promise was broken.
+bool run(const fleet_options& options)
+{
+    fleet value{options};
+    try {
+        value.run();
+    }
+    catch (const broken_promise& broken) {
+        std::cout << "seed " << options.seed << ", step " << value.steps() << ": broken: " << broken.what()
+                  << "\n";
+        return false;
+    }
+    std::cout << "seed " << options.seed << ": " << value.steps() << " steps\n";
+    print_outcomes(value);
+    return true;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app{
+        "Runs entries and agents against each other under random faults and checks what they promise."};
+    fleet_options options;
+    std::uint64_t seeds = 1;
+    app.add_option("--seed", options.seed, "First seed");
+    app.add_option("--seeds", seeds, "Number of seeds, one run each");
+    app.add_option("--steps", options.steps, "Events for each run while faults come");
+    app.add_flag("--disordered", options.is_disordered,
+                 "Messages on a link come doubled and out of order too");
+    app.add_option("--trace-from", options.trace_from, "Print messages and faults from this step on");
+    app.add_option("--check-mutation", options.mutation,
+                   "Build this fault into the harness; exits 0 only if a promise is seen broken")
+        ->check(CLI::IsMember({"same-incarnation", "false-not-run", "short-answer", "crossed-answer",
+                               "revision-falls", "work-when-out", "queue-bound", "limit-exceeded",
+                               "refusal-lost", "claim-doubled"}));
+    CLI11_PARSE(app, argc, argv);
+    bool is_kept = true;
+    for (std::uint64_t n = 0; n < seeds; ++n, ++options.seed) {
+        is_kept = run(options) && is_kept;
+    }
+    return is_kept == options.mutation.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/packages/core/fuzz/oracle.cpp
@@ -0,0 +1,112 @@
+#include "oracle.hpp"
+
+#include <random>
+
+namespace hemlocknotch::fuzz {
+
+void require(bool is_kept, const std::string& promise)
+{
+    if (!is_kept) {
+        throw broken_promise{promise};
+    }
+}
+
+std::string oracle::body_of(std::size_t n)
+{
+    constexpr std::size_t max_length = 200;
+    std::minstd_rand letters{static_cast<std::uint32_t>(n * 2654435761U + 1)};
+    std::string body(letters() % max_length, '\n');
+    for (char& it : body) {
+        const auto letter = letters() % 27;
+        it = letter == 26 ? '\n' : static_cast<char>('a' + letter);
+    }
+    return body;
+}
+
+std::size_t oracle::add(caller_record value)
+{
+    callers_.push_back(std::move(value));
+    return callers_.size() - 1;
+}
+
+void oracle::on_execute(std::size_t n)
+{
+    caller_record& it = at(n);
+    ++it.executions;
+    require(!it.is_told_not_run, "a request that was told not to have run runs");
+    if (it.is_idempotent) {
+        return;
+    }
+    require(it.executions == 1, "a non-idempotent request runs twice");
+    if (!it.key.empty()) {
+        require(++executions_by_key_[it.key] == 1, "two requests of one idempotency key run");
+    }
+}
+
+void oracle::on_head(std::size_t n)
+{
+    require(!at(n).has_head && !at(n).is_over, "an answer begins once");
+    at(n).has_head = true;
+}
+
+void oracle::on_part(std::size_t n, const std::string& bytes, std::size_t window)
+{
+    caller_record& it = at(n);
+    require(it.has_head && !it.is_over, "bytes come between the head and the end");
+    it.received += bytes;
+    require(body_of(n).starts_with(it.received), "a caller receives the bytes of its own answer");
+    require(it.received.size() - it.taken <= window, "no more than the window is ahead of the caller");
+}
+
+void oracle::on_end(std::size_t n)
+{
+    require(at(n).has_head, "an answer has a head");
+    require(at(n).received == body_of(n), "an answer that ends is whole: caller " + std::to_string(n));
+    require(at(n).executions > 0, "an answered request ran");
+    finish(n, "answered");
+}
+
+void oracle::on_abort(std::size_t n, const refusal& reason)
+{
+    require(at(n).has_head, "only an answer that has begun is cut");
+    told(at(n), reason);
+    finish(n, "cut " + std::string{to_string(reason.code)});
+}
+
+void oracle::on_refusal(std::size_t n, const refusal& reason)
+{
+    require(!at(n).has_head, "no refusal follows the beginning of an answer");
+    told(at(n), reason);
+    finish(n, std::string{to_string(reason.outcome)} + " " + std::string{to_string(reason.code)});
+}
+
+void oracle::told(caller_record& it, const refusal& reason)
+{
+    it.is_told_not_run = reason.outcome == verdict::not_run;
+    require(!it.is_told_not_run || it.executions == 0, "a request that ran is told as not run");
+    require(reason.outcome != verdict::ran, "a request without a whole answer is not told as ran");
+}
+
+void oracle::on_cut(std::size_t n)
+{
+    if (!at(n).is_over) {
+        finish(n, "caller or entry gone");
+    }
+}
+
+void oracle::require_all_over() const
+{
+    for (const caller_record& it : callers_) {
+        require(it.is_over, "every caller gets a final answer: exchange " + std::to_string(it.exchange) +
+                                " of entry " + std::to_string(it.entry));
+    }
+}
+
+void oracle::finish(std::size_t n, const std::string& outcome)
+{
+    require(!at(n).is_over, "a caller gets one final answer");
+    at(n).is_over = true;
+    ++outcomes_[outcome];
+}
+
+} // namespace hemlocknotch::fuzz
--- a/packages/core/include/hemlocknotch/core/entry_options.hpp
+++ b/packages/core/include/hemlocknotch/core/entry_options.hpp
@@ -13,7 +13,7 @@
 struct entry_options {
     process_identity identity;
     std::string failure_domain;
-    /// Waiting requests in all and for each client account.
+    /// Waiting requests in all and for each client account. With those dispatched, twice the first are held.
     std::size_t max_waiting = 4096;
     std::size_t max_waiting_per_account = 1024;
     /// Bytes of request bodies held in all.
--- a/packages/core/src/agent_endpoint.cpp
+++ b/packages/core/src/agent_endpoint.cpp
@@ -132,11 +132,13 @@
         return;
     }
     it->last_heard = parts.now;
-    if (it->resumes > 0) {
-        if (event.status >= first_error_status) {
-            parts.add(stop_call_effect{event.call, it->request.id, false});
-            end_uncertain(parts, *it, refusal_code::endpoint_failed);
-        }
+    const bool is_stream_unknown = it->call_offset > 0 && event.status >= first_error_status;
+    if (is_stream_unknown) {
+        parts.add(stop_call_effect{event.call, it->request.id, false});
+        end_uncertain(parts, *it, refusal_code::endpoint_failed);
+        return;
+    }
+    if (it->head) {
         return;
     }
     it->head = head_message{it->request.id, it->request.attempt, event.status, event.headers};
--- a/packages/core/src/caller_handler.cpp
+++ b/packages/core/src/caller_handler.cpp
@@ -78,8 +78,9 @@
     const entry_options& options = data_.options;
     const request_table& requests = data_.requests;
     const std::size_t waiting = requests.waiting() + data_.abandoned_claims.size();
-    const bool is_full =
-        waiting >= options.max_waiting || requests.held_bytes() + value.body.size() > options.max_held_bytes;
+    // Dispatched requests may come back to wait, so their number is bounded as well.
+    const bool is_full = waiting >= options.max_waiting || requests.size() >= 2 * options.max_waiting ||
+                         requests.held_bytes() + value.body.size() > options.max_held_bytes;
     if (is_full) {
         return refused(refusal_code::queue_full, data_.rate.time_for_all(waiting, turn.now()));
     }
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -145,6 +145,7 @@
     value.link = link.id;
     value.is_resolving = false;
     value.dispatched_at = turn.now();
+    value.dispatched_from = value.answer.received();
     value.last_news = turn.now();
     data_.requests.set_state(value, request_state::dispatched);
     data_.requests.set_timer(value, turn.now() + data_.options.resolve_limit);
--- a/packages/core/src/entry_request.hpp
+++ b/packages/core/src/entry_request.hpp
@@ -68,6 +68,8 @@
     std::uint32_t times_passed_over = 0;
     /// Dispatches so far.
     std::uint32_t attempt = 0;
+    /// The dispatch whose status was last seen to be the one that the caller has received.
+    std::uint32_t head_attempt = 0;
     /// Dispatches that may have run.
     std::uint32_t executions = 0;
     /// Refusals in a row.
@@ -76,6 +78,8 @@
     process_identity agent;
     link_id link = 0;
     instant dispatched_at;
+    /// Offset in the answer from which the current dispatch goes on.
+    std::uint64_t dispatched_from = 0;
     /// When its agent last said something of it.
     instant last_news;
     /// Whether a resolve is on its way on `link`.
@@ -91,6 +95,12 @@
                state == request_state::unknown;
     }
 
+    /// Returns whether the current dispatch answers with the status that the caller has received.
+    [[nodiscard]] bool is_head_confirmed() const
+    {
+        return answer.is_head_passed() && head_attempt == attempt;
+    }
+
     /// Returns whether an earlier dispatch may have run.
     [[nodiscard]] bool may_have_run() const { return executions > 0; }
 };
--- a/packages/core/src/outcome_handler.cpp
+++ b/packages/core/src/outcome_handler.cpp
@@ -63,6 +63,12 @@
     }
     heard(turn, *request);
     answer_progress& answer = request->answer;
+    // The head of a dispatch that goes on with an answer only says that the endpoint knows the stream.
+    if (answer.is_head_passed() && request->dispatched_from == 0 && answer.status() != value.status) {
+        on_unresolvable(turn, *request);
+        return;
+    }
+    request->head_attempt = value.attempt;
     if (!answer.is_head_passed()) {
         answer.set_head_passed(value.status);
         const std::chrono::duration<double> passed = turn.now() - request->arrived;
@@ -74,9 +80,6 @@
             data_.requests.release_body(*request);
         }
     }
-    else if (answer.status() != value.status) {
-        on_unresolvable(turn, *request);
-    }
 }
 
 void outcome_handler::on_part(entry_turn& turn, outgoing_link& link, const part_message& value)
@@ -89,9 +92,9 @@
     heard(turn, *request);
     answer_progress& answer = request->answer;
     const bool has_caller = request->exchange != 0;
-    const auto decision = answer.is_head_passed() ? answer.accept_part(value.offset, value.bytes,
-                                                                       data_.options.reply_window_bytes)
-                                                  : answer_progress::part_decision{{}, true};
+    const auto decision = request->is_head_confirmed() ? answer.accept_part(value.offset, value.bytes,
+                                                                            data_.options.reply_window_bytes)
+                                                       : answer_progress::part_decision{{}, true};
     if (!decision.fresh.empty()) {
         const std::chrono::duration<double> interval = turn.now() - before;
         turn.count(metric_kind::histogram, "hemlocknotch_part_interval_seconds", interval.count());
@@ -141,7 +144,7 @@
         may_have_run(turn, value, refusal_code::endpoint_failed);
         return;
     }
-    if (!answer.is_head_passed() || answer.received() < end.length) {
+    if (!value.is_head_confirmed() || answer.received() < end.length) {
         ask_for_missing(turn, link, value);
         return;
     }
