--- a/packages/daemon/src/agent_shell.cpp
+++ b/packages/daemon/src/agent_shell.cpp
@@ -43,9 +43,8 @@
       endpoint_{runtime_.base(), *settings_.endpoint_at, kind_of_endpoint(settings_), *this},
       probe_{runtime_.base(), *settings_.endpoint_at, cache_interval_of(settings_), *this},
       operators_{runtime_.base(), *this},
-      pump_{reducer_, runtime_.clock(), runtime_.entropy(), [this](agent_effect& effect) {
-                std::visit([this](auto& it) { execute(it); }, effect);
-            }}
+      pump_{reducer_, runtime_.clock(), runtime_.entropy(),
+            [this](agent_effect& effect) { std::visit([this](auto& it) { execute(it); }, effect); }}
 {
 }
 
@@ -56,10 +55,10 @@
     BOOST_LEAF_CHECK(runtime_.start());
     listener_ = factory_->listen(*settings_.links_address);
     if (!listener_) {
-        return boost::leaf::new_error(
-            start_error{"cannot listen on " + settings_.links_address->to_string() + " for links",
-                        "Choose an address of this machine and a free port in links_address, or port 0 to let "
-                        "the system choose."});
+        return boost::leaf::new_error(start_error{
+            "cannot listen on " + settings_.links_address->to_string() + " for links",
+            "Choose an address of this machine and a free port in links_address, or port 0 to let "
+            "the system choose."});
     }
     listener_->accepted.connect(
         [this](const std::shared_ptr<peer_link>& accepted) { links_.adopt(accepted); });
--- a/packages/daemon/src/caller_exchange.hpp
+++ b/packages/daemon/src/caller_exchange.hpp
@@ -20,16 +20,16 @@
 
 namespace hemlocknotch::daemon {
 
-/// One caller's request that evhttp has handed over, until its answer has been written or its caller has gone.
-/// Used by the event loop's thread only.
+/// One caller's request that evhttp has handed over, until its answer has been written or its caller has
+/// gone. Used by the event loop's thread only.
 class caller_exchange {
 public:
     /// Called once with the exchange's number where the caller closes the connection first. The exchange may
     /// be destroyed by it.
     using gone_callback = std::function<void(exchange_id)>;
 
-    /// Takes over `request` and watches its connection, which `outputs` has made and must know longer than this
-    /// object lives. Bytes that the caller sends meanwhile are left alone.
+    /// Takes over `request` and watches its connection, which `outputs` has made and must know longer than
+    /// this object lives. Bytes that the caller sends meanwhile are left alone.
     caller_exchange(exchange_id number, evhttp_request* request, connection_outputs& outputs,
                     gone_callback gone);
 
--- a/packages/daemon/src/caller_front.cpp
+++ b/packages/daemon/src/caller_front.cpp
@@ -236,9 +236,8 @@
 std::string caller_front::page_for(int status)
 {
     const auto is_too_large = status == too_large_status;
-    const refusal reason{is_too_large ? refusal_code::body_too_large : refusal_code::malformed_header,
-                         verdict::not_run,
-                         {}};
+    const refusal reason{
+        is_too_large ? refusal_code::body_too_large : refusal_code::malformed_header, verdict::not_run, {}};
     const auto id = next_refused_id();
     const auto body = refusal_document(
         id, reason,
--- a/packages/daemon/src/caller_headers.cpp
+++ b/packages/daemon/src/caller_headers.cpp
@@ -21,11 +21,27 @@
 constexpr std::size_t max_name_length = 128;
 constexpr std::int64_t max_deadline_ms = 86'400'000;
 
-constexpr std::array<std::string_view, 11> hop_headers{
-    "connection", "keep-alive", "proxy-authenticate",  "proxy-authorization", "proxy-connection", "te",
-    "trailer",    "upgrade",    "transfer-encoding", "content-length",      "expect"};
-
-enum class own_header : std::uint8_t { account, profile, idempotency_key, cost_hint, deadline, prefix, trace };
+constexpr std::array<std::string_view, 11> hop_headers{"connection",
+                                                       "keep-alive",
+                                                       "proxy-authenticate",
+                                                       "proxy-authorization",
+                                                       "proxy-connection",
+                                                       "te",
+                                                       "trailer",
+                                                       "upgrade",
+                                                       "transfer-encoding",
+                                                       "content-length",
+                                                       "expect"};
+
+enum class own_header : std::uint8_t {
+    account,
+    profile,
+    idempotency_key,
+    cost_hint,
+    deadline,
+    prefix,
+    trace
+};
 
 struct own_header_name {
     own_header header;
@@ -101,8 +117,8 @@
                                             caller_request_event& out)
 {
     const auto fault = [&](std::string_view name, std::string_view allowed) {
-        return caller_header_fault{std::string{name} + " is \"" + value + "\"; allowed: " +
-                                   std::string{allowed} + "."};
+        return caller_header_fault{std::string{name} + " is \"" + value +
+                                   "\"; allowed: " + std::string{allowed} + "."};
     };
     switch (header) {
     case own_header::account:
@@ -119,9 +135,8 @@
                                          "the name of a profile, 1 to 128 visible ASCII characters")};
     case own_header::idempotency_key:
         out.idempotency_key = value;
-        return is_name(value)
-                   ? std::nullopt
-                   : std::optional{fault("Idempotency-Key", "1 to 128 visible ASCII characters")};
+        return is_name(value) ? std::nullopt
+                              : std::optional{fault("Idempotency-Key", "1 to 128 visible ASCII characters")};
     case own_header::cost_hint:
         out.cost_hint = parse_number<double>(value);
         if (!out.cost_hint || !std::isfinite(*out.cost_hint) || *out.cost_hint <= 0) {
@@ -171,8 +186,8 @@
     for (const auto& field : headers) {
         const auto own = own_header_of(field.name);
         if (!own) {
-            const auto is_dropped = std::ranges::any_of(
-                dropped, [&](auto name) { return is_same_header(name, field.name); });
+            const auto is_dropped =
+                std::ranges::any_of(dropped, [&](auto name) { return is_same_header(name, field.name); });
             if (!is_dropped && !is_hop_header(field.name)) {
                 out.headers.push_back(field);
             }
--- a/packages/daemon/src/claim_keeper.cpp
+++ b/packages/daemon/src/claim_keeper.cpp
@@ -61,10 +61,7 @@
 class claim_keeper::operation {
 public:
     operation(event_base* base, std::uint64_t number_now, const request_id& id_now, std::string path_now)
-        : number{number_now},
-          id{id_now},
-          path{std::move(path_now)},
-          delay{base, [this] { next_step(); }}
+        : number{number_now}, id{id_now}, path{std::move(path_now)}, delay{base, [this] { next_step(); }}
     {
     }
 
@@ -86,11 +83,9 @@
 
 claim_keeper::claim_keeper(event_base* base, key_value_service& store, const claim_options& options,
                            callback done)
-    : base_{base},
-      store_{store},
-      options_{options},
-      done_{std::move(done)},
-      clean_up_{base, [this] { ended_.clear(); }}
+    : base_{base}, store_{store}, options_{options}, done_{std::move(done)}, clean_up_{base, [this] {
+                                                                                           ended_.clear();
+                                                                                       }}
 {
     assert(done_);
     assert(options_.max_tries > 0);
--- a/packages/daemon/src/claim_keeper.hpp
+++ b/packages/daemon/src/claim_keeper.hpp
@@ -26,8 +26,8 @@
     std::string state;
 };
 
-/// Returns the key under which the claim of `idempotency_key` by `client_account` is kept. Two different pairs
-/// never have the same key.
+/// Returns the key under which the claim of `idempotency_key` by `client_account` is kept. Two different
+/// pairs never have the same key.
 std::string claim_path(std::string_view client_account, std::string_view idempotency_key);
 
 /// Returns `record` as it is kept, and reads it back; nothing on any other text.
@@ -43,8 +43,8 @@
     std::size_t max_pending = 4096;
 };
 
-/// Claims idempotency keys in the key-value service by compare-and-swap with the request's id as token, so that
-/// a write whose answer was lost is found by reading back. Used by the event loop's thread only.
+/// Claims idempotency keys in the key-value service by compare-and-swap with the request's id as token, so
+/// that a write whose answer was lost is found by reading back. Used by the event loop's thread only.
 class claim_keeper {
 public:
     using callback = std::function<void(const claim_result_event&)>;
--- a/packages/daemon/src/command_line.cpp
+++ b/packages/daemon/src/command_line.cpp
@@ -107,8 +107,9 @@
         return exit_ok;
     }
     if (given.settings_path.empty()) {
-        std::cerr << "--settings FILE is missing. Name a settings file; --print-settings lists what may stand "
-                     "in it.\n";
+        std::cerr
+            << "--settings FILE is missing. Name a settings file; --print-settings lists what may stand "
+               "in it.\n";
         return exit_usage;
     }
     const auto values = load_settings(given.settings_path, role);
--- a/packages/daemon/src/configuration_watcher.hpp
+++ b/packages/daemon/src/configuration_watcher.hpp
@@ -4,7 +4,6 @@
 #include <hemlocknotch/platform/configuration_envelope.hpp>
 #include <hemlocknotch/platform/key_value_service.hpp>
 
-
 #include "entropy_source.hpp"
 #include "timer.hpp"
 
--- a/packages/daemon/src/connection_outputs.cpp
+++ b/packages/daemon/src/connection_outputs.cpp
@@ -35,10 +35,7 @@
 } // namespace
 
 connection_outputs::connection_outputs(event_base* base, taken_callback taken, page_callback page)
-    : base_{base},
-      taken_{std::move(taken)},
-      page_{std::move(page)},
-      later_{base, [this] { work_off(); }}
+    : base_{base}, taken_{std::move(taken)}, page_{std::move(page)}, later_{base, [this] { work_off(); }}
 {
     assert(taken_);
     assert(page_);
@@ -73,9 +70,8 @@
 
 bool connection_outputs::has_unsent_bytes() const
 {
-    return std::ranges::any_of(states_, [](const auto& it) {
-        return it.second.has_answered && evbuffer_get_length(it.first) > 0;
-    });
+    return std::ranges::any_of(
+        states_, [](const auto& it) { return it.second.has_answered && evbuffer_get_length(it.first) > 0; });
 }
 
 void connection_outputs::handle_change(evbuffer* output, const evbuffer_cb_info* info, void* self)
--- a/packages/daemon/src/endpoint_call.cpp
+++ b/packages/daemon/src/endpoint_call.cpp
@@ -50,8 +50,7 @@
       done_{std::move(done)},
       flush_{base, [this] { flush_part(); }},
       refused_{base, [this] { end(call_outcome::not_started); }},
-      connection_{
-          evhttp_connection_base_new(base, nullptr, endpoint.host().c_str(), endpoint.port())}
+      connection_{evhttp_connection_base_new(base, nullptr, endpoint.host().c_str(), endpoint.port())}
 {
     const auto command = command_of(request.method);
     assert(command);
--- a/packages/daemon/src/entropy_source.cpp
+++ b/packages/daemon/src/entropy_source.cpp
@@ -12,6 +12,8 @@
 
 } // namespace
 
-entropy_source::entropy_source() : engine_{seeded_engine()} {}
+entropy_source::entropy_source() : engine_{seeded_engine()}
+{
+}
 
 } // namespace hemlocknotch::daemon
--- a/packages/daemon/src/entry_shell.cpp
+++ b/packages/daemon/src/entry_shell.cpp
@@ -47,9 +47,8 @@
               [this](const claim_result_event& result) { pump_.post(result); }},
       callers_{runtime_.base(), front_options(settings_), *this},
       operators_{runtime_.base(), *this},
-      pump_{reducer_, runtime_.clock(), runtime_.entropy(), [this](entry_effect& effect) {
-                std::visit([this](auto& it) { execute(it); }, effect);
-            }}
+      pump_{reducer_, runtime_.clock(), runtime_.entropy(),
+            [this](entry_effect& effect) { std::visit([this](auto& it) { execute(it); }, effect); }}
 {
 }
 
--- a/packages/daemon/src/event_log.cpp
+++ b/packages/daemon/src/event_log.cpp
@@ -98,9 +98,7 @@
 }
 
 event_log::event_log(log_level level, log_format format, std::string process_name)
-    : level_{level},
-      format_{format},
-      process_name_{std::move(process_name)}
+    : level_{level}, format_{format}, process_name_{std::move(process_name)}
 {
 }
 
--- a/packages/daemon/src/http_server.cpp
+++ b/packages/daemon/src/http_server.cpp
@@ -24,10 +24,10 @@
 };
 
 constexpr std::array methods{
-    method_name{EVHTTP_REQ_GET, "GET"},         method_name{EVHTTP_REQ_POST, "POST"},
-    method_name{EVHTTP_REQ_HEAD, "HEAD"},       method_name{EVHTTP_REQ_PUT, "PUT"},
-    method_name{EVHTTP_REQ_DELETE, "DELETE"},   method_name{EVHTTP_REQ_OPTIONS, "OPTIONS"},
-    method_name{EVHTTP_REQ_TRACE, "TRACE"},     method_name{EVHTTP_REQ_CONNECT, "CONNECT"},
+    method_name{EVHTTP_REQ_GET, "GET"},       method_name{EVHTTP_REQ_POST, "POST"},
+    method_name{EVHTTP_REQ_HEAD, "HEAD"},     method_name{EVHTTP_REQ_PUT, "PUT"},
+    method_name{EVHTTP_REQ_DELETE, "DELETE"}, method_name{EVHTTP_REQ_OPTIONS, "OPTIONS"},
+    method_name{EVHTTP_REQ_TRACE, "TRACE"},   method_name{EVHTTP_REQ_CONNECT, "CONNECT"},
     method_name{EVHTTP_REQ_PATCH, "PATCH"},
 };
 
@@ -73,10 +73,10 @@
     errno = 0;
     auto* socket = evhttp_bind_socket_with_handle(server_.get(), address.host().c_str(), address.port());
     if (socket == nullptr) {
-        return boost::leaf::new_error(
-            start_error{"cannot listen on " + address.to_string() + " for " + std::string{purpose} + ": " +
-                            std::strerror(errno),
-                        "Choose an address of this machine and a free port, or port 0 to let the system choose."});
+        return boost::leaf::new_error(start_error{
+            "cannot listen on " + address.to_string() + " for " + std::string{purpose} + ": " +
+                std::strerror(errno),
+            "Choose an address of this machine and a free port, or port 0 to let the system choose."});
     }
     return with_port(address, bound_port(socket));
 }
--- a/packages/daemon/src/metric_catalog.cpp
+++ b/packages/daemon/src/metric_catalog.cpp
@@ -8,31 +8,43 @@
 
 constexpr std::array descriptions{
     metric_description{"hemlocknotch_callers_connected", "Requests of callers that have not ended."},
-    metric_description{"hemlocknotch_configuration_errors_total", "Configuration documents that failed their check."},
-    metric_description{"hemlocknotch_configuration_revision", "Revision of the configuration in force; 0 for none."},
-    metric_description{"hemlocknotch_control_received_bytes_total", "Bytes received on links, bodies of requests and answers excepted."},
-    metric_description{"hemlocknotch_control_sent_bytes_total", "Bytes sent on links, bodies of requests and answers excepted."},
+    metric_description{"hemlocknotch_configuration_errors_total",
+                       "Configuration documents that failed their check."},
+    metric_description{"hemlocknotch_configuration_revision",
+                       "Revision of the configuration in force; 0 for none."},
+    metric_description{"hemlocknotch_control_received_bytes_total",
+                       "Bytes received on links, bodies of requests and answers excepted."},
+    metric_description{"hemlocknotch_control_sent_bytes_total",
+                       "Bytes sent on links, bodies of requests and answers excepted."},
     metric_description{"hemlocknotch_effects_total", "Effects that the decisions asked for."},
     metric_description{"hemlocknotch_events_total", "Events that the decisions took in."},
     metric_description{"hemlocknotch_is_ready", "1 where new work is taken, else 0."},
-    metric_description{"hemlocknotch_link_body_received_bytes_total", "Bytes of bodies of requests and answers received on links."},
-    metric_description{"hemlocknotch_link_body_sent_bytes_total", "Bytes of bodies of requests and answers sent on links."},
+    metric_description{"hemlocknotch_link_body_received_bytes_total",
+                       "Bytes of bodies of requests and answers received on links."},
+    metric_description{"hemlocknotch_link_body_sent_bytes_total",
+                       "Bytes of bodies of requests and answers sent on links."},
     metric_description{"hemlocknotch_links", "Open links."},
-    metric_description{"hemlocknotch_message_received_bytes_total", "Bytes received on links, by kind of message, bodies included."},
-    metric_description{"hemlocknotch_message_sent_bytes_total", "Bytes sent on links, by kind of message, bodies included."},
+    metric_description{"hemlocknotch_message_received_bytes_total",
+                       "Bytes received on links, by kind of message, bodies included."},
+    metric_description{"hemlocknotch_message_sent_bytes_total",
+                       "Bytes sent on links, by kind of message, bodies included."},
     metric_description{"hemlocknotch_messages_received_total", "Messages received on links, by kind."},
     metric_description{"hemlocknotch_messages_sent_total", "Messages sent on links, by kind."},
-    metric_description{"hemlocknotch_process_cpu_seconds_total", "Processor time of the process, user and system."},
+    metric_description{"hemlocknotch_process_cpu_seconds_total",
+                       "Processor time of the process, user and system."},
     metric_description{"hemlocknotch_process_resident_bytes", "Resident memory of the process."},
-    metric_description{"hemlocknotch_refused_by_front_total", "Requests refused before the decisions saw them, by refusal code."},
-    metric_description{"hemlocknotch_store_calls_total", "Calls to the key-value service; a waiting watch is a call."},
+    metric_description{"hemlocknotch_refused_by_front_total",
+                       "Requests refused before the decisions saw them, by refusal code."},
+    metric_description{"hemlocknotch_store_calls_total",
+                       "Calls to the key-value service; a waiting watch is a call."},
     metric_description{"hemlocknotch_uptime_seconds", "Time since the start."},
 };
 
 constexpr std::array seconds_bounds{0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
                                     0.25,   0.5,   1.0,    2.5,   5.0,  10.0,  30.0, 60.0};
 constexpr std::array bytes_bounds{256.0, 1024.0, 4096.0, 16384.0, 65536.0, 262144.0, 1048576.0, 4194304.0};
-constexpr std::array unit_bounds{1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1000.0, 2000.0, 5000.0};
+constexpr std::array unit_bounds{1.0,   2.0,   5.0,   10.0,   20.0,   50.0,
+                                 100.0, 200.0, 500.0, 1000.0, 2000.0, 5000.0};
 
 } // namespace
 
--- a/packages/daemon/src/metrics.hpp
+++ b/packages/daemon/src/metrics.hpp
@@ -17,8 +17,8 @@
 /// Metrics of one process, written in the Prometheus text format. Used by one thread.
 class metrics {
 public:
-    /// Adds `value` to a counter, or sets a gauge, or fills a histogram. Names and labels come into being with
-    /// their first value.
+    /// Adds `value` to a counter, or sets a gauge, or fills a histogram. Names and labels come into being
+    /// with their first value.
     void record(const metric_effect& effect);
 
     /// Adds `value` to the counter `name`.
--- a/packages/daemon/src/process_links.hpp
+++ b/packages/daemon/src/process_links.hpp
@@ -3,8 +3,8 @@
 #include <hemlocknotch/core/endpoint_address.hpp>
 #include <hemlocknotch/core/link_id.hpp>
 #include <hemlocknotch/core/message.hpp>
-#include <hemlocknotch/wire/peer_link.hpp>
 #include <hemlocknotch/wire/link_factory.hpp>
+#include <hemlocknotch/wire/peer_link.hpp>
 
 #include "metrics.hpp"
 #include "timer.hpp"
--- a/packages/daemon/src/process_runtime.hpp
+++ b/packages/daemon/src/process_runtime.hpp
@@ -27,8 +27,8 @@
 
 namespace hemlocknotch::daemon {
 
-/// What daemons of both kinds need beside their own work: event loop, clock, entropy, log, metrics, spans, the
-/// platform's services, ticks and signals. Used by the event loop's thread only.
+/// What daemons of both kinds need beside their own work: event loop, clock, entropy, log, metrics, spans,
+/// the platform's services, ticks and signals. Used by the event loop's thread only.
 class process_runtime final : private configuration_watcher_sink {
 public:
     /// Makes everything but does not start it. `sink` must outlive the runtime. Precondition: the settings
--- a/packages/daemon/src/reducer_pump.hpp
+++ b/packages/daemon/src/reducer_pump.hpp
@@ -21,10 +21,7 @@
 
     /// All references must outlive the pump. Precondition: `execute` is not empty.
     reducer_pump(Reducer& reducer, const process_clock& clock, entropy_source& entropy, executor execute)
-        : reducer_{reducer},
-          clock_{clock},
-          entropy_{entropy},
-          execute_{std::move(execute)}
+        : reducer_{reducer}, clock_{clock}, entropy_{entropy}, execute_{std::move(execute)}
     {
     }
 
--- a/packages/daemon/src/setting_description.cpp
+++ b/packages/daemon/src/setting_description.cpp
@@ -58,8 +58,8 @@
 }
 
 template <class Integer>
-    requires std::is_integral_v<Integer>
-std::string text_of(Integer value)
+
+requires std::is_integral_v<Integer> std::string text_of(Integer value)
 {
     return std::to_string(value);
 }
--- a/packages/daemon/src/settings_reading.cpp
+++ b/packages/daemon/src/settings_reading.cpp
@@ -59,8 +59,7 @@
 class settings_reader {
 public:
     settings_reader(const json& document, process_role role, std::vector<document_error>& errors)
-        : document_{document},
-          errors_{errors}
+        : document_{document}, errors_{errors}
     {
         out_.role = role;
     }
@@ -94,8 +93,8 @@
             }
             return;
         }
-        const auto is_taken = std::visit([&](auto field) { return take(setting, *value, field(out_)); },
-                                         setting.field);
+        const auto is_taken =
+            std::visit([&](auto field) { return take(setting, *value, field(out_)); }, setting.field);
         if (!is_taken) {
             report(setting.path, describe(*value), allowed_text(setting));
         }
@@ -139,7 +138,8 @@
     }
 
     template <class Number>
-        requires std::is_arithmetic_v<Number>
+    requires std::is_arithmetic_v<Number>
+
     static bool take(const setting_description& setting, const json& value, Number& out)
     {
         return take_number(setting, value, out);
@@ -189,8 +189,9 @@
         const auto all = setting_descriptions();
         const auto it = std::ranges::find(all, path, &setting_description::path);
         if (it == all.end()) {
-            report(path, "an unknown key", "the keys that `hemlocknotchd " + role_name() +
-                                               " --print-settings` lists; remove or correct it");
+            report(path, "an unknown key",
+                   "the keys that `hemlocknotchd " + role_name() +
+                       " --print-settings` lists; remove or correct it");
         }
         else if (!applies_to(*it, out_.role)) {
             report(path, "a key for " + std::string{owner_of(it->scope)} + " only", "leave it out");
@@ -269,13 +270,14 @@
             return;
         }
         check_not_above("concurrency.initial", agent.initial_limit, "concurrency.max", agent.max_limit);
-        check_not_above("limits.answer_kept_ms", agent.answer_kept.count() / 1000,
-                        "limits.tombstone_kept_ms", agent.tombstone_kept.count() / 1000);
+        check_not_above("limits.answer_kept_ms", agent.answer_kept.count() / 1000, "limits.tombstone_kept_ms",
+                        agent.tombstone_kept.count() / 1000);
         check_not_above("limits.send_window_bytes", agent.send_window_bytes, "limits.max_answer_bytes",
                         agent.max_answer_bytes);
         if (out_.endpoint_kind_name == "plain" && out_.is_fencing_checked) {
-            report("endpoint.checks_fencing", "true", "false where endpoint.kind is plain; a plain service "
-                                                      "takes no orders");
+            report("endpoint.checks_fencing", "true",
+                   "false where endpoint.kind is plain; a plain service "
+                   "takes no orders");
         }
     }
 
--- a/packages/daemon/src/span_recorder.hpp
+++ b/packages/daemon/src/span_recorder.hpp
@@ -12,8 +12,8 @@
 
 namespace hemlocknotch::daemon {
 
-/// Returns the number of the span of `operation` of a request that began at `started`. Every process works out
-/// the same number for the span `request`, whose start does not enter, so that the spans of all processes
+/// Returns the number of the span of `operation` of a request that began at `started`. Every process works
+/// out the same number for the span `request`, whose start does not enter, so that the spans of all processes
 /// join without a message of their own.
 std::uint64_t span_number(const request_id& id, std::string_view operation, instant started);
 
@@ -22,7 +22,8 @@
 std::string outgoing_traceparent(const request_id& id, std::string_view received);
 
 /// Returns `effect` as one JSON line without its end: trace_id, span_id, parent_id, operation, start_us,
-/// duration_us and tags. The trace is the caller's, or has the request's id where the caller named none. Pure.
+/// duration_us and tags. The trace is the caller's, or has the request's id where the caller named none.
+/// Pure.
 std::string span_line(const span_effect& effect, const process_clock& clock, std::string_view process_name);
 
 /// Writes each span as one JSON line. OpenTracing's mocktracer is not used: its trace ids have 64 bits, those
--- a/packages/daemon/src/status_document.hpp
+++ b/packages/daemon/src/status_document.hpp
@@ -39,8 +39,8 @@
     std::vector<status_counter> counters;
 };
 
-/// Returns `status` as JSON (docs/INTERFACES.md). Names of accounts and services come from `names`; a key that
-/// it does not have, or any where it is null, is written as its number. Never fails.
+/// Returns `status` as JSON (docs/INTERFACES.md). Names of accounts and services come from `names`; a key
+/// that it does not have, or any where it is null, is written as its number. Never fails.
 std::string write_status(const status_document& status, const configuration* names);
 
 } // namespace hemlocknotch::daemon
--- a/packages/daemon/src/timer.cpp
+++ b/packages/daemon/src/timer.cpp
@@ -15,8 +15,7 @@
 } // namespace
 
 timer::timer(event_base* base, std::function<void()> callback)
-    : callback_{std::move(callback)},
-      event_{event_new(base, -1, 0, run_callback, &callback_)}
+    : callback_{std::move(callback)}, event_{event_new(base, -1, 0, run_callback, &callback_)}
 {
     assert(callback_);
     assert(event_);
--- a/packages/daemon/src/traceparent.cpp
+++ b/packages/daemon/src/traceparent.cpp
@@ -17,8 +17,7 @@
 
 bool is_lower_hex(std::string_view text)
 {
-    return std::ranges::all_of(text,
-                               [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
+    return std::ranges::all_of(text, [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
 }
 
 bool is_all_zero(std::string_view text)
@@ -28,7 +27,9 @@
 
 } // namespace
 
-traceparent::traceparent(std::string text) : text_{std::move(text)} {}
+traceparent::traceparent(std::string text) : text_{std::move(text)}
+{
+}
 
 std::optional<traceparent> traceparent::parse(std::string_view text)
 {
--- a/packages/platform/src/http_client.cpp
+++ b/packages/platform/src/http_client.cpp
@@ -1,4 +1,4 @@
-#include "http_client.hpp"
+#include <hemlocknotch/platform/http_client.hpp>
 
 #include <event2/buffer.h>
 #include <event2/event.h>
--- a/packages/platform/src/http_instance_list.hpp
+++ b/packages/platform/src/http_instance_list.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
+#include <hemlocknotch/platform/http_client.hpp>
 #include <hemlocknotch/platform/instance_list.hpp>
 
-#include "http_client.hpp"
-
 namespace hemlocknotch {
 
 /// The instance list over HTTP, as docs/INTERFACES.md describes it.
--- a/packages/platform/src/http_key_value_service.hpp
+++ b/packages/platform/src/http_key_value_service.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
+#include <hemlocknotch/platform/http_client.hpp>
 #include <hemlocknotch/platform/key_value_service.hpp>
 
-#include "http_client.hpp"
-
 #include <string_view>
 
 namespace hemlocknotch {
