Keep what is out of service when a document says nothing about it

Cause: applying an edited file whose out_of_service list is empty returned a failure domain that another operator had taken out; seen when trying the commands against the stand-ins. And a file made from an older revision overwrote what others had applied since.

Conclusion: a test shows a domain staying out over an apply, and a document made from an earlier revision refused with who applied what since.

--- a/packages/ctl/include/hemlocknotch/ctl/config_editor.hpp
+++ b/packages/ctl/include/hemlocknotch/ctl/config_editor.hpp
@@ -20,6 +20,8 @@
     /// The new revision is above this one as well as above the one that stands. Not 0 only where the
     /// key-value service has lost the configuration while daemons still run it.
     std::uint64_t revision_above = 0;
+    /// The revision that the document was made from; another one in force is a conflict. 0 for any.
+    std::uint64_t base_revision = 0;
 };
 
 /// A change of what is out of service.
@@ -56,7 +58,8 @@
     /// Reads revision `revision` from the history, or the one in force.
     void read_revision(std::uint64_t revision, read_callback done);
 
-    /// Checks `order.document` and puts it in force. Loses to a change that was accepted since it was read.
+    /// Checks `order.document` and puts it in force. Loses to a change that was accepted since it was read,
+    /// or since `order.base_revision`. A document without `out_of_service` leaves that as it is.
     void apply(const apply_order& order, edit_callback done);
 
     /// Changes what is out of service and nothing else. Such a change commutes with others, so that a lost
--- a/packages/ctl/src/command_line.cpp
+++ b/packages/ctl/src/command_line.cpp
@@ -103,8 +103,13 @@
         constexpr const char* file_text = "Configuration document, JSON with comments; - for standard input";
         CLI::App* check = add_command("check", command::check, "Check a document and report all faults");
         check->add_option("FILE", options_.file, file_text)->required();
-        CLI::App* apply = add_command("apply", command::apply, "Check a document and put it in force");
+        CLI::App* apply = add_command(
+            "apply", command::apply,
+            "Check a document and put it in force; without out_of_service in it, what is out stays out");
         apply->add_option("FILE", options_.file, file_text)->required();
+        apply->add_option("--base", options_.base_revision,
+                          "Revision that the document was made from, as told by show; fails with a conflict "
+                          "where another one is in force");
         apply->add_option("--revision-above", options_.revision_above,
                           "Give the change a revision above this one; for a key-value service that has lost "
                           "the configuration which daemons still run");
--- a/packages/ctl/src/command_options.hpp
+++ b/packages/ctl/src/command_options.hpp
@@ -25,6 +25,7 @@
     std::string file;
     std::string author;
     std::uint64_t revision_above = 0;
+    std::uint64_t base_revision = 0;
     bool is_waiting = false;
     std::uint32_t wait_limit_s = 30;
 
--- a/packages/ctl/src/config_editor.cpp
+++ b/packages/ctl/src/config_editor.cpp
@@ -138,6 +138,11 @@
     });
 }
 
+std::optional<configuration_envelope> winner_of(const current_configuration& base)
+{
+    return base.status == store_status::ok ? std::optional{base.envelope} : std::nullopt;
+}
+
 void apply_on(const std::shared_ptr<edit_context>& context, const apply_order& order,
               const current_configuration& base)
 {
@@ -145,7 +150,14 @@
         context->done(unreadable(base));
         return;
     }
-    if (base.envelope.document == order.document && base.envelope.revision > order.revision_above) {
+    const configuration_ptr current = base.status == store_status::ok ? parse(base.envelope) : nullptr;
+    configuration_envelope envelope = successor(base.envelope, order.revision_above, *context);
+    envelope.document = keep_out_of_service(order.document, current ? current->out : out_of_service{});
+    if (order.base_revision != 0 && order.base_revision != base.envelope.revision) {
+        context->done(result_of({store_status::conflict, winner_of(base)}, base.envelope, envelope));
+        return;
+    }
+    if (base.envelope.document == envelope.document && base.envelope.revision > order.revision_above) {
         edit_result result;
         result.status = edit_status::unchanged;
         result.revision = base.envelope.revision;
@@ -153,8 +165,6 @@
         context->done(result);
         return;
     }
-    configuration_envelope envelope = successor(base.envelope, order.revision_above, *context);
-    envelope.document = order.document;
     write_change(context, base, envelope, context->done);
 }
 
--- a/packages/ctl/src/document_editor.cpp
+++ b/packages/ctl/src/document_editor.cpp
@@ -158,4 +158,11 @@
     return edited.insert(finder.last_end(), ",\n  \"" + std::string{edited_key} + "\": " + value);
 }
 
+std::string keep_out_of_service(std::string_view document, const out_of_service& out)
+{
+    member_finder finder{document};
+    const bool is_edited = finder.find(edited_key) && !finder.found() && out != out_of_service{};
+    return is_edited ? replace_out_of_service(document, out).value() : std::string{document};
+}
+
 } // namespace hemlocknotch
--- a/packages/ctl/src/edit_commands.cpp
+++ b/packages/ctl/src/edit_commands.cpp
@@ -126,7 +126,8 @@
     }
     config_editor editor{store, session, options.author};
     std::optional<edit_result> result;
-    editor.apply({document, options.revision_above}, [&](const edit_result& value) { result = value; });
+    editor.apply({document, options.revision_above, options.base_revision},
+                 [&](const edit_result& value) { result = value; });
     session.run_until([&] { return result.has_value(); });
     return finish_edit(session, options, *result, output);
 }
--- a/packages/ctl/src/show_commands.cpp
+++ b/packages/ctl/src/show_commands.cpp
@@ -1,6 +1,7 @@
 #include "show_commands.hpp"
 
 #include <hemlocknotch/ctl/configuration_difference.hpp>
+#include <hemlocknotch/ctl/document_editor.hpp>
 
 #include "check_command.hpp"
 #include "command_error.hpp"
@@ -138,8 +139,10 @@
         return exit_code::refused;
     }
     BOOST_LEAF_AUTO(current, read_revision(session, 0));
+    const configuration_ptr before = parse(current);
+    const std::string applied = keep_out_of_service(document, before ? before->out : out_of_service{});
     const std::vector<configuration_change> changes =
-        compare_configurations(parse(current), reading.accepted);
+        compare_configurations(before, read_configuration(applied, any_revision).accepted);
     if (output.is_json) {
         output.out << changes_as_json(changes).dump() << '\n';
         return exit_code::done;
--- a/packages/ctl/tests/config_editor_fuzz_test.cpp
+++ b/packages/ctl/tests/config_editor_fuzz_test.cpp
@@ -65,7 +65,7 @@
         };
         is_apply = below(random, 2) == 0;
         if (is_apply) {
-            editor.apply({make_document(environment_name(number))}, keep);
+            editor.apply({make_document(environment_name(number)), 0, 0}, keep);
             return;
         }
         const std::string name = "domain-" + std::to_string(below(random, 3));
--- a/packages/ctl/tests/config_editor_test.cpp
+++ b/packages/ctl/tests/config_editor_test.cpp
@@ -44,7 +44,7 @@
 
     edit_result apply(const std::string& document)
     {
-        editor.apply({document}, keep());
+        editor.apply({document, 0, 0}, keep());
         run();
         return *result;
     }
@@ -142,7 +142,7 @@
     fake_key_value_service other_service{store};
     config_editor other{other_service, environment, "ben"};
     std::optional<edit_result> other_result;
-    other.apply({make_document("ben's")}, [&](const edit_result& value) { other_result = value; });
+    other.apply({make_document("ben's"), 0, 0}, [&](const edit_result& value) { other_result = value; });
     // Ben has read; Ana is accepted before Ben writes.
     other_service.step(0);
     other_service.step(0);
@@ -190,6 +190,30 @@
     BOOST_TEST(stored().document.find("// two") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(a_document_that_does_not_name_what_is_out_of_service_returns_nothing)
+{
+    apply(make_document("one"));
+    take_out("a");
+    const edit_result applied = apply(make_document("two"));
+    BOOST_TEST((applied.status == edit_status::applied));
+    BOOST_TEST(applied.differences.empty());
+    BOOST_TEST(read_configuration(stored().document, 1).accepted->is_out("x", "a"));
+    BOOST_TEST((apply(make_document("two")).status == edit_status::unchanged));
+}
+
+BOOST_AUTO_TEST_CASE(a_document_made_from_an_earlier_revision_is_a_conflict)
+{
+    apply(make_document("one"));
+    apply(make_document("two"));
+    editor.apply({make_document("three"), 0, 1}, keep());
+    run();
+    BOOST_TEST((result->status == edit_status::conflict));
+    BOOST_TEST(result->winner->revision == 2U);
+    editor.apply({make_document("three"), 0, 2}, keep());
+    run();
+    BOOST_TEST((result->status == edit_status::applied));
+}
+
 BOOST_AUTO_TEST_CASE(earlier_revisions_are_kept_up_to_a_limit)
 {
     const std::uint64_t last = kept_revisions + 5;
@@ -207,7 +231,7 @@
 
 BOOST_AUTO_TEST_CASE(a_revision_can_be_raised_above_what_the_fleet_runs)
 {
-    editor.apply({make_document("one"), 41}, keep());
+    editor.apply({make_document("one"), 41, 0}, keep());
     run();
     BOOST_TEST(result->revision == 42U);
 }
