--- a/packages/standins/include/hemlocknotch/standins/load_runner.hpp
+++ b/packages/standins/include/hemlocknotch/standins/load_runner.hpp
@@ -24,10 +24,12 @@
     std::vector<endpoint_address> engines;
     account_spread spread = account_spread::even;
     std::uint64_t seed = 1;
-    /// Requests are sent for this long; then those that have not begun are withdrawn ...
+    /// Requests are sent for this long ...
     duration length = std::chrono::seconds{45};
-    /// ... and those that have may end within this.
+    /// ... and may end within this.
     duration drain = std::chrono::seconds{10};
+    /// Whether requests whose answer has not begun after `length` are given up at once.
+    bool is_withdrawing = true;
 };
 
 /// Replays a trace against entries and checks every answer. One thread.
@@ -67,6 +69,7 @@
     void note_not_waiting(load_record& record);
     void close_ended();
     void sample_engines();
+    void end_sending();
     void withdraw_waiting();
     void give_up(std::uint64_t number, load_outcome outcome);
     void stop_if_over();
@@ -85,12 +88,12 @@
     std::vector<load_record> records_;
     std::map<std::uint64_t, open_call> open_;
     std::vector<std::uint64_t> ended_;
-    bool is_withdrawn_ = false;
+    bool has_sent_all_ = false;
     std::vector<std::unique_ptr<page_fetcher>> engines_;
     timer send_timer_;
     timer close_timer_;
     timer sample_timer_;
-    timer withdraw_timer_;
+    timer end_timer_;
     timer give_up_timer_;
 };
 
--- a/packages/standins/src/load_runner.cpp
+++ b/packages/standins/src/load_runner.cpp
@@ -26,7 +26,7 @@
       send_timer_{loop.base(), [this] { send_due(); }},
       close_timer_{loop.base(), [this] { close_ended(); }},
       sample_timer_{loop.base(), [this] { sample_engines(); }},
-      withdraw_timer_{loop.base(), [this] { withdraw_waiting(); }},
+      end_timer_{loop.base(), [this] { end_sending(); }},
       give_up_timer_{loop.base(), [this] { loop_.stop(); }}
 {
     for (const profile_mix& it : mix.model_work) {
@@ -55,7 +55,7 @@
     started_ = now();
     send_due();
     sample_engines();
-    withdraw_timer_.start(options_.length);
+    end_timer_.start(options_.length);
     give_up_timer_.start(options_.length + options_.drain);
     loop_.run();
     while (!open_.empty()) {
@@ -65,11 +65,11 @@
 
 void load_runner::send_due()
 {
-    while (next_ < trace_.size() && trace_[next_].time <= since_start() && !is_withdrawn_) {
+    while (next_ < trace_.size() && trace_[next_].time <= since_start() && !has_sent_all_) {
         send(trace_[next_]);
         ++next_;
     }
-    if (next_ < trace_.size() && !is_withdrawn_) {
+    if (next_ < trace_.size() && !has_sent_all_) {
         send_timer_.start(trace_[next_].time - since_start());
     }
 }
@@ -167,9 +167,17 @@
     sample_timer_.start(sample_interval);
 }
 
+void load_runner::end_sending()
+{
+    has_sent_all_ = true;
+    if (options_.is_withdrawing) {
+        withdraw_waiting();
+    }
+    stop_if_over();
+}
+
 void load_runner::withdraw_waiting()
 {
-    is_withdrawn_ = true;
     std::vector<std::uint64_t> waiting;
     for (const auto& [number, call] : open_) {
         if (!call.head && records_[number].outcome == load_outcome::open) {
@@ -179,7 +187,6 @@
     for (const std::uint64_t number : waiting) {
         give_up(number, load_outcome::withdrawn);
     }
-    stop_if_over();
 }
 
 void load_runner::give_up(std::uint64_t number, load_outcome outcome)
@@ -197,7 +204,7 @@
 
 void load_runner::stop_if_over()
 {
-    if (open_.empty() && (is_withdrawn_ || next_ == trace_.size()) && since_start() >= options_.length) {
+    if (open_.empty() && (has_sent_all_ || next_ == trace_.size()) && since_start() >= options_.length) {
         loop_.stop();
     }
 }
--- a/packages/standins/src/main_load.cpp
+++ b/packages/standins/src/main_load.cpp
@@ -33,6 +33,7 @@
     std::uint64_t seed = 1;
     std::uint32_t seconds = 45;
     std::uint32_t drain_seconds = 10;
+    bool is_withdrawing = true;
 };
 
 std::string text_of(const std::string& path)
@@ -64,6 +65,7 @@
     options.seed = args.seed;
     options.length = std::chrono::seconds{args.seconds};
     options.drain = std::chrono::seconds{args.drain_seconds};
+    options.is_withdrawing = args.is_withdrawing;
     return options;
 }
 
@@ -163,8 +165,10 @@
         ->capture_default_str();
     app.add_option("--seed", args.seed, "Seed of the choice of entries")->capture_default_str();
     app.add_option("--seconds", args.seconds, "Length of the run")->capture_default_str();
-    app.add_option("--drain-seconds", args.drain_seconds, "Time for begun answers to end")
+    app.add_option("--drain-seconds", args.drain_seconds, "Time for answers to end after that")
         ->capture_default_str();
+    app.add_flag("!--wait-for-all", args.is_withdrawing,
+                 "Let requests that still wait after the run begin too");
     app.add_option("--outcomes", args.outcomes_path, "Stated outcomes to check");
     app.add_option("--record", args.record_path, "File for one JSON line a request");
     bool is_failed = false;
--- a/tools/fleet/processes.py
+++ b/tools/fleet/processes.py
@@ -114,9 +114,11 @@
         return pages * os.sysconf("SC_PAGE_SIZE")
 
 
-def call(method: str, url: str, body: bytes | None = None) -> tuple[int, bytes, dict[str, str]]:
+def call(
+    method: str, url: str, body: bytes | None = None, headers: dict[str, str] | None = None
+) -> tuple[int, bytes, dict[str, str]]:
     """Makes one HTTP call and returns status, body and headers; raises OSError where there is no answer."""
-    request = urllib.request.Request(url, data=body, method=method)
+    request = urllib.request.Request(url, data=body, method=method, headers=headers or {})
     try:
         with urllib.request.urlopen(request, timeout=CALL_LIMIT_S) as answer:
             return answer.status, answer.read(), dict(answer.headers)
