--- a/packages/daemon/src/configuration_watcher.hpp
+++ b/packages/daemon/src/configuration_watcher.hpp
@@ -15,7 +15,7 @@
 /// How the configuration is watched.
 struct configuration_watcher_options {
     /// Time that one watch waits at the service.
-    duration watch_limit = std::chrono::seconds{30};
+    duration watch_limit = std::chrono::seconds{1};
     /// Time between two calls of which the first failed, at the least and at the most.
     duration retry_delay = std::chrono::milliseconds{100};
     duration retry_delay_limit = std::chrono::seconds{2};
--- a/packages/daemon/src/setting_list.cpp
+++ b/packages/daemon/src/setting_list.cpp
@@ -307,9 +307,11 @@
                         .meaning = "A call to the platform without an answer for this long has failed."},
     setting_description{.path = "limits.store_watch_limit_ms",
                         .field = PLACE(duration, store_watch_limit),
-                        .least = 1000,
+                        .least = 100,
                         .most = hour_ms,
-                        .meaning = "Time that one watch of the configuration waits at the service."},
+                        .meaning =
+                            "Time that one watch of the configuration waits at the service. Each answer "
+                            "shows that the service is in reach."},
     setting_description{.path = "limits.instance_list_interval_ms",
                         .field = PLACE(duration, instance_list_interval),
                         .least = 50,
--- a/packages/daemon/src/settings.hpp
+++ b/packages/daemon/src/settings.hpp
@@ -26,7 +26,7 @@
     std::string log_format = "json";
     std::string trace_output;
     duration store_call_limit = std::chrono::seconds{2};
-    duration store_watch_limit = std::chrono::seconds{30};
+    duration store_watch_limit = std::chrono::seconds{1};
     duration instance_list_interval = std::chrono::seconds{1};
 
     /// Entries only.
--- a/packages/daemon/src/settings_reading.cpp
+++ b/packages/daemon/src/settings_reading.cpp
@@ -259,6 +259,9 @@
         const auto& agent = out_.agent;
         check_order("limits.heartbeat_interval_ms", entry.heartbeat_interval, "limits.silence_limit_ms",
                     entry.silence_limit);
+        // A watch that waits longer gives no sign of the service in time.
+        check_order("limits.store_watch_limit_ms", out_.store_watch_limit, "limits.out_of_reach_limit_ms",
+                    entry.out_of_reach_limit);
         if (out_.role == process_role::entry) {
             check_not_above("limits.max_waiting_per_account", entry.max_waiting_per_account,
                             "limits.max_waiting", entry.max_waiting);
