--- a/packages/daemon/src/metrics.cpp
+++ b/packages/daemon/src/metrics.cpp
@@ -14,8 +14,13 @@
 
 std::string number_text(double value)
 {
-    std::array<char, 32> buf{};
-    const auto [end, ec] = std::to_chars(buf.data(), buf.data() + buf.size(), value);
+    constexpr double least_plain = 1e-6;
+    constexpr double most_plain = 1e15;
+    const auto size = std::abs(value);
+    const auto is_plain = size == 0.0 || (size >= least_plain && size <= most_plain);
+    std::array<char, 64> buf{};
+    const auto [end, ec] = std::to_chars(buf.data(), buf.data() + buf.size(), value,
+                                         is_plain ? std::chars_format::fixed : std::chars_format::general);
     assert(ec == std::errc{});
     return {buf.data(), end};
 }
