--- a/packages/daemon/src/claim_keeper.hpp
+++ b/packages/daemon/src/claim_keeper.hpp
@@ -63,6 +63,9 @@
     /// Records how the request that holds the claim ended. Tried a bounded number of times.
     void settle(const settle_claim_effect& ended);
 
+    /// Returns the number of claims and settlements under way.
+    [[nodiscard]] std::size_t pending_count() const { return operations_.size(); }
+
 private:
     class operation;
 
--- a/packages/daemon/src/endpoint_client.cpp
+++ b/packages/daemon/src/endpoint_client.cpp
@@ -40,7 +40,8 @@
       kind_{kind},
       sink_{sink},
       next_cancel_{std::numeric_limits<call_id>::max()},
-      clean_up_{base, [this] { retired_.clear(); }}
+      clean_up_{base, [this] { retired_.clear(); }},
+      report_impossible_{base, [this] { report_impossible(); }}
 {
 }
 
@@ -48,6 +49,12 @@
 {
     assert(!calls_.contains(call.call));
     const auto is_resume = call.offset > 0;
+    if (is_resume && kind_ == endpoint_kind::plain) {
+        // A plain service has no streams; asking it would execute another request.
+        impossible_.push_back(call.call);
+        report_impossible_.activate();
+        return;
+    }
     const auto request = is_resume ? request_of_resume(call, endpoint_) : request_of_call(call, endpoint_);
     auto done = [this](call_id number) { retire(number); };
     calls_.emplace(call.call, std::make_unique<endpoint_call>(base_, call.call, endpoint_, request,
@@ -57,6 +64,7 @@
 
 void endpoint_client::stop(const stop_call_effect& stop)
 {
+    std::erase(impossible_, stop.call);
     if (const auto it = calls_.find(stop.call); it != calls_.end()) {
         it->second->silence();
         retire(stop.call);
@@ -71,6 +79,13 @@
                                [this](call_id ended) { retire(ended); }));
 }
 
+void endpoint_client::report_impossible()
+{
+    for (const auto call : std::exchange(impossible_, {})) {
+        sink_.on_end({call, call_outcome::broken});
+    }
+}
+
 void endpoint_client::retire(call_id call)
 {
     const auto it = calls_.find(call);
--- a/packages/daemon/src/endpoint_client.hpp
+++ b/packages/daemon/src/endpoint_client.hpp
@@ -37,6 +37,7 @@
     void stop(const stop_call_effect& stop);
 
 private:
+    void report_impossible();
     void retire(call_id call);
 
     event_base* base_;
@@ -49,6 +50,9 @@
     /// Ended calls, destroyed once evhttp no longer uses them.
     std::vector<std::unique_ptr<endpoint_call>> retired_;
     timer clean_up_;
+    /// Resumes asked of an endpoint that cannot resume.
+    std::vector<call_id> impossible_;
+    timer report_impossible_;
 };
 
 } // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/daemon/tests/test_loop.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "libevent_handles.hpp"
+
+#include <event2/bufferevent.h>
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+namespace hemlocknotch::daemon {
+
+/// An event loop that runs until a condition holds.
+class test_loop {
+public:
+    [[nodiscard]] event_base* base() const { return base_.get(); }
+
+    /// Runs until `is_done` returns true. Returns false where it does not within a generous limit.
+    bool run_until(const std::function<bool()>& is_done) const
+    {
+        const auto give_up = std::chrono::steady_clock::now() + std::chrono::seconds{20};
+        while (!is_done()) {
+            if (std::chrono::steady_clock::now() > give_up) {
+                return false;
+            }
+            timeval pause{0, 5000};
+            event_base_loopexit(base_.get(), &pause);
+            event_base_dispatch(base_.get());
+        }
+        return true;
+    }
+
+private:
+    event_base_ptr base_{event_base_new()};
+};
+
+struct bufferevent_deleter {
+    void operator()(bufferevent* it) const { bufferevent_free(it); }
+};
+
+/// A TCP client that sends raw bytes and collects what comes.
+class raw_client {
+public:
+    /// Connects to `port` on loopback and sends `bytes`.
+    raw_client(event_base* base, unsigned short port, const std::string& bytes)
+        : stream_{bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)}
+    {
+        bufferevent_setcb(stream_.get(), on_read, nullptr, on_event, this);
+        bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
+        bufferevent_socket_connect_hostname(stream_.get(), nullptr, AF_INET, "127.0.0.1", port);
+        send(bytes);
+    }
+
+    void send(const std::string& bytes) { bufferevent_write(stream_.get(), bytes.data(), bytes.size()); }
+
+    /// Closes the connection.
+    void close() { stream_.reset(); }
+
+    void stop_reading() { bufferevent_disable(stream_.get(), EV_READ); }
+
+    void go_on_reading() { bufferevent_enable(stream_.get(), EV_READ); }
+
+    [[nodiscard]] const std::string& received() const { return received_; }
+
+    [[nodiscard]] bool is_closed() const { return is_closed_; }
+
+    [[nodiscard]] bool has(const std::string& text) const
+    {
+        return received_.find(text) != std::string::npos;
+    }
+
+private:
+    static void on_read(bufferevent* stream, void* self)
+    {
+        auto* input = bufferevent_get_input(stream);
+        std::string bytes(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, bytes.data(), bytes.size());
+        static_cast<raw_client*>(self)->received_ += bytes;
+    }
+
+    static void on_event(bufferevent* stream, short what, void* self)
+    {
+        on_read(stream, self);
+        if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+            static_cast<raw_client*>(self)->is_closed_ = true;
+        }
+    }
+
+    std::unique_ptr<bufferevent, bufferevent_deleter> stream_;
+    std::string received_;
+    bool is_closed_ = false;
+};
+
+} // namespace hemlocknotch::daemon
