--- a/packages/daemon/tests/caller_front_test.cpp
+++ b/packages/daemon/tests/caller_front_test.cpp
@@ -1,5 +1,4 @@
 #include "caller_front.hpp"
-
 #include "test_loop.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -31,8 +30,9 @@
 
 std::string request(const std::string& method, const std::string& body, const std::string& more = "")
 {
-    return method + " /path?q=1 HTTP/1.1\r\nHost: h\r\nHemlocknotch-Account: a\r\nHemlocknotch-Profile: p\r\n" +
-           more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return method +
+           " /path?q=1 HTTP/1.1\r\nHost: h\r\nHemlocknotch-Account: a\r\nHemlocknotch-Profile: p\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 struct fixture {
--- a/packages/daemon/tests/caller_headers_test.cpp
+++ b/packages/daemon/tests/caller_headers_test.cpp
@@ -80,12 +80,12 @@
 BOOST_AUTO_TEST_CASE(refuses_bad_values_and_says_what_is_allowed)
 {
     const std::vector<header_field> bad{
-        {"Hemlocknotch-Cost-Hint", "0"},        {"Hemlocknotch-Cost-Hint", "-1"},
-        {"Hemlocknotch-Cost-Hint", "nan"},      {"Hemlocknotch-Cost-Hint", "inf"},
-        {"Hemlocknotch-Cost-Hint", "3 lines"},  {"Hemlocknotch-Deadline-Ms", "0"},
-        {"Hemlocknotch-Deadline-Ms", "1.5"},    {"Hemlocknotch-Deadline-Ms", "86400001"},
-        {"Hemlocknotch-Deadline-Ms", ""},       {"Idempotency-Key", ""},
-        {"Idempotency-Key", "two words"},       {"Idempotency-Key", std::string(129, 'k')},
+        {"Hemlocknotch-Cost-Hint", "0"},       {"Hemlocknotch-Cost-Hint", "-1"},
+        {"Hemlocknotch-Cost-Hint", "nan"},     {"Hemlocknotch-Cost-Hint", "inf"},
+        {"Hemlocknotch-Cost-Hint", "3 lines"}, {"Hemlocknotch-Deadline-Ms", "0"},
+        {"Hemlocknotch-Deadline-Ms", "1.5"},   {"Hemlocknotch-Deadline-Ms", "86400001"},
+        {"Hemlocknotch-Deadline-Ms", ""},      {"Idempotency-Key", ""},
+        {"Idempotency-Key", "two words"},      {"Idempotency-Key", std::string(129, 'k')},
         {"Hemlocknotch-Prefix", "two\twords"},
     };
     for (const auto& field : bad) {
--- a/packages/daemon/tests/claim_keeper_test.cpp
+++ b/packages/daemon/tests/claim_keeper_test.cpp
@@ -1,5 +1,4 @@
 #include "claim_keeper.hpp"
-
 #include "test_loop.hpp"
 
 #include <boost/test/unit_test.hpp>
--- a/packages/daemon/tests/endpoint_client_test.cpp
+++ b/packages/daemon/tests/endpoint_client_test.cpp
@@ -1,12 +1,10 @@
 #include "endpoint_client.hpp"
-
 #include "endpoint_probe.hpp"
 #include "http_server.hpp"
 #include "test_loop.hpp"
 
-#include <event2/listener.h>
-
 #include <boost/test/unit_test.hpp>
+#include <event2/listener.h>
 
 #include <map>
 #include <optional>
@@ -34,8 +32,8 @@
     std::vector<endpoint_cache_event> cache;
 };
 
-/// An endpoint that answers every connection with the same bytes once it has read a request's head, and closes
-/// it.
+/// An endpoint that answers every connection with the same bytes once it has read a request's head, and
+/// closes it.
 class scripted_endpoint {
 public:
     scripted_endpoint(event_base* base, std::string answer) : base_{base}, answer_{std::move(answer)}
@@ -116,8 +114,7 @@
 
 struct fixture {
     /// Makes one call against an endpoint that answers with `answer`, and waits for its end.
-    void call(const std::string& answer, std::uint64_t offset = 0,
-              endpoint_kind kind = endpoint_kind::engine)
+    void call(const std::string& answer, std::uint64_t offset = 0, endpoint_kind kind = endpoint_kind::engine)
     {
         endpoint = std::make_unique<scripted_endpoint>(loop.base(), answer);
         client = std::make_unique<endpoint_client>(loop.base(), endpoint->address(), kind, sink);
--- a/packages/daemon/tests/metrics_test.cpp
+++ b/packages/daemon/tests/metrics_test.cpp
@@ -1,6 +1,5 @@
-#include "metrics.hpp"
-
 #include "metric_catalog.hpp"
+#include "metrics.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/packages/daemon/tests/settings_reading_test.cpp
+++ b/packages/daemon/tests/settings_reading_test.cpp
@@ -1,6 +1,5 @@
-#include "settings_reading.hpp"
-
 #include "setting_description.hpp"
+#include "settings_reading.hpp"
 #include "settings_reference.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -90,9 +89,14 @@
     document["service"] = "gardener";
     document["log"] = {{"level", "loud"}};
     document["limits"] = {{"max_waiting", 0}, {"retry_share", "much"}, {"silence_limit_ms", 1.5}};
-    const std::set<std::string> expected{"name",      "operators_address",  "colour",
-                                         "service",   "log.level",          "limits.max_waiting",
-                                         "limits.retry_share", "limits.silence_limit_ms"};
+    const std::set<std::string> expected{"name",
+                                         "operators_address",
+                                         "colour",
+                                         "service",
+                                         "log.level",
+                                         "limits.max_waiting",
+                                         "limits.retry_share",
+                                         "limits.silence_limit_ms"};
     BOOST_TEST(fault_paths(document, process_role::entry) == expected);
 }
 
--- a/packages/daemon/tests/span_recorder_test.cpp
+++ b/packages/daemon/tests/span_recorder_test.cpp
@@ -1,5 +1,4 @@
 #include "span_recorder.hpp"
-
 #include "traceparent.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -15,8 +14,14 @@
 
 span_effect span(std::string_view operation, std::string context)
 {
-    return {id,      operation, instant{std::chrono::milliseconds{5}}, instant{std::chrono::milliseconds{8}},
-            context, "a",       "calendar",                            "ran"};
+    return {id,
+            operation,
+            instant{std::chrono::milliseconds{5}},
+            instant{std::chrono::milliseconds{8}},
+            context,
+            "a",
+            "calendar",
+            "ran"};
 }
 
 nlohmann::json line(const span_effect& effect, const process_clock& clock)
@@ -68,12 +73,11 @@
 BOOST_AUTO_TEST_CASE(reads_only_well_formed_trace_contexts)
 {
     BOOST_TEST(traceparent::parse(trace).has_value());
-    for (const std::string bad :
-         {"", "00", "01-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
-          "00-00000000000000000000000000000000-b7ad6b7169203331-01",
-          "00-0af7651916cd43dd8448eb211c80319c-0000000000000000-01",
-          "00-0AF7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
-          "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-0"}) {
+    for (const std::string bad : {"", "00", "01-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+                                  "00-00000000000000000000000000000000-b7ad6b7169203331-01",
+                                  "00-0af7651916cd43dd8448eb211c80319c-0000000000000000-01",
+                                  "00-0AF7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+                                  "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-0"}) {
         BOOST_TEST(!traceparent::parse(bad).has_value(), bad);
     }
 }
