Entry: links are permitted at their hello; reconnect on time; more tests

Change: permissions follow each hello, and upkeep is moved up when a link closes. Tests drive the reducer through link changes, resolves, retries, silent links, limits, claims, slow callers and planned stops.

--- a/packages/core/fuzz/fleet.cpp
+++ b/packages/core/fuzz/fleet.cpp
@@ -140,7 +140,7 @@
     feed(it, tick_event{});
 }
 
-void fleet::stop_links(std::map<link_id, connection_ptr> links)
+void fleet::stop_links(const std::map<link_id, connection_ptr>& links)
 {
     for (const auto& [id, link] : links) {
         cut(link);
--- a/packages/core/fuzz/fleet.hpp
+++ b/packages/core/fuzz/fleet.hpp
@@ -88,7 +88,7 @@
 
     void start_entry(std::size_t n);
     void start_agent(std::size_t n);
-    void stop_links(std::map<link_id, connection_ptr> links);
+    void stop_links(const std::map<link_id, connection_ptr>& links);
     void feed(entry_node& to, decltype(entry_event::content) content);
     void feed(agent_node& to, decltype(agent_event::content) content);
     template <class Node, class Content>
--- a/packages/core/src/entry_core.cpp
+++ b/packages/core/src/entry_core.cpp
@@ -47,6 +47,7 @@
             }
             else if constexpr (std::is_same_v<type, link_closed_event>) {
                 links_.on_closed(turn, it);
+                maintain_at_ = std::min(maintain_at_, next_maintenance(turn.now()));
             }
             else if constexpr (std::is_same_v<type, link_message_event>) {
                 links_.on_message(turn, it);
--- a/packages/core/src/link_handler.cpp
+++ b/packages/core/src/link_handler.cpp
@@ -171,6 +171,7 @@
     if (outgoing_link* const before = data_.links.put_in_use(link)) {
         link_table::close(turn, *before, "replaced by a new link");
     }
+    data_.update_permissions();
     turn.emit(log_effect{
         log_level::info,
         "link-opened",
--- /dev/null
+++ b/packages/core/tests/entry_core_test.cpp
@@ -0,0 +1,91 @@
+#include "entry_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace hemlocknotch {
+namespace {
+
+struct working_entry : entry_fixture {
+    working_entry()
+    {
+        configure({"agent-1"});
+        greet(1, "agent-1");
+        on_message(1, room_message{.room = 1});
+        call(1, "transfer");
+        running = sent<submit_message>().at(0).id;
+        call(2, "transfer");
+    }
+
+    request_id running;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(entry_core_test, working_entry)
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_cuts_nothing)
+{
+    on(stop_event{});
+    BOOST_TEST(!status().is_ready);
+    BOOST_TEST(all<readiness_effect>().size() == 1U);
+    call(3, "draft");
+    BOOST_TEST((all<reply_refusal_effect>().at(0).reason.code == refusal_code::shutting_down));
+    on_message(1, head_message{.id = running, .status = 200, .headers = {}});
+    on_message(1, end_message{.id = running, .length = 0});
+    BOOST_TEST(all<stopped_effect>().empty());
+    on_message(1, room_message{.room = 1});
+    const request_id second = sent<submit_message>().at(0).id;
+    on_message(1, head_message{.id = second, .status = 200, .headers = {}});
+    on_message(1, end_message{.id = second, .length = 0});
+    BOOST_TEST(all<reply_end_effect>().size() == 1U);
+    BOOST_TEST(all<stopped_effect>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_immediate_stop_tells_the_truth)
+{
+    on(stop_event{true});
+    const auto refusals = all<reply_refusal_effect>();
+    BOOST_REQUIRE_EQUAL(refusals.size(), 2);
+    for (const reply_refusal_effect& it : refusals) {
+        const verdict truth = it.exchange == 1 ? verdict::may_have_run : verdict::not_run;
+        BOOST_TEST((it.reason.outcome == truth));
+    }
+    BOOST_TEST(all<stopped_effect>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stop_ends_at_its_limit)
+{
+    on(stop_event{});
+    on_message(1, head_message{.id = running, .status = 200, .headers = {}});
+    for (int n = 0; n < 59; ++n) {
+        pass(std::chrono::seconds{1});
+        on_message(1, part_message{.id = running, .offset = static_cast<std::uint64_t>(n), .bytes = "x"});
+    }
+    pass(std::chrono::seconds{2});
+    BOOST_TEST(all<reply_abort_effect>().size() == 1U);
+    BOOST_TEST(all<stopped_effect>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(takes_nothing_new_when_it_is_out_of_service)
+{
+    auto changed = make_configuration(2);
+    changed->out.failure_domains.insert("a");
+    on(configuration_event{changed});
+    BOOST_TEST(!status().is_ready);
+    call(3, "draft");
+    BOOST_TEST((all<reply_refusal_effect>().at(0).reason.code == refusal_code::out_of_service));
+    on_message(1, end_message{.id = running, .length = 0});
+    on_message(1, head_message{.id = running, .status = 200, .headers = {}});
+    BOOST_TEST(all<reply_head_effect>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(never_moves_to_a_lower_revision)
+{
+    on(configuration_event{make_configuration(5)});
+    on(configuration_event{make_configuration(4)});
+    BOOST_TEST(status().revision == 5U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace hemlocknotch
--- /dev/null
+++ b/packages/core/tests/outcome_handler_test.cpp
@@ -0,0 +1,192 @@
+#include "entry_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace hemlocknotch {
+namespace {
+
+/// An entry with one request dispatched to one agent.
+struct dispatched_request : entry_fixture {
+    dispatched_request()
+    {
+        configure({"agent-1"});
+        greet(1, "agent-1");
+    }
+
+    request_id dispatch(const std::string& profile)
+    {
+        on_message(1, room_message{.room = 1});
+        call(5, profile);
+        BOOST_REQUIRE_EQUAL(sent<submit_message>().size(), 1);
+        return sent<submit_message>().front().id;
+    }
+
+    /// Loses link 1 and opens link 2 to an agent of `incarnation`.
+    void reconnect(std::uint64_t incarnation)
+    {
+        on(link_closed_event{1, "cut"});
+        pass(std::chrono::milliseconds{200});
+        BOOST_REQUIRE_EQUAL(all<open_link_effect>().size(), 1);
+        greet(2, "agent-1", incarnation);
+    }
+
+    void require_refusal(refusal_code code, verdict outcome)
+    {
+        BOOST_REQUIRE_EQUAL(all<reply_refusal_effect>().size(), 1);
+        const refusal reason = all<reply_refusal_effect>().front().reason;
+        BOOST_TEST((reason.code == code));
+        BOOST_TEST((reason.outcome == outcome));
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(outcome_handler_test, dispatched_request)
+
+BOOST_AUTO_TEST_CASE(goes_on_from_the_offset_after_a_link_change)
+{
+    const request_id id = dispatch("transfer");
+    on_message(1, head_message{.id = id, .status = 200, .headers = {}});
+    on_message(1, part_message{.id = id, .offset = 0, .bytes = "abc"});
+    reconnect(1);
+    BOOST_REQUIRE_EQUAL(sent<resolve_message>().size(), 1);
+    BOOST_TEST(sent<resolve_message>().front().offset == 3U);
+    on_message(2, resolved_message{id, 1, dispatch_state::running});
+    on_message(2, part_message{.id = id, .offset = 2, .bytes = "cd"});
+    BOOST_TEST(all<reply_part_effect>().front().bytes == "d");
+    on_message(2, end_message{.id = id, .length = 4});
+    BOOST_TEST(all<reply_end_effect>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(sends_again_what_the_agent_has_never_seen)
+{
+    const request_id id = dispatch("transfer");
+    reconnect(1);
+    on_message(2, room_message{.room = 1});
+    on_message(2, resolved_message{id, 1, dispatch_state::never_seen});
+    BOOST_REQUIRE_EQUAL(sent<submit_message>().size(), 1);
+    BOOST_TEST(sent<submit_message>().front().attempt == 2U);
+    BOOST_TEST(sent<submit_message>().front().body == "body");
+}
+
+BOOST_AUTO_TEST_CASE(does_not_repeat_what_a_new_incarnation_cannot_know)
+{
+    dispatch("transfer");
+    reconnect(2);
+    require_refusal(refusal_code::unresolvable, verdict::may_have_run);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_repeat_what_the_agent_has_forgotten)
+{
+    const request_id id = dispatch("transfer");
+    reconnect(1);
+    on_message(2, resolved_message{id, 1, dispatch_state::forgotten});
+    require_refusal(refusal_code::unresolvable, verdict::may_have_run);
+}
+
+BOOST_AUTO_TEST_CASE(retries_idempotent_work)
+{
+    dispatch("draft");
+    reconnect(2);
+    BOOST_TEST(all<reply_refusal_effect>().empty());
+    on_message(2, room_message{.room = 1});
+    pass(std::chrono::milliseconds{40});
+    BOOST_REQUIRE_EQUAL(sent<submit_message>().size(), 1);
+    BOOST_TEST(sent<submit_message>().front().attempt == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(stops_retrying_at_the_number_of_attempts)
+{
+    const request_id id = dispatch("draft");
+    for (std::uint32_t attempt = 1; attempt < 3; ++attempt) {
+        on_message(1, end_message{.id = id, .attempt = attempt, .outcome = verdict::may_have_run});
+        on_message(1, room_message{.room = 1});
+        pass(std::chrono::milliseconds{100});
+        BOOST_REQUIRE_EQUAL(sent<submit_message>().size(), 1);
+    }
+    on_message(1, end_message{.id = id, .attempt = 3, .outcome = verdict::may_have_run});
+    require_refusal(refusal_code::endpoint_failed, verdict::may_have_run);
+}
+
+BOOST_AUTO_TEST_CASE(gives_up_at_once_when_the_search_has_ended)
+{
+    dispatch("transfer");
+    on(link_closed_event{1, "cut"});
+    pass(std::chrono::milliseconds{4990});
+    BOOST_TEST(all<reply_refusal_effect>().empty());
+    pass(std::chrono::milliseconds{10});
+    require_refusal(refusal_code::unresolvable, verdict::may_have_run);
+}
+
+BOOST_AUTO_TEST_CASE(takes_nothing_from_another_dispatch)
+{
+    const request_id id = dispatch("draft");
+    on_message(1, head_message{.id = id, .attempt = 2, .status = 200, .headers = {}});
+    BOOST_TEST(all<reply_head_effect>().empty());
+    on_message(1, end_message{.id = id, .attempt = 2, .length = 0});
+    BOOST_TEST(all<reply_end_effect>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(asks_for_what_is_missing)
+{
+    const request_id id = dispatch("transfer");
+    on_message(1, head_message{.id = id, .status = 200, .headers = {}});
+    on_message(1, part_message{.id = id, .offset = 2, .bytes = "c"});
+    BOOST_TEST(all<reply_part_effect>().empty());
+    BOOST_TEST(sent<resolve_message>().size() == 1U);
+    on_message(1, resolved_message{id, 1, dispatch_state::running});
+    on_message(1, end_message{.id = id, .length = 3});
+    BOOST_TEST(all<reply_end_effect>().empty());
+    BOOST_TEST(sent<resolve_message>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_end_before_the_head_of_its_dispatch_ends_nothing)
+{
+    const request_id id = dispatch("draft");
+    on_message(1, head_message{.id = id, .status = 200, .headers = {}});
+    on_message(1, part_message{.id = id, .offset = 0, .bytes = "ab"});
+    on_message(1, end_message{.id = id, .outcome = verdict::may_have_run, .length = 2});
+    pass(std::chrono::milliseconds{40});
+    BOOST_REQUIRE_EQUAL(sent<submit_message>().size(), 1);
+    BOOST_TEST(sent<submit_message>().front().offset == 2U);
+    on_message(1, end_message{.id = id, .attempt = 2, .length = 2});
+    BOOST_TEST(all<reply_end_effect>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(cuts_an_answer_longer_than_its_end_says)
+{
+    const request_id id = dispatch("transfer");
+    on_message(1, head_message{.id = id, .status = 200, .headers = {}});
+    on_message(1, part_message{.id = id, .offset = 0, .bytes = "abc"});
+    on_message(1, end_message{.id = id, .length = 2});
+    BOOST_TEST(all<reply_end_effect>().empty());
+    BOOST_TEST(all<reply_abort_effect>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(refusals_are_tried_again_until_the_deadline)
+{
+    const request_id id = dispatch("transfer");
+    std::uint32_t attempt = 1;
+    on_message(1, refuse_message{.id = id, .attempt = attempt});
+    BOOST_TEST(status().waiting == 1U);
+    pass(std::chrono::seconds{10});
+    require_refusal(refusal_code::deadline_passed, verdict::not_run);
+}
+
+BOOST_AUTO_TEST_CASE(acknowledges_only_what_the_caller_has_taken)
+{
+    const request_id id = dispatch("transfer");
+    on_message(1, head_message{.id = id, .status = 200, .headers = {}});
+    const std::string bytes(40U << 10U, 'x');
+    on_message(1, part_message{.id = id, .offset = 0, .bytes = bytes});
+    BOOST_TEST(sent<ack_message>().empty());
+    on(caller_progress_event{5, 1000});
+    BOOST_TEST(sent<ack_message>().empty());
+    on(caller_progress_event{5, 30000});
+    BOOST_REQUIRE_EQUAL(sent<ack_message>().size(), 1);
+    BOOST_TEST(sent<ack_message>().front().offset == 30000U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace hemlocknotch
