--- a/packages/ctl/src/edit_commands.cpp
+++ b/packages/ctl/src/edit_commands.cpp
@@ -83,6 +83,17 @@
     return wait_for_revision(session, result.revision, limit, output.err);
 }
 
+/// Fails where the fleet is to be waited for and there is no address of the instance list, before anything is
+/// changed.
+leaf::result<bool> can_wait(session& session, const command_options& options)
+{
+    if (options.is_waiting) {
+        BOOST_LEAF_AUTO(list, session.instances());
+        static_cast<void>(list);
+    }
+    return true;
+}
+
 /// Returns whether an instance or failure domain of this name is in the instance list.
 leaf::result<bool> is_listed(session& session, const command_options& options)
 {
@@ -121,9 +132,8 @@
 {
     BOOST_LEAF_AUTO(document, read_input_file(options.file));
     BOOST_LEAF_AUTO(store, session.store());
-    if (options.is_waiting) {
-        BOOST_LEAF_CHECK(session.instances());
-    }
+    BOOST_LEAF_AUTO(can_finish, can_wait(session, options));
+    assert(can_finish);
     config_editor editor{store, session, options.author};
     std::optional<edit_result> result;
     editor.apply({document, options.revision_above, options.base_revision},
@@ -137,9 +147,8 @@
 {
     const bool is_out = options.chosen == command::take_out;
     BOOST_LEAF_AUTO(store, session.store());
-    if (options.is_waiting) {
-        BOOST_LEAF_CHECK(session.instances());
-    }
+    BOOST_LEAF_AUTO(can_finish, can_wait(session, options));
+    assert(can_finish);
     if (is_out && session.has_instances()) {
         BOOST_LEAF_AUTO(is_known, is_listed(session, options));
         if (!is_known) {
--- a/packages/ctl/src/fleet_reader.cpp
+++ b/packages/ctl/src/fleet_reader.cpp
@@ -87,6 +87,7 @@
 {
     BOOST_LEAF_AUTO(instances, read_instances(session));
     std::vector<observed_daemon> daemons;
+    daemons.reserve(instances.size());
     for (const listed_instance& it : instances) {
         daemons.push_back({it, std::nullopt});
     }
--- a/packages/ctl/src/session.cpp
+++ b/packages/ctl/src/session.cpp
@@ -79,7 +79,7 @@
 
 http_client& session::daemon(const endpoint_address& address)
 {
-    std::unique_ptr<http_client>& client = daemons_[address];
+    std::unique_ptr<http_client>& client = daemons_[address.to_string()];
     if (!client) {
         client = std::make_unique<http_client>(base_.get(), address);
     }
--- a/packages/ctl/src/session.hpp
+++ b/packages/ctl/src/session.hpp
@@ -65,7 +65,8 @@
     std::unique_ptr<event_base, event_base_deleter> base_;
     std::unique_ptr<key_value_service> store_;
     std::unique_ptr<http_client> instances_;
-    std::map<endpoint_address, std::unique_ptr<http_client>> daemons_;
+    /// By address.
+    std::map<std::string, std::unique_ptr<http_client>> daemons_;
     std::random_device random_;
 };
 
