--- a/packages/standins/src/main_load.cpp
+++ b/packages/standins/src/main_load.cpp
@@ -48,6 +48,7 @@
 std::vector<endpoint_address> addresses_of(const std::vector<std::string>& texts)
 {
     std::vector<endpoint_address> addresses;
+    addresses.reserve(texts.size());
     for (const std::string& it : texts) {
         addresses.push_back(listening_address(it));
     }
--- a/packages/standins/src/stated_outcomes.cpp
+++ b/packages/standins/src/stated_outcomes.cpp
@@ -1,5 +1,7 @@
 #include <hemlocknotch/standins/stated_outcomes.hpp>
 
+#include <sstream>
+
 namespace hemlocknotch::standins {
 namespace {
 
@@ -27,8 +29,9 @@
         const double value = summary.at(name).get<double>();
         for (const auto& [relation, bound] : bounds.items()) {
             if (!holds(relation, value, bound.get<double>())) {
-                failures.push_back(name + ": stated " + relation + " " + bound.dump() + ", found " +
-                                   summary.at(name).dump());
+                std::ostringstream text;
+                text << name << ": stated " << relation << ' ' << bound << ", found " << summary.at(name);
+                failures.push_back(text.str());
             }
         }
     }
--- a/tools/fleet/fleet.py
+++ b/tools/fleet/fleet.py
@@ -16,6 +16,7 @@
 
 ANY_ADDRESS = "127.0.0.1:0"
 PROGRAMS = Path(__file__).resolve().parents[2] / "build" / "bin"
+PLAIN_LIMIT = 16
 CONFIGURATION_KEY = "/v1/kv/hemlocknotch/configuration"
 
 
@@ -35,6 +36,7 @@
     entries_per_domain: int = 1
     engines: int | None = None
     plain_services: int | None = None
+    fixed_limit: int | None = None
 
 
 @dataclass
@@ -192,8 +194,9 @@
         settings["endpoint"] = {"address": address, "kind": "engine" if is_engine else "plain"}
         settings["fair_order"] = self.options.fair_order
         settings["limits"] = self.options.agent_limits
-        if not is_engine:
-            settings["concurrency"] = {"initial": 16, "max": 16, "fixed": True}
+        fixed = self.options.fixed_limit if is_engine else PLAIN_LIMIT
+        if fixed is not None:
+            settings["concurrency"] = {"initial": fixed, "max": fixed, "fixed": True}
         return settings
 
     def start_daemon(self, daemon: Daemon) -> None:
--- a/tools/fleet/runs.py
+++ b/tools/fleet/runs.py
@@ -31,6 +31,7 @@
     seed: int
     seconds: int
     fair_order: str = "damped"
+    fixed_limit: int | None = None
 
 
 def write_trace(path: Path, options: RunOptions) -> None:
@@ -72,12 +73,13 @@
 
 def run_scenario(options: RunOptions, logs: Path | None = None) -> dict[str, Any]:
     """Runs one scenario once and returns all figures. Logs are kept in the directory `logs`, if given."""
-    with Fleet(options.scenario.fleet_options(options.size, options.fair_order)) as fleet:
+    scenario = options.scenario
+    with Fleet(scenario.fleet_options(options.size, options.fair_order, options.fixed_limit)) as fleet:
         trace = fleet.directory / "trace"
         write_trace(trace, options)
         before = fetch_pages(fleet)
         sampler = Sampler(fleet)
-        steps = StepRunner(fleet, options.scenario.steps, options.seconds)
+        steps = StepRunner(fleet, scenario.steps, options.seconds)
         try:
             figures = run_load(fleet, load_command(fleet, options, trace), options.seconds + DRAIN_S)
         finally:
@@ -139,8 +141,9 @@
     out, back, end = steps.done["take-out"], steps.done["return"], float(options.seconds)
     moved = sampler.in_domain(MOVED_DOMAIN)
     engines = {name for name in moved if name.startswith("engine")}
-    share = sampler.time_to_share(engines, back, SHARE_TARGET, end)
-    left = sampler.utilisation(sampler.engines_outside(MOVED_DOMAIN), out + ACCEPTANCE_LIMIT_S, back)
+    others = sampler.engines_outside(MOVED_DOMAIN)
+    share = sampler.time_to_share(engines, others, back, SHARE_TARGET, end)
+    left = sampler.utilisation(others, out + ACCEPTANCE_LIMIT_S, back)
     return {
         "late_dispatches": sampler.started_between(moved, out + ACCEPTANCE_LIMIT_S, back),
         "utilisation_remaining": None if left is None else round(left, 4),
--- a/tools/fleet/sampler.py
+++ b/tools/fleet/sampler.py
@@ -12,6 +12,7 @@
 from fleet.processes import call_json
 
 INTERVAL_S = 0.5
+SHARE_WINDOW_S = 2.0
 
 
 @dataclass(frozen=True)
@@ -83,12 +84,29 @@
             last[it.endpoint] = it.page["started"]
         return sum(last[name] - first[name] for name in last)
 
-    def time_to_share(self, names: set[str], returned: float, target: float, end: float) -> float | None:
-        """Returns when after `returned` engines first run `target` of their warm places, in seconds."""
-        running: dict[str, int] = {}
-        warm = 16 * len(names)
-        for it in self._of(names, returned, end):
-            running[it.endpoint] = it.page["running"]
-            if sum(running.values()) >= target * warm:
-                return it.time - returned
+    def line_rate(self, names: set[str], begin: float, end: float) -> float:
+        """Returns the lines a second that one of `names` produced on average in a stretch of time."""
+        first: dict[str, Sample] = {}
+        last: dict[str, Sample] = {}
+        for it in self._of(names, begin, end):
+            first.setdefault(it.endpoint, it)
+            last[it.endpoint] = it
+        rates = [
+            (last[name].page["tokens"] - first[name].page["tokens"]) / (last[name].time - first[name].time)
+            for name in last
+            if last[name].time > first[name].time
+        ]
+        return sum(rates) / len(names) if names else 0.0
+
+    def time_to_share(
+        self, names: set[str], others: set[str], returned: float, target: float, end: float
+    ) -> float | None:
+        """Returns when after `returned` engines first produce `target` of what others do, in seconds."""
+        at = returned + SHARE_WINDOW_S
+        while at <= end:
+            own = self.line_rate(names, at - SHARE_WINDOW_S, at)
+            other = self.line_rate(others, at - SHARE_WINDOW_S, at)
+            if other > 0 and own >= target * other:
+                return at - returned
+            at += INTERVAL_S
         return None
--- a/tools/fleet/scenarios.py
+++ b/tools/fleet/scenarios.py
@@ -39,8 +39,14 @@
     has_baseline: bool = False
     steps: tuple[Step, ...] = ()
 
-    def fleet_options(self, size: Size, fair_order: str) -> FleetOptions:
-        return FleetOptions(size=size, fair_order=fair_order, has_relays=self.has_relays, is_warm=self.is_warm)
+    def fleet_options(self, size: Size, fair_order: str, fixed_limit: int | None) -> FleetOptions:
+        return FleetOptions(
+            size=size,
+            fair_order=fair_order,
+            has_relays=self.has_relays,
+            is_warm=self.is_warm,
+            fixed_limit=fixed_limit,
+        )
 
 
 class StepRunner:
@@ -170,8 +176,8 @@
 SCENARIOS = {
     it.name: it
     for it in (
-        Scenario("steady", has_baseline=True),
-        Scenario("skewed", spread="skewed", has_baseline=True),
+        Scenario("steady", load=2.0, has_baseline=True),
+        Scenario("skewed", load=2.0, spread="skewed", has_baseline=True),
         Scenario("flood", load=0.85, flood_factor=15.0, has_baseline=True),
         Scenario("cold", is_warm=False, steps=(Step(0.6, "go-cold", go_cold),)),
         Scenario("domain-move", steps=MOVE),
