--- a/packages/daemon/src/agent_shell.cpp
+++ b/packages/daemon/src/agent_shell.cpp
@@ -52,7 +52,9 @@
 
 boost::leaf::result<std::string> agent_shell::start()
 {
-    BOOST_LEAF_CHECK(runtime_.start());
+    if (const auto started = runtime_.start(); !started) {
+        return started.error();
+    }
     listener_ = factory_->listen(*settings_.links_address);
     if (!listener_) {
         return boost::leaf::new_error(start_error{
--- a/packages/daemon/src/entry_shell.cpp
+++ b/packages/daemon/src/entry_shell.cpp
@@ -56,7 +56,9 @@
 
 boost::leaf::result<std::string> entry_shell::start()
 {
-    BOOST_LEAF_CHECK(runtime_.start());
+    if (const auto started = runtime_.start(); !started) {
+        return started.error();
+    }
     BOOST_LEAF_AUTO(callers, callers_.listen(*settings_.callers_address));
     BOOST_LEAF_AUTO(operators, operators_.listen(*settings_.operators_address));
     pump_.post(tick_event{});
--- a/packages/daemon/src/settings_reading.cpp
+++ b/packages/daemon/src/settings_reading.cpp
@@ -164,7 +164,9 @@
     void check_keys(const json& object, const std::string& group)
     {
         for (const auto& [key, value] : object.items()) {
-            const auto path = group.empty() ? key : group + "." + key;
+            auto path = group;
+            path += group.empty() ? "" : ".";
+            path += key;
             if (is_group(path)) {
                 if (value.is_object()) {
                     check_keys(value, path);
--- a/packages/daemon/tests/span_recorder_test.cpp
+++ b/packages/daemon/tests/span_recorder_test.cpp
@@ -12,7 +12,7 @@
 const request_id id{1, 2};
 const std::string trace = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
 
-span_effect span(std::string_view operation, std::string context)
+span_effect span(std::string_view operation, const std::string& context)
 {
     return {id,
             operation,
