Tell room for an eighth of the free places, shared out differently by each agent

Cause: what is sent into room comes in no order between entries; where a backlog begins, the entries that the room went to held most places for as long as their requests took, and the first ones got more at every agent. Change: room_to_tell; split_room starts at another entry at each agent. The rest of the free places is granted in fair order.

--- a/packages/core/bench/fleet.cpp
+++ b/packages/core/bench/fleet.cpp
@@ -306,7 +306,8 @@
 void fleet::tell_demand_soon(std::size_t entry)
 {
     if (!std::exchange(entries_[entry].is_telling, true)) {
-        later(demand_interval, [this, entry] { tell_demand(entry); });
+        const duration wait = entries_[entry].told_at + demand_interval - now_;
+        later(std::max(wait, duration{}), [this, entry] { tell_demand(entry); });
     }
 }
 
@@ -332,6 +333,7 @@
     if (value.items.empty()) {
         return;
     }
+    it.told_at = now_;
     value.sequence = ++it.demand_sequence;
     for (std::size_t agent = 0; agent < agents_.size(); ++agent) {
         tell(entry, agent, value);
--- a/packages/core/bench/fleet.hpp
+++ b/packages/core/bench/fleet.hpp
@@ -85,6 +85,7 @@
         std::unique_ptr<service_ledger> ledger;
         /// Account that was served last from room; the next one is served next.
         std::size_t next_account = 0;
+        instant told_at;
         bool is_telling = false;
     };
 
--- a/packages/core/src/agent_grants.cpp
+++ b/packages/core/src/agent_grants.cpp
@@ -12,6 +12,9 @@
 /// Prompt beginnings named in a grant, at the most.
 constexpr std::size_t max_named_prefixes = 16;
 
+/// Free places for each one that is told as room.
+constexpr long long places_per_room = 8;
+
 void give_back(agent_parts& parts, const issued_grant& grant)
 {
     parts.selector.charge(grant.client_account, -grant.charged);
@@ -54,6 +57,15 @@
     }
 }
 
+/// Returns the room to tell while no demand is known: a small part of the free places. The rest goes by
+/// grants when work comes for it, in fair order; requests sent into room come in no order between entries,
+/// and where a backlog begins they would decide who runs for as long as they take.
+std::uint32_t room_to_tell(const agent_parts& parts)
+{
+    const long long places = std::max(0LL, free_places(parts));
+    return static_cast<std::uint32_t>((places + places_per_room - 1) / places_per_room);
+}
+
 void tell_room(agent_parts& parts, std::uint32_t places)
 {
     std::vector<link_room> told;
@@ -62,7 +74,7 @@
             told.push_back({link, it.room_told});
         }
     }
-    const std::vector<link_room> wanted = split_room(told, places);
+    const std::vector<link_room> wanted = split_room(told, places, parts.options.identity.incarnation);
     const bool is_out = is_draining(parts);
     for (const link_room& item : wanted) {
         agent_link& it = *parts.links.find(item.link);
@@ -133,7 +145,7 @@
         }
         return;
     }
-    tell_room(parts, static_cast<std::uint32_t>(std::max(0LL, free_places(parts))));
+    tell_room(parts, room_to_tell(parts));
 }
 
 } // namespace hemlocknotch::agent
--- a/packages/core/src/room_split.cpp
+++ b/packages/core/src/room_split.cpp
@@ -5,15 +5,17 @@
 
 namespace hemlocknotch {
 
-std::vector<link_room> split_room(std::span<const link_room> told, std::uint32_t places)
+std::vector<link_room> split_room(std::span<const link_room> told, std::uint32_t places, std::uint64_t first)
 {
     std::vector<link_room> rooms{told.begin(), told.end()};
     if (rooms.empty()) {
         return rooms;
     }
     const auto n = static_cast<std::uint32_t>(rooms.size());
+    const auto start = static_cast<std::uint32_t>(first % n);
     const auto part_of = [&](std::uint32_t position) {
-        return places / n + (position < places % n ? 1U : 0U);
+        const std::uint32_t rank = (position + n - start) % n;
+        return places / n + (rank < places % n ? 1U : 0U);
     };
     std::uint32_t sum = 0;
     for (const link_room& it : rooms) {
--- a/packages/core/src/room_split.hpp
+++ b/packages/core/src/room_split.hpp
@@ -17,8 +17,9 @@
 };
 
 /// Divides `places` among the links of `told` so that the sum never exceeds it, and returns the new room of
-/// each in the same order. Each gets an equal part, the first ones one more where it does not come out even.
+/// each in the same order. Each gets an equal part; where it does not come out even, the ones from position
+/// `first` on get one more, so that agents with different `first` do not all favour the same entries.
 /// To save messages, room is only raised from nothing or to at least the double.
-std::vector<link_room> split_room(std::span<const link_room> told, std::uint32_t places);
+std::vector<link_room> split_room(std::span<const link_room> told, std::uint32_t places, std::uint64_t first);
 
 } // namespace hemlocknotch
