--- a/packages/daemon/src/agent_shell.cpp
+++ b/packages/daemon/src/agent_shell.cpp
@@ -52,7 +52,7 @@
 
 boost::leaf::result<std::string> agent_shell::start()
 {
-    if (const auto started = runtime_.start(); !started) {
+    if (auto started = runtime_.start(); !started) {
         return started.error();
     }
     listener_ = factory_->listen(*settings_.links_address);
--- a/packages/daemon/src/entry_shell.cpp
+++ b/packages/daemon/src/entry_shell.cpp
@@ -56,7 +56,7 @@
 
 boost::leaf::result<std::string> entry_shell::start()
 {
-    if (const auto started = runtime_.start(); !started) {
+    if (auto started = runtime_.start(); !started) {
         return started.error();
     }
     BOOST_LEAF_AUTO(callers, callers_.listen(*settings_.callers_address));
