Fill free places in fair order where a backlog begins

Cause: when demand appears after a pause, the first entry to tell it got all free places of every agent, and before the first report the random term had no width, so all agents chose alike. Change: an eighth of the places is granted at once, the rest after 25 ms, when all entries have told theirs; the random term follows what was charged since the last report where that is more than the average.

--- a/packages/core/src/account_selector.cpp
+++ b/packages/core/src/account_selector.cpp
@@ -45,7 +45,7 @@
             {it.client_account, weight_of(it.client_account), it.estimated_cost, now - it.oldest_since});
     }
     return order_->next(candidates, ledger_,
-                        {now, entropy, agent_count_, mean_cost_, own_rate_, report_interval_});
+                        {now, entropy, agent_count_, mean_cost_, present_rate(), report_interval_});
 }
 
 double account_selector::reserve_for(double estimated_cost) const
@@ -70,6 +70,13 @@
     return ledger_.take_changes(service);
 }
 
+double account_selector::present_rate() const
+{
+    const double seconds = std::chrono::duration<double>(report_interval_).count();
+    const double since_report = std::max(charged_since_report_, reserve_for(mean_cost_));
+    return std::max(own_rate_, since_report / seconds);
+}
+
 void account_selector::on_completed(double cost)
 {
     /// Weight of the newest request in the mean.
--- a/packages/core/src/account_selector.hpp
+++ b/packages/core/src/account_selector.hpp
@@ -68,6 +68,10 @@
 private:
     [[nodiscard]] double counter(account_key client_account) const;
 
+    /// Returns the units charged in a second: on average, or since the last report where that is more, as it
+    /// is when free places are filled; not less than one request in each report interval.
+    [[nodiscard]] double present_rate() const;
+
     service_ledger ledger_;
     std::unique_ptr<fair_order> order_;
     configuration_ptr configuration_;
--- a/packages/core/src/agent_grants.cpp
+++ b/packages/core/src/agent_grants.cpp
@@ -12,6 +12,13 @@
 /// Prompt beginnings named in a grant, at the most.
 constexpr std::size_t max_named_prefixes = 16;
 
+/// After a time without demand, most free places are held back for this long until all entries have told
+/// theirs: the first one to tell would otherwise get them all. Longer than the entries' demand interval.
+constexpr duration gather_time = std::chrono::milliseconds{25};
+
+/// Free places for each one that is granted within `gather_time`.
+constexpr long long places_per_early_grant = 8;
+
 /// Free places for each one that is told as room.
 constexpr long long places_per_room = 8;
 
@@ -47,13 +54,30 @@
     return true;
 }
 
-void issue_grants(agent_parts& parts)
+/// Returns the number of grants that may go out now, and asks for a tick where more may later.
+long long grants_allowed(agent_parts& parts)
 {
     const long long places = free_places(parts) + parts.options.grants_ahead;
-    for (long long n = 0; n < places; ++n) {
+    agent_schedule& schedule = parts.schedule;
+    if (!schedule.first_demand) {
+        schedule.first_demand = parts.now;
+        schedule.early_grants = (std::max(0LL, places) + places_per_early_grant - 1) / places_per_early_grant;
+    }
+    if (parts.now - *schedule.first_demand >= gather_time) {
+        return places;
+    }
+    schedule.next_offer = *schedule.first_demand + gather_time;
+    return std::min(places, schedule.early_grants);
+}
+
+void issue_grants(agent_parts& parts)
+{
+    const long long allowed = grants_allowed(parts);
+    for (long long n = 0; n < allowed; ++n) {
         if (!issue_grant(parts)) {
             return;
         }
+        --parts.schedule.early_grants;
     }
 }
 
@@ -140,11 +164,12 @@
     if (parts.demand.has_any()) {
         tell_room(parts, 0);
         issue_grants(parts);
-        if (free_places(parts) > 0) {
+        if (free_places(parts) > 0 && !parts.schedule.next_offer) {
             parts.schedule.next_offer = parts.demand.next_retry(parts.now);
         }
         return;
     }
+    parts.schedule.first_demand.reset();
     tell_room(parts, room_to_tell(parts));
 }
 
--- a/packages/core/src/agent_parts.hpp
+++ b/packages/core/src/agent_parts.hpp
@@ -39,6 +39,9 @@
     instant next_round;
     /// When demand that was put off may be tried again, where places are free.
     std::optional<instant> next_offer;
+    /// Since when there has been demand without a break, and the grants that may go out at once.
+    std::optional<instant> first_demand;
+    long long early_grants = 0;
     std::uint64_t reports_sent = 0;
     std::optional<instant> scheduled;
 };
--- a/packages/core/tests/agent_reducer_test.cpp
+++ b/packages/core/tests/agent_reducer_test.cpp
@@ -73,7 +73,8 @@
     BOOST_TEST(sent<room_message>(it.open(1)).at(0).room == 1U);
     const auto effects = it.tell(1, demand_message{1, true, {{some_account, 2, {}, 3.0}}});
     BOOST_TEST(sent<room_message>(effects).at(0).room == 0U);
-    BOOST_TEST(sent<grant_message>(effects).size() == 2U);
+    BOOST_TEST(sent<grant_message>(effects).size() == 1U);
+    BOOST_TEST(sent<grant_message>(it.pass(std::chrono::milliseconds{25})).size() == 1U);
     const auto over = it.tell(1, demand_message{2, true, {}});
     BOOST_TEST(sent<room_message>(over).at(0).room == 1U);
 }
