Number dispatches on a link, so that parts need not carry request id and attempt

Change: both ends of a link number submits and resolves alike; later messages about a dispatch carry the number. The reducers see no difference. Ruled out: gathering parts over time, which would cost time between tokens.

--- a/packages/wire/src/message_codec.cpp
+++ b/packages/wire/src/message_codec.cpp
@@ -3,6 +3,7 @@
 #include "cbor_reader.hpp"
 #include "message_decoder.hpp"
 #include "message_encoder.hpp"
+#include "message_items.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -54,17 +55,25 @@
     return buf;
 }
 
-std::optional<message> decode_message(std::string_view bytes)
+std::optional<message> detail::decode_message(json& item)
 {
-    std::optional<json> item = detail::read_cbor(bytes);
-    if (!item || !item->is_array() || item->empty() || !item->front().is_number_unsigned()) {
+    if (!item.is_array() || item.empty() || !item.front().is_number_unsigned()) {
         return std::nullopt;
     }
-    const auto kind = item->front().get<std::uint64_t>();
+    const auto kind = item.front().get<std::uint64_t>();
     if (kind >= decode_functions.size()) {
         return std::nullopt;
     }
-    return decode_functions.at(kind)(item->get_ref<json::array_t&>());
+    return decode_functions.at(kind)(item.get_ref<json::array_t&>());
+}
+
+std::optional<message> decode_message(std::string_view bytes)
+{
+    std::optional<json> item = detail::read_cbor(bytes);
+    if (!item) {
+        return std::nullopt;
+    }
+    return detail::decode_message(*item);
 }
 
 std::size_t body_bytes_of(const message& value)
--- a/packages/wire/src/websocket_link.cpp
+++ b/packages/wire/src/websocket_link.cpp
@@ -13,7 +13,6 @@
 
 #include <cassert>
 #include <cstring>
-#include <optional>
 #include <utility>
 
 namespace hemlocknotch::detail {
@@ -56,7 +55,7 @@
 std::unique_ptr<websocket_link> websocket_link::accept(event_base* base, evutil_socket_t socket)
 {
     std::unique_ptr<websocket_link> it{new websocket_link{base, make_stream(base, socket)}};
-    it->codec_ = make_websocket_server(max_message_bytes, it->make_callbacks());
+    it->websocket_ = make_websocket_server(max_message_bytes, it->make_callbacks());
     it->begin();
     return it;
 }
@@ -65,8 +64,8 @@
 {
     constexpr evutil_socket_t no_socket_yet = -1;
     std::unique_ptr<websocket_link> it{new websocket_link{base, make_stream(base, no_socket_yet)}};
-    it->codec_ = make_websocket_client(address.to_string(), max_message_bytes, it->make_callbacks());
-    assert(it->codec_ != nullptr);
+    it->websocket_ = make_websocket_client(address.to_string(), max_message_bytes, it->make_callbacks());
+    assert(it->websocket_ != nullptr);
     if (!start_connecting(it->stream_.get(), address)) {
         constexpr timeval at_once{.tv_sec = 0, .tv_usec = 0};
         event_add(it->timer_.get(), &at_once);
@@ -95,7 +94,7 @@
 {
     send_without_delay(bufferevent_getfd(stream_.get()));
     bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
-    codec_->start();
+    websocket_->start();
 }
 
 void websocket_link::send(const message& value)
@@ -103,7 +102,7 @@
     if (is_ended_ || !is_open_) {
         return;
     }
-    if (codec_->send(encode_message(value))) {
+    if (websocket_->send(codec_.encode(value))) {
         traffic_.sent_body_bytes += body_bytes_of(value);
     }
 }
@@ -152,7 +151,7 @@
         const auto* const bytes =
             reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(n)));
         traffic_.received_bytes += n;
-        codec_->feed(bytes, n);
+        websocket_->feed(bytes, n);
         evbuffer_drain(input, n);
     }
 }
@@ -162,13 +161,15 @@
     if (is_ended_) {
         return;
     }
-    const std::optional<message> value = decode_message(payload);
-    if (!value) {
+    const decoded_frame frame = codec_.decode(payload);
+    if (frame.kind == frame_kind::malformed) {
         end("a message of " + std::to_string(payload.size()) + " bytes did not decode");
         return;
     }
-    traffic_.received_body_bytes += body_bytes_of(*value);
-    received.emit(*value);
+    if (frame.kind == frame_kind::message) {
+        traffic_.received_body_bytes += body_bytes_of(frame.content);
+        received.emit(frame.content);
+    }
 }
 
 void websocket_link::end(const std::string& reason)
@@ -179,7 +180,7 @@
     is_ended_ = true;
     event_del(timer_.get());
     if (is_open_) {
-        codec_->close(reason);
+        websocket_->close(reason);
         bufferevent_flush(stream_.get(), EV_WRITE, BEV_FLUSH);
     }
     bufferevent_disable(stream_.get(), EV_READ);
