--- a/packages/core/fuzz/fleet.hpp
+++ b/packages/core/fuzz/fleet.hpp
@@ -55,7 +55,6 @@
         std::map<link_id, connection_ptr> links;
         instant tick_at;
         bool is_watching = false;
-        bool is_stopping = false;
         std::uint64_t revision = 0;
         member_state state = member_state::live;
     };
@@ -91,8 +90,8 @@
     void stop_links(const std::map<link_id, connection_ptr>& links);
     void feed(entry_node& to, decltype(entry_event::content) content);
     void feed(agent_node& to, decltype(agent_event::content) content);
-    template <class Node, class Content>
-    void feed_if(Node& to, const process_identity& process, Content content);
+    void feed_if(entry_node& to, const process_identity& process, decltype(entry_event::content) content);
+    void feed_if(agent_node& to, const process_identity& process, decltype(agent_event::content) content);
 
     void on(entry_node& from, const open_link_effect& effect);
     void on(entry_node& from, const reply_head_effect& effect);
--- /dev/null
+++ b/packages/core/fuzz/fleet_platform.cpp
@@ -0,0 +1,231 @@
+#include "fleet.hpp"
+#include "fleet_size.hpp"
+
+#include <algorithm>
+
+namespace hemlocknotch::fuzz {
+
+namespace {
+
+void add_profile(configuration& to, const std::string& name, bool is_idempotent, bool is_resumable)
+{
+    to.profiles[name] = profile_definition{
+        name, "model", is_idempotent, urgency::normal, std::chrono::seconds{4}, 1000, 3, is_resumable};
+}
+
+std::shared_ptr<configuration> make_configuration(std::uint64_t revision)
+{
+    auto made = std::make_shared<configuration>();
+    made->revision = revision;
+    made->document = std::to_string(revision);
+    made->services["model"] = {"model", account_key::of("model"), cost_unit::lines, 10.0};
+    add_profile(*made, "history", true, true);
+    add_profile(*made, "draft", true, false);
+    add_profile(*made, "transfer", false, false);
+    for (const std::string name : {"north", "south", "east"}) {
+        made->client_accounts[name] = {name, account_key::of(name), 1.0};
+        made->weights[account_key::of(name)] = 1.0;
+    }
+    return made;
+}
+
+} // namespace
+
+void fleet::on(entry_node& from, const reply_head_effect& effect)
+{
+    oracle_.on_head(from.callers.at(effect.exchange));
+}
+
+void fleet::on(entry_node& from, const reply_part_effect& effect)
+{
+    const std::size_t n = from.callers.at(effect.exchange);
+    oracle_.on_part(n, effect.bytes, window_bytes);
+    const duration pause = time_.once_in(40) ? time_.time(500000, 4000000) : time_.time(100, 9000);
+    time_.after(pause, [this, n, &from, process = from.identity, length = oracle_.at(n).received.size()] {
+        caller_record& caller = oracle_.at(n);
+        caller.taken = std::max<std::uint64_t>(caller.taken, length);
+        feed_if(from, process, caller_progress_event{caller.exchange, length});
+    });
+}
+
+void fleet::on(entry_node& from, const reply_end_effect& effect)
+{
+    oracle_.on_end(from.callers.at(effect.exchange));
+    from.callers.erase(effect.exchange);
+}
+
+void fleet::on(entry_node& from, const reply_abort_effect& effect)
+{
+    oracle_.on_abort(from.callers.at(effect.exchange), effect.reason);
+    from.callers.erase(effect.exchange);
+}
+
+void fleet::on(entry_node& from, const reply_refusal_effect& effect)
+{
+    if (!is_mutated("refusal-lost")) {
+        oracle_.on_refusal(from.callers.at(effect.exchange), effect.reason);
+        from.callers.erase(effect.exchange);
+    }
+}
+
+void fleet::on(entry_node& from, const claim_key_effect& effect)
+{
+    const std::string key = effect.client_account + "/" + effect.key;
+    const bool is_taken = is_store_up_ || time_.once_in(2);
+    const bool is_free = !claims_.contains(key) || is_mutated("claim-doubled");
+    if (is_taken && is_free) {
+        claims_[key] = effect.id;
+    }
+    const auto known = is_free ? claim_outcome::won : claim_outcome::held_by_other;
+    const claim_result_event result{effect.id, is_store_up_ ? known : claim_outcome::unavailable};
+    time_.after(time_.time(500, 20000),
+                [this, &from, process = from.identity, result] { feed_if(from, process, result); });
+}
+
+void fleet::on(entry_node& /*from*/, const settle_claim_effect& effect)
+{
+    const auto it = claims_.find(effect.client_account + "/" + effect.key);
+    if (it != claims_.end() && it->second == effect.id && effect.outcome == verdict::not_run) {
+        claims_.erase(it);
+    }
+}
+
+template <class Node>
+void fleet::on(Node& from, const read_configuration_effect& effect)
+{
+    time_.after(time_.time(100, 9000), [this, &from, process = from.identity, revision = effect.revision] {
+        feed_if(from, process, configuration_event{as_read_by(from, revision)});
+    });
+}
+
+template <class Node>
+void fleet::on(Node& from, const watch_store_effect& effect)
+{
+    from.is_watching = effect.is_wanted;
+}
+
+void fleet::on(agent_node& from, const start_call_effect& effect)
+{
+    require(!from.seen[effect.id].second, "an agent out of service starts nothing that came later");
+    from.endpoint->start(effect, [this, &from, process = from.identity](auto event) {
+        std::visit([&](const auto& it) { feed_if(from, process, it); }, event);
+    });
+}
+
+void fleet::on(agent_node& from, const stop_call_effect& effect)
+{
+    from.endpoint->stop(effect);
+}
+
+void fleet::on(agent_node& from, const probe_endpoint_effect& /*effect*/)
+{
+    from.endpoint->probe([this, &from, process = from.identity](auto event) {
+        std::visit([&](const auto& it) { feed_if(from, process, it); }, event);
+    });
+}
+
+void fleet::call_in()
+{
+    if (!is_faulty_) {
+        return;
+    }
+    time_.after(time_.time(1000, time_.once_in(4) ? 150000 : 15000), [this] { call_in(); });
+    const std::vector<std::string> accounts{"north", "south", "east"};
+    const std::vector<std::string> profiles{"history", "draft", "transfer", "transfer"};
+    caller_request_event request;
+    request.exchange = ++last_exchange_;
+    request.client_account = accounts.at(time_.between(0, 2));
+    request.profile = profiles.at(time_.between(0, 3));
+    request.body = std::string(time_.between(0, 100), 'x');
+    caller_record caller;
+    caller.entry = time_.between(0, entry_count - 1);
+    caller.exchange = request.exchange;
+    caller.is_idempotent = request.profile != "transfer";
+    if (request.profile == "transfer" && time_.once_in(3)) {
+        request.idempotency_key = std::to_string(time_.between(1, 5 + last_exchange_ / 4));
+        caller.key = request.client_account + "/" + request.idempotency_key;
+    }
+    const std::size_t n = oracle_.add(caller);
+    request.target = std::to_string(n);
+    entry_node& entry = entries_[caller.entry];
+    entry.callers[request.exchange] = n;
+    feed(entry, request);
+    if (time_.once_in(20)) {
+        time_.after(time_.time(0, 400000), [this, n, &entry, process = entry.identity] {
+            if (entry.identity == process && !oracle_.at(n).is_over) {
+                oracle_.on_cut(n);
+                entry.callers.erase(oracle_.at(n).exchange);
+                feed(entry, caller_gone_event{oracle_.at(n).exchange});
+            }
+        });
+    }
+}
+
+void fleet::apply(const out_of_service& out)
+{
+    auto next = make_configuration(revisions_.size() + 1);
+    next->out = out;
+    revisions_.push_back(std::move(next));
+}
+
+void fleet::tell_members()
+{
+    time_.after(time_.time(100000, 900000), [this] { tell_members(); });
+    std::vector<member> members;
+    for (std::size_t n = 0; n < agent_count; ++n) {
+        const agent_node& it = agents_[n];
+        members.push_back(
+            {it.identity.name, process_role::agent, address_of(n), it.domain, "model", it.state});
+    }
+    for (const entry_node& it : entries_) {
+        members.push_back({it.identity.name, process_role::entry, address_of(0), it.domain, "", it.state});
+    }
+    for (entry_node& it : entries_) {
+        feed(it, members_event{members});
+    }
+    for (agent_node& it : agents_) {
+        feed(it, members_event{members});
+    }
+}
+
+void fleet::watch_store()
+{
+    time_.after(time_.time(50000, 400000), [this] { watch_store(); });
+    const auto tell = [this](auto& it) {
+        if (!it.is_watching) {
+            return;
+        }
+        feed(it, store_contact_event{is_store_up_});
+        const std::uint64_t newest = revisions_.size();
+        const std::uint64_t read = time_.once_in(4) ? time_.between(1, newest) : newest;
+        if (is_store_up_) {
+            feed(it, configuration_event{as_read_by(it, read)});
+        }
+    };
+    std::for_each(entries_.begin(), entries_.end(), tell);
+    std::for_each(agents_.begin(), agents_.end(), tell);
+}
+
+template <class Node>
+configuration_ptr fleet::as_read_by(const Node& /*reader*/, std::uint64_t revision) const
+{
+    const configuration_ptr& real = revisions_.at(revision - 1);
+    if (std::is_same_v<Node, agent_node> && is_mutated("work-when-out")) {
+        auto changed = std::make_shared<configuration>(*real);
+        changed->out = {};
+        return changed;
+    }
+    return real;
+}
+
+bool fleet::is_out(const agent_node& it) const
+{
+    return it.revision > 0 && revisions_.at(it.revision - 1)->is_out(it.identity.name, it.domain);
+}
+
+template void fleet::on(entry_node&, const read_configuration_effect&);
+template void fleet::on(agent_node&, const read_configuration_effect&);
+template void fleet::on(entry_node&, const watch_store_effect&);
+template void fleet::on(agent_node&, const watch_store_effect&);
+
+} // namespace hemlocknotch::fuzz
