--- a/packages/ctl/include/hemlocknotch/ctl/config_editor.hpp
+++ b/packages/ctl/include/hemlocknotch/ctl/config_editor.hpp
@@ -18,7 +18,8 @@
 struct apply_order {
     std::string document;
     /// The new revision is above this one as well as above the one that stands. Not 0 only where the
-    /// key-value service has lost the configuration while daemons still run it.
+    /// key-value service has lost the configuration while daemons still run it, or holds a value that is
+    /// none.
     std::uint64_t revision_above = 0;
     /// The revision that the document was made from; another one in force is a conflict. 0 for any.
     std::uint64_t base_revision = 0;
--- a/packages/ctl/include/hemlocknotch/ctl/span_tree.hpp
+++ b/packages/ctl/include/hemlocknotch/ctl/span_tree.hpp
@@ -36,8 +36,8 @@
 /// Reads one line of a daemon's trace output. Returns nothing where it is no span. Never throws.
 std::optional<recorded_span> read_span(std::string_view line);
 
-/// Returns `spans` as the rows of a tree: each below its parent, siblings by start. A span whose parent is
-/// not among them is a root. A span that was read twice stands once.
+/// Returns `spans` as the rows of a tree: each below its parent, siblings by start, the shorter first. A span
+/// whose parent is not among them is a root. A span that was read twice stands once.
 std::vector<span_row> arrange_spans(std::vector<recorded_span> spans);
 
 } // namespace hemlocknotch
--- a/packages/ctl/src/config_editor.cpp
+++ b/packages/ctl/src/config_editor.cpp
@@ -26,9 +26,16 @@
 {
     edit_result result;
     result.status = edit_status::unavailable;
-    result.detail = current.status == store_status::refused
-                        ? "The key-value service is over its rate limit. Nothing was changed."
-                        : "The configuration in force could not be read. Nothing was changed.";
+    if (current.status == store_status::refused) {
+        result.detail = "The key-value service is over its rate limit. Nothing was changed.";
+    }
+    else if (current.version != 0) {
+        result.detail = "What stands at hemlocknotch/configuration is no configuration. Nothing was changed. "
+                        "Replace it with hemlocknotchctl apply FILE --revision-above REVISION.";
+    }
+    else {
+        result.detail = "The configuration in force could not be read. Nothing was changed.";
+    }
     return result;
 }
 
@@ -146,7 +153,9 @@
 void apply_on(const std::shared_ptr<edit_context>& context, const apply_order& order,
               const current_configuration& base)
 {
-    if (!is_readable(base)) {
+    // A value that is no configuration is replaced where the operator says above which revision.
+    const bool is_replacement = base.version != 0 && order.revision_above != 0;
+    if (!is_readable(base) && !is_replacement) {
         context->done(unreadable(base));
         return;
     }
--- a/packages/ctl/src/span_tree.cpp
+++ b/packages/ctl/src/span_tree.cpp
@@ -76,7 +76,7 @@
 std::vector<span_row> arrange_spans(std::vector<recorded_span> spans)
 {
     const auto key_of = [](const recorded_span& it) {
-        return std::tie(it.start_us, it.span_id, it.operation, it.process);
+        return std::tie(it.start_us, it.duration_us, it.span_id, it.operation, it.process);
     };
     std::sort(spans.begin(), spans.end(),
               [&](const auto& a, const auto& b) { return key_of(a) < key_of(b); });
--- a/packages/ctl/tests/config_editor_test.cpp
+++ b/packages/ctl/tests/config_editor_test.cpp
@@ -236,4 +236,14 @@
     BOOST_TEST(result->revision == 42U);
 }
 
+BOOST_AUTO_TEST_CASE(a_value_that_is_no_configuration_is_replaced_only_above_a_stated_revision)
+{
+    store.compare_and_swap(std::string{configuration_key}, 0, "broken");
+    BOOST_TEST((apply(make_document("one")).status == edit_status::unavailable));
+    editor.apply({make_document("one"), 7, 0}, keep());
+    run();
+    BOOST_TEST((result->status == edit_status::applied));
+    BOOST_TEST(stored().revision == 8U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
