--- a/packages/ctl/src/edit_commands.cpp
+++ b/packages/ctl/src/edit_commands.cpp
@@ -85,13 +85,15 @@
 
 /// Fails where the fleet is to be waited for and there is no address of the instance list, before anything is
 /// changed.
-leaf::result<bool> can_wait(session& session, const command_options& options)
+leaf::result<void> check_wait(session& session, const command_options& options)
 {
-    if (options.is_waiting) {
-        BOOST_LEAF_AUTO(list, session.instances());
-        static_cast<void>(list);
+    if (!options.is_waiting) {
+        return {};
     }
-    return true;
+    if (auto list = session.instances(); !list) {
+        return list.error();
+    }
+    return {};
 }
 
 /// Returns whether an instance or failure domain of this name is in the instance list.
@@ -132,8 +134,9 @@
 {
     BOOST_LEAF_AUTO(document, read_input_file(options.file));
     BOOST_LEAF_AUTO(store, session.store());
-    BOOST_LEAF_AUTO(can_finish, can_wait(session, options));
-    assert(can_finish);
+    if (auto checked = check_wait(session, options); !checked) {
+        return checked.error();
+    }
     config_editor editor{store, session, options.author};
     std::optional<edit_result> result;
     editor.apply({document, options.revision_above, options.base_revision},
@@ -147,8 +150,9 @@
 {
     const bool is_out = options.chosen == command::take_out;
     BOOST_LEAF_AUTO(store, session.store());
-    BOOST_LEAF_AUTO(can_finish, can_wait(session, options));
-    assert(can_finish);
+    if (auto checked = check_wait(session, options); !checked) {
+        return checked.error();
+    }
     if (is_out && session.has_instances()) {
         BOOST_LEAF_AUTO(is_known, is_listed(session, options));
         if (!is_known) {
--- a/packages/ctl/src/fleet_reader.cpp
+++ b/packages/ctl/src/fleet_reader.cpp
@@ -1,5 +1,7 @@
 #include "fleet_reader.hpp"
 
+#include <hemlocknotch/platform/json_fields.hpp>
+
 #include "command_error.hpp"
 
 #include <nlohmann/json.hpp>
@@ -14,18 +16,6 @@
 
 constexpr int status_ok = 200;
 
-std::uint64_t read_count(const json& value, const char* name)
-{
-    const auto it = value.find(name);
-    return it != value.end() && it->is_number_unsigned() ? it->get<std::uint64_t>() : 0;
-}
-
-bool read_flag(const json& value, const char* name)
-{
-    const auto it = value.find(name);
-    return it != value.end() && it->is_boolean() && it->get<bool>();
-}
-
 std::map<std::string, std::map<std::string, double>> read_counters(const json& value)
 {
     std::map<std::string, std::map<std::string, double>> counters;
@@ -70,15 +60,15 @@
         return std::nullopt;
     }
     daemon_status status;
-    status.revision = read_count(value, "revision");
-    status.is_ready = read_flag(value, "is_ready");
-    status.is_draining = read_flag(value, "is_draining");
-    status.links = read_count(value, "links");
-    status.waiting = read_count(value, "waiting");
-    status.outstanding = read_count(value, "outstanding");
-    status.running = read_count(value, "running");
-    status.limit = read_count(value, "limit");
-    status.room = read_count(value, "room");
+    status.revision = read_count_field(value, "revision");
+    status.is_ready = read_flag_field(value, "is_ready");
+    status.is_draining = read_flag_field(value, "is_draining");
+    status.links = read_count_field(value, "links");
+    status.waiting = read_count_field(value, "waiting");
+    status.outstanding = read_count_field(value, "outstanding");
+    status.running = read_count_field(value, "running");
+    status.limit = read_count_field(value, "limit");
+    status.room = read_count_field(value, "room");
     status.counters = read_counters(value);
     return status;
 }
--- a/packages/ctl/src/span_tree.cpp
+++ b/packages/ctl/src/span_tree.cpp
@@ -1,4 +1,5 @@
 #include <hemlocknotch/ctl/span_tree.hpp>
+#include <hemlocknotch/platform/json_fields.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -13,12 +14,6 @@
 
 using nlohmann::json;
 
-std::string read_text(const json& value, const char* name)
-{
-    const auto it = value.find(name);
-    return it != value.end() && it->is_string() ? it->get<std::string>() : std::string{};
-}
-
 std::int64_t read_number(const json& value, const char* name)
 {
     const auto it = value.find(name);
@@ -53,10 +48,10 @@
         return std::nullopt;
     }
     recorded_span span;
-    span.trace_id = read_text(value, "trace_id");
-    span.span_id = read_text(value, "span_id");
-    span.parent_id = read_text(value, "parent_id");
-    span.operation = read_text(value, "operation");
+    span.trace_id = read_text_field(value, "trace_id");
+    span.span_id = read_text_field(value, "span_id");
+    span.parent_id = read_text_field(value, "parent_id");
+    span.operation = read_text_field(value, "operation");
     span.start_us = read_number(value, "start_us");
     span.duration_us = read_number(value, "duration_us");
     if (span.span_id.empty() || span.operation.empty()) {
@@ -64,11 +59,11 @@
     }
     const auto tags = value.find("tags");
     if (tags != value.end() && tags->is_object()) {
-        span.request_id = read_text(*tags, "request_id");
-        span.process = read_text(*tags, "process");
-        span.client_account = read_text(*tags, "client_account");
-        span.profile = read_text(*tags, "profile");
-        span.outcome = read_text(*tags, "outcome");
+        span.request_id = read_text_field(*tags, "request_id");
+        span.process = read_text_field(*tags, "process");
+        span.client_account = read_text_field(*tags, "client_account");
+        span.profile = read_text_field(*tags, "profile");
+        span.outcome = read_text_field(*tags, "outcome");
     }
     return span;
 }
--- a/packages/platform/src/configuration_envelope.cpp
+++ b/packages/platform/src/configuration_envelope.cpp
@@ -1,4 +1,5 @@
 #include <hemlocknotch/platform/configuration_envelope.hpp>
+#include <hemlocknotch/platform/json_fields.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -7,12 +8,6 @@
 
 using nlohmann::json;
 
-std::string read_text(const json& value, const char* name)
-{
-    const auto it = value.find(name);
-    return it != value.end() && it->is_string() ? it->get<std::string>() : std::string{};
-}
-
 std::vector<std::string> read_texts(const json& value, const char* name)
 {
     std::vector<std::string> read;
@@ -58,9 +53,9 @@
     if (envelope.revision == 0) {
         return std::nullopt;
     }
-    envelope.author = read_text(value, "author");
-    envelope.applied_at = read_text(value, "applied_at");
-    envelope.change = read_text(value, "change");
+    envelope.author = read_text_field(value, "author");
+    envelope.applied_at = read_text_field(value, "applied_at");
+    envelope.change = read_text_field(value, "change");
     envelope.previous_changes = read_texts(value, "previous_changes");
     envelope.document = document->get<std::string>();
     return envelope;
--- a/packages/platform/src/instance_document.cpp
+++ b/packages/platform/src/instance_document.cpp
@@ -1,4 +1,5 @@
 #include <hemlocknotch/platform/instance_document.hpp>
+#include <hemlocknotch/platform/json_fields.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -9,29 +10,23 @@
 
 using nlohmann::json;
 
-std::string read_text(const json& value, const char* name)
-{
-    const auto it = value.find(name);
-    return it != value.end() && it->is_string() ? it->get<std::string>() : std::string{};
-}
-
 std::optional<listed_instance> read_instance(const json& value)
 {
     if (!value.is_object()) {
         return std::nullopt;
     }
-    const std::string name = read_text(value, "name");
-    const std::string role = read_text(value, "role");
-    const std::string state = read_text(value, "state");
-    const auto address = endpoint_address::parse(read_text(value, "address"));
+    const std::string name = read_text_field(value, "name");
+    const std::string role = read_text_field(value, "role");
+    const std::string state = read_text_field(value, "state");
+    const auto address = endpoint_address::parse(read_text_field(value, "address"));
     if (name.empty() || !address || (role != "entry" && role != "agent") ||
         (state != "live" && state != "leaving")) {
         return std::nullopt;
     }
     return listed_instance{{name, role == "entry" ? process_role::entry : process_role::agent, *address,
-                            read_text(value, "failure_domain"), read_text(value, "service"),
+                            read_text_field(value, "failure_domain"), read_text_field(value, "service"),
                             state == "live" ? member_state::live : member_state::leaving},
-                           endpoint_address::parse(read_text(value, "operators"))};
+                           endpoint_address::parse(read_text_field(value, "operators"))};
 }
 
 } // namespace
