--- a/tools/fleet/runs.py
+++ b/tools/fleet/runs.py
@@ -32,6 +32,7 @@
     seconds: int
     fair_order: str = "damped"
     fixed_limit: int | None = None
+    drain_seconds: int = DRAIN_S
 
 
 def write_trace(path: Path, options: RunOptions) -> None:
@@ -49,7 +50,7 @@
 def load_command(fleet: Fleet, options: RunOptions, trace: Path) -> list[str]:
     """Returns the load tool's command line for a fleet."""
     command = ["load", "--size", options.size.name, "--trace", str(trace), "--seed", str(options.seed)]
-    command += ["--seconds", str(options.seconds), "--drain-seconds", str(DRAIN_S)]
+    command += ["--seconds", str(options.seconds), "--drain-seconds", str(options.drain_seconds)]
     command += ["--spread", options.scenario.spread, "--record", str(fleet.directory / "records")]
     for entry in fleet.entries():
         command += ["--entry", f"{entry.name}={entry.address},{entry.operators}"]
