--- a/packages/standins/include/hemlocknotch/standins/trace_generator.hpp
+++ b/packages/standins/include/hemlocknotch/standins/trace_generator.hpp
@@ -51,6 +51,8 @@
     /// Demand for the model service as a multiple of what a warm fleet yields; each account asks by its
     /// weight.
     double load = 1.3;
+    /// Demand of so much time stands at the trace's begin, so that accounts are backlogged from there.
+    duration head_start{};
     /// Account whose demand is multiplied by `flood_factor`; empty for none.
     std::string flood_account;
     double flood_factor = 1.0;
--- a/packages/standins/src/trace_generator.cpp
+++ b/packages/standins/src/trace_generator.cpp
@@ -174,14 +174,18 @@
     const double weights = std::accumulate(mix.accounts.begin(), mix.accounts.end(), 0.0,
                                            [](double sum, const account_mix& it) { return sum + it.weight; });
     const double model_rate = options.load * mix.model_units_per_second / mean_cost(mix.model_work);
+    const duration drawn = options.length + options.head_start;
     std::vector<trace_record> records;
     for (const account_mix& account : mix.accounts) {
         const double share = account.weight / weights;
         const double flood = account.account == options.flood_account ? options.flood_factor : 1.0;
         account_source model{random, account, mix.model_work, true};
-        model.draw(model_rate * share * flood, options.length, records);
+        model.draw(model_rate * share * flood, drawn, records);
         account_source plain{random, account, mix.plain_work, false};
-        plain.draw(mix.plain_requests_per_second * share, options.length, records);
+        plain.draw(mix.plain_requests_per_second * share, drawn, records);
+    }
+    for (trace_record& it : records) {
+        it.time = std::max(it.time - options.head_start, duration::zero());
     }
     std::stable_sort(records.begin(), records.end(),
                      [](const trace_record& a, const trace_record& b) { return a.time < b.time; });
--- a/packages/standins/tests/trace_generator_test.cpp
+++ b/packages/standins/tests/trace_generator_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <numeric>
 #include <stdexcept>
 
@@ -73,6 +74,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_head_start_stands_at_the_begin)
+{
+    const auto mix = find_deployment("saadruil");
+    trace_options options;
+    options.length = std::chrono::seconds{20};
+    options.head_start = std::chrono::seconds{5};
+    const auto records = generate_trace(*mix, options);
+    const auto at_begin = std::count_if(records.begin(), records.end(),
+                                        [](const trace_record& it) { return it.time == it.time.zero(); });
+    BOOST_TEST(at_begin > static_cast<long>(records.size()) / 10);
+    BOOST_TEST(at_begin < static_cast<long>(records.size()) / 2);
+    BOOST_TEST((records.back().time < options.length));
+}
+
 BOOST_AUTO_TEST_CASE(a_flood_raises_one_account_only)
 {
     const auto mix = find_deployment("fassregister");
--- a/tools/fleet/runs.py
+++ b/tools/fleet/runs.py
@@ -40,6 +40,7 @@
     command = [str(PROGRAMS / "trace-generate"), "--size", options.size.name]
     command += ["--seed", str(options.seed), "--seconds", str(options.seconds)]
     command += ["--load", str(options.scenario.load)]
+    command += ["--head-start-seconds", str(options.scenario.head_start_s)]
     if options.scenario.flood_factor != 1.0:
         command += ["--flood-account", options.size.accounts[-1]]
         command += ["--flood-factor", str(options.scenario.flood_factor)]
