--- a/packages/daemon/tests/metrics_test.cpp
+++ b/packages/daemon/tests/metrics_test.cpp
@@ -3,6 +3,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <regex>
 #include <set>
 #include <string>
 
@@ -68,6 +72,28 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(the_catalog_has_every_metric_of_the_code)
+{
+    std::set<std::string> known;
+    for (const auto& it : metric_descriptions()) {
+        known.emplace(it.name);
+    }
+    const std::regex quoted_name{"\"(hemlocknotch_[a-z_]+)\""};
+    std::size_t found = 0;
+    for (const std::string package : {"core", "daemon"}) {
+        const auto sources = std::string{HEMLOCKNOTCH_SOURCE_DIR} + "/packages/" + package + "/src";
+        for (const auto& file : std::filesystem::directory_iterator{sources}) {
+            std::ifstream input{file.path()};
+            const std::string text{std::istreambuf_iterator<char>{input}, {}};
+            for (std::sregex_iterator it{text.begin(), text.end(), quoted_name}, end; it != end; ++it) {
+                BOOST_TEST(known.contains((*it)[1]), (*it)[1] << " of " << file.path());
+                ++found;
+            }
+        }
+    }
+    BOOST_TEST(found >= known.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hemlocknotch::daemon
