Answer a cancel of a forgotten dispatch with may-have-run

Cause: a cancel for an id whose record had been dropped, because the memory of ids was full, was answered with not run, though the request may have run. Change: such an id is doubtful, and the answer says may-have-run.

--- a/packages/core/src/agent_submits.cpp
+++ b/packages/core/src/agent_submits.cpp
@@ -159,7 +159,10 @@
     agent_dispatch* const known = parts.dispatches.find(value.id);
     if (known == nullptr || value.attempt > known->request.attempt) {
         const auto stone = parts.tombstones.find(value.id);
-        if (!stone || stone->attempt < value.attempt) {
+        if (!stone && known == nullptr && parts.tombstones.is_doubtful(value.id)) {
+            end_without_answer(parts, link, value.id, value.attempt);
+        }
+        else if (!stone || stone->attempt < value.attempt) {
             refuse(parts, link, value.id, value.attempt, refusal_code::cancelled);
         }
         return;
--- a/packages/core/tests/agent_submits_test.cpp
+++ b/packages/core/tests/agent_submits_test.cpp
@@ -128,6 +128,23 @@
     BOOST_TEST(all_of<start_call_effect>(it.tell(1, agent_fixture::make_submit(6))).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(cancel_of_a_dispatch_that_may_have_been_forgotten_is_not_answered_with_not_run)
+{
+    agent_options options = agent_fixture::make_options();
+    options.max_tombstones = 1;
+    agent_fixture it{1, options};
+    it.make_ready();
+    const submit_message first = agent_fixture::make_submit(1);
+    const call_id call = started_call(it.tell(1, first));
+    it.give(endpoint_head_event{call, 200, {}, 0});
+    it.give(endpoint_end_event{call, call_outcome::complete});
+    it.tell(1, ack_message{first.id, 1, 0, true});
+    it.tell(1, cancel_message{request_id{entry_incarnation, 2}, 1});
+    const auto effects = it.tell(1, cancel_message{first.id, 1});
+    BOOST_TEST(sent<refuse_message>(effects).empty());
+    BOOST_TEST((sent<end_message>(effects).at(0).outcome == verdict::may_have_run));
+}
+
 BOOST_AUTO_TEST_CASE(waiting_request_is_refused_when_its_deadline_passes)
 {
     agent_options options = agent_fixture::make_options();
