Name the commands' context for what it is

Cause: a class called session said nothing about its job.

Change: command_context: the event loop and connections of one command.

Conclusion: no change of behaviour; ctest -R 'ctl|example' passes 8 of 8.

--- a/packages/ctl/src/session.cpp
+++ b/packages/ctl/src/command_context.cpp
@@ -1,4 +1,4 @@
-#include "session.hpp"
+#include "command_context.hpp"
 
 #include <hemlocknotch/platform/http_platform.hpp>
 
@@ -52,14 +52,14 @@
     event_base_free(base);
 }
 
-session::session(const command_options& options) : options_{options}, base_{event_base_new()}
+command_context::command_context(const command_options& options) : options_{options}, base_{event_base_new()}
 {
     if (!base_) {
         throw std::bad_alloc{};
     }
 }
 
-leaf::result<std::reference_wrapper<key_value_service>> session::store()
+leaf::result<std::reference_wrapper<key_value_service>> command_context::store()
 {
     if (!store_) {
         BOOST_LEAF_AUTO(address, read_address(options_.store, "--store", "HEMLOCKNOTCH_STORE"));
@@ -68,7 +68,7 @@
     return std::ref(*store_);
 }
 
-leaf::result<std::reference_wrapper<http_client>> session::instances()
+leaf::result<std::reference_wrapper<http_client>> command_context::instances()
 {
     if (!instances_) {
         BOOST_LEAF_AUTO(address, read_address(options_.instances, "--instances", "HEMLOCKNOTCH_INSTANCES"));
@@ -77,7 +77,7 @@
     return std::ref(*instances_);
 }
 
-http_client& session::daemon(const endpoint_address& address)
+http_client& command_context::daemon(const endpoint_address& address)
 {
     std::unique_ptr<http_client>& client = daemons_[address.to_string()];
     if (!client) {
@@ -86,7 +86,7 @@
     return *client;
 }
 
-void session::run_until(const std::function<bool()>& is_done)
+void command_context::run_until(const std::function<bool()>& is_done)
 {
     while (!is_done()) {
         const int failed = event_base_loop(base_.get(), EVLOOP_ONCE);
@@ -94,14 +94,14 @@
     }
 }
 
-void session::sleep(duration time)
+void command_context::sleep(duration time)
 {
     bool is_over = false;
     run_later(time, [&] { is_over = true; });
     run_until([&] { return is_over; });
 }
 
-std::string session::now_utc() const
+std::string command_context::now_utc() const
 {
     const std::time_t now = std::time(nullptr);
     std::tm utc{};
@@ -111,7 +111,7 @@
     return {text.data(), n};
 }
 
-std::string session::new_change()
+std::string command_context::new_change()
 {
     constexpr std::string_view digits = "0123456789abcdef";
     constexpr std::size_t length = 16;
@@ -123,7 +123,7 @@
     return text;
 }
 
-void session::run_later(duration delay, std::function<void()> action)
+void command_context::run_later(duration delay, std::function<void()> action)
 {
     auto owned = std::make_unique<std::function<void()>>(std::move(action));
     const timeval tv = to_timeval(delay);
--- a/packages/ctl/src/session.hpp
+++ b/packages/ctl/src/command_context.hpp
@@ -27,11 +27,11 @@
 };
 
 /// The event loop of one command, and its connections to the platform and the daemons. Used by one thread.
-class session final : public edit_environment {
+class command_context final : public edit_environment {
 public:
-    /// Makes a session with the addresses and limits of `options`. Throws std::bad_alloc where the system
+    /// Makes a context with the addresses and limits of `options`. Throws std::bad_alloc where the system
     /// gives no event loop.
-    explicit session(const command_options& options);
+    explicit command_context(const command_options& options);
 
     /// Returns the key-value service. Fails with a `command_error` where no address was given.
     boost::leaf::result<std::reference_wrapper<key_value_service>> store();
--- a/packages/ctl/src/edit_commands.cpp
+++ b/packages/ctl/src/edit_commands.cpp
@@ -71,7 +71,7 @@
 }
 
 /// Writes the result of an edit and waits for the fleet where that is wanted.
-leaf::result<exit_code> finish_edit(session& session, const command_options& options,
+leaf::result<exit_code> finish_edit(command_context& context, const command_options& options,
                                     const edit_result& result, const command_output& output)
 {
     write_result(result, output);
@@ -80,26 +80,26 @@
         return exit_code_of(result.status);
     }
     const std::chrono::seconds limit{options.wait_limit_s};
-    return wait_for_revision(session, result.revision, limit, output.err);
+    return wait_for_revision(context, result.revision, limit, output.err);
 }
 
 /// Fails where the fleet is to be waited for and there is no address of the instance list, before anything is
 /// changed.
-leaf::result<void> check_wait(session& session, const command_options& options)
+leaf::result<void> check_wait(command_context& context, const command_options& options)
 {
     if (!options.is_waiting) {
         return {};
     }
-    if (auto list = session.instances(); !list) {
+    if (auto list = context.instances(); !list) {
         return list.error();
     }
     return {};
 }
 
 /// Returns whether an instance or failure domain of this name is in the instance list.
-leaf::result<bool> is_listed(session& session, const command_options& options)
+leaf::result<bool> is_listed(command_context& context, const command_options& options)
 {
-    BOOST_LEAF_AUTO(daemons, read_fleet(session));
+    BOOST_LEAF_AUTO(daemons, read_fleet(context));
     return std::any_of(daemons.begin(), daemons.end(), [&](const observed_daemon& it) {
         const member& process = it.instance.process;
         return options.name ==
@@ -129,32 +129,32 @@
     return exit_code::unknown;
 }
 
-leaf::result<exit_code> run_apply(session& session, const command_options& options,
+leaf::result<exit_code> run_apply(command_context& context, const command_options& options,
                                   const command_output& output)
 {
     BOOST_LEAF_AUTO(document, read_input_file(options.file));
-    BOOST_LEAF_AUTO(store, session.store());
-    if (auto checked = check_wait(session, options); !checked) {
+    BOOST_LEAF_AUTO(store, context.store());
+    if (auto checked = check_wait(context, options); !checked) {
         return checked.error();
     }
-    config_editor editor{store, session, options.author};
+    config_editor editor{store, context, options.author};
     std::optional<edit_result> result;
     editor.apply({document, options.revision_above, options.base_revision},
                  [&](const edit_result& value) { result = value; });
-    session.run_until([&] { return result.has_value(); });
-    return finish_edit(session, options, *result, output);
+    context.run_until([&] { return result.has_value(); });
+    return finish_edit(context, options, *result, output);
 }
 
-leaf::result<exit_code> run_out_of_service(session& session, const command_options& options,
+leaf::result<exit_code> run_out_of_service(command_context& context, const command_options& options,
                                            const command_output& output)
 {
     const bool is_out = options.chosen == command::take_out;
-    BOOST_LEAF_AUTO(store, session.store());
-    if (auto checked = check_wait(session, options); !checked) {
+    BOOST_LEAF_AUTO(store, context.store());
+    if (auto checked = check_wait(context, options); !checked) {
         return checked.error();
     }
-    if (is_out && session.has_instances()) {
-        BOOST_LEAF_AUTO(is_known, is_listed(session, options));
+    if (is_out && context.has_instances()) {
+        BOOST_LEAF_AUTO(is_known, is_listed(context, options));
         if (!is_known) {
             return leaf::new_error(command_error{
                 exit_code::not_found, "the instance list has no " + options.name,
@@ -162,12 +162,12 @@
                 "--instances."});
         }
     }
-    config_editor editor{store, session, options.author};
+    config_editor editor{store, context, options.author};
     std::optional<edit_result> result;
     editor.change_out_of_service({options.kind, options.name, is_out},
                                  [&](const edit_result& value) { result = value; });
-    session.run_until([&] { return result.has_value(); });
-    return finish_edit(session, options, *result, output);
+    context.run_until([&] { return result.has_value(); });
+    return finish_edit(context, options, *result, output);
 }
 
 } // namespace hemlocknotch
--- a/packages/ctl/src/fleet_reader.cpp
+++ b/packages/ctl/src/fleet_reader.cpp
@@ -36,13 +36,13 @@
     return counters;
 }
 
-leaf::result<std::vector<listed_instance>> read_instances(session& session)
+leaf::result<std::vector<listed_instance>> read_instances(command_context& context)
 {
-    BOOST_LEAF_AUTO(list, session.instances());
+    BOOST_LEAF_AUTO(list, context.instances());
     std::optional<http_answer> answer;
-    list.get().send({http_method::get, "/instances", ""}, session.call_limit(),
+    list.get().send({http_method::get, "/instances", ""}, context.call_limit(),
                     [&](const http_answer& value) { answer = value; });
-    session.run_until([&] { return answer.has_value(); });
+    context.run_until([&] { return answer.has_value(); });
     const auto read = answer->status == status_ok ? read_instance_document(answer->body) : std::nullopt;
     if (!read) {
         return leaf::new_error(command_error{exit_code::unknown, "the instance list gave no answer",
@@ -73,9 +73,9 @@
     return status;
 }
 
-leaf::result<std::vector<observed_daemon>> read_fleet(session& session)
+leaf::result<std::vector<observed_daemon>> read_fleet(command_context& context)
 {
-    BOOST_LEAF_AUTO(instances, read_instances(session));
+    BOOST_LEAF_AUTO(instances, read_instances(context));
     std::vector<observed_daemon> daemons;
     daemons.reserve(instances.size());
     for (const listed_instance& it : instances) {
@@ -87,15 +87,15 @@
             continue;
         }
         ++open_calls;
-        session.daemon(*it.instance.operators)
-            .send({http_method::get, "/status", ""}, session.call_limit(), [&](const http_answer& answer) {
+        context.daemon(*it.instance.operators)
+            .send({http_method::get, "/status", ""}, context.call_limit(), [&](const http_answer& answer) {
                 --open_calls;
                 if (answer.status == status_ok) {
                     it.status = read_daemon_status(answer.body);
                 }
             });
     }
-    session.run_until([&] { return open_calls == 0; });
+    context.run_until([&] { return open_calls == 0; });
     std::sort(daemons.begin(), daemons.end(),
               [](const auto& a, const auto& b) { return a.instance.process.name < b.instance.process.name; });
     return daemons;
--- a/packages/ctl/src/fleet_reader.hpp
+++ b/packages/ctl/src/fleet_reader.hpp
@@ -2,7 +2,7 @@
 
 #include <hemlocknotch/platform/instance_document.hpp>
 
-#include "session.hpp"
+#include "command_context.hpp"
 
 #include <boost/leaf.hpp>
 
@@ -44,6 +44,6 @@
 
 /// Reads the instance list and asks every daemon that has an operators' address, all at once. Fails with a
 /// `command_error` where the list gives no answer.
-boost::leaf::result<std::vector<observed_daemon>> read_fleet(session& session);
+boost::leaf::result<std::vector<observed_daemon>> read_fleet(command_context& context);
 
 } // namespace hemlocknotch
--- a/packages/ctl/src/program.cpp
+++ b/packages/ctl/src/program.cpp
@@ -1,10 +1,10 @@
 #include "program.hpp"
 
 #include "check_command.hpp"
+#include "command_context.hpp"
 #include "command_error.hpp"
 #include "command_line.hpp"
 #include "edit_commands.hpp"
-#include "session.hpp"
 #include "show_commands.hpp"
 #include "status_command.hpp"
 #include "trace_command.hpp"
@@ -20,23 +20,23 @@
 
 leaf::result<exit_code> run_command(const command_options& options, const command_output& output)
 {
-    session calls{options};
+    command_context context{options};
     switch (options.chosen) {
     case command::check:
         return run_check(options, output);
     case command::apply:
-        return run_apply(calls, options, output);
+        return run_apply(context, options, output);
     case command::show:
-        return run_show(calls, options, output);
+        return run_show(context, options, output);
     case command::diff:
-        return run_diff(calls, options, output);
+        return run_diff(context, options, output);
     case command::history:
-        return run_history(calls, options, output);
+        return run_history(context, options, output);
     case command::take_out:
     case command::put_back:
-        return run_out_of_service(calls, options, output);
+        return run_out_of_service(context, options, output);
     case command::status:
-        return run_status(calls, options, output);
+        return run_status(context, options, output);
     case command::trace:
         return run_trace(options, output);
     }
--- a/packages/ctl/src/revision_wait.cpp
+++ b/packages/ctl/src/revision_wait.cpp
@@ -45,13 +45,13 @@
     return behind;
 }
 
-leaf::result<exit_code> wait_for_revision(session& session, std::uint64_t revision, duration limit,
+leaf::result<exit_code> wait_for_revision(command_context& context, std::uint64_t revision, duration limit,
                                           std::ostream& err)
 {
     const auto end = std::chrono::steady_clock::now() + limit;
     std::string told;
     while (true) {
-        BOOST_LEAF_AUTO(daemons, read_fleet(session));
+        BOOST_LEAF_AUTO(daemons, read_fleet(context));
         const auto live =
             static_cast<std::size_t>(std::count_if(daemons.begin(), daemons.end(), [](const auto& it) {
                 return it.instance.process.state == member_state::live;
@@ -69,7 +69,7 @@
             err << "The revision was accepted, but is not in force everywhere yet.\n";
             return exit_code::not_everywhere;
         }
-        session.sleep(ask_interval);
+        context.sleep(ask_interval);
     }
 }
 
--- a/packages/ctl/src/revision_wait.hpp
+++ b/packages/ctl/src/revision_wait.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "command_context.hpp"
 #include "exit_code.hpp"
 #include "fleet_reader.hpp"
-#include "session.hpp"
 
 #include <boost/leaf.hpp>
 
@@ -20,7 +20,7 @@
 
 /// Asks the fleet until every live daemon reports `revision` or a later one, and writes progress to `err`.
 /// Returns `done`, or `not_everywhere` after `limit`. Fails with a `command_error`.
-boost::leaf::result<exit_code> wait_for_revision(session& session, std::uint64_t revision, duration limit,
-                                                 std::ostream& err);
+boost::leaf::result<exit_code> wait_for_revision(command_context& context, std::uint64_t revision,
+                                                 duration limit, std::ostream& err);
 
 } // namespace hemlocknotch
--- a/packages/ctl/src/show_commands.cpp
+++ b/packages/ctl/src/show_commands.cpp
@@ -17,10 +17,10 @@
 
 /// Reads `revision`, 0 for the one in force. Fails where the service gives no answer; an absent revision is
 /// no failure.
-leaf::result<current_configuration> read_revision(session& session, std::uint64_t revision)
+leaf::result<current_configuration> read_revision(command_context& context, std::uint64_t revision)
 {
-    BOOST_LEAF_AUTO(store, session.store());
-    config_editor editor{store, session, ""};
+    BOOST_LEAF_AUTO(store, context.store());
+    config_editor editor{store, context, ""};
     std::optional<current_configuration> read;
     const auto keep = [&](const current_configuration& value) { read = value; };
     if (revision == 0) {
@@ -29,7 +29,7 @@
     else {
         editor.read_revision(revision, keep);
     }
-    session.run_until([&] { return read.has_value(); });
+    context.run_until([&] { return read.has_value(); });
     if (read->status != store_status::ok && read->status != store_status::absent) {
         const std::string reason = read->status == store_status::refused ? "is over its rate limit"
                                                                          : "gave no answer that can be read";
@@ -105,10 +105,10 @@
 
 } // namespace
 
-leaf::result<exit_code> run_show(session& session, const command_options& options,
+leaf::result<exit_code> run_show(command_context& context, const command_options& options,
                                  const command_output& output)
 {
-    BOOST_LEAF_AUTO(current, read_revision(session, options.revision));
+    BOOST_LEAF_AUTO(current, read_revision(context, options.revision));
     if (current.status == store_status::absent) {
         return leaf::new_error(no_configuration(options.revision));
     }
@@ -128,7 +128,7 @@
     return exit_code::done;
 }
 
-leaf::result<exit_code> run_diff(session& session, const command_options& options,
+leaf::result<exit_code> run_diff(command_context& context, const command_options& options,
                                  const command_output& output)
 {
     BOOST_LEAF_AUTO(document, read_input_file(options.file));
@@ -138,7 +138,7 @@
         write_errors(output.err, reading.errors);
         return exit_code::refused;
     }
-    BOOST_LEAF_AUTO(current, read_revision(session, 0));
+    BOOST_LEAF_AUTO(current, read_revision(context, 0));
     const configuration_ptr before = parse(current);
     const std::string applied = keep_out_of_service(document, before ? before->out : out_of_service{});
     const std::vector<configuration_change> changes =
@@ -152,10 +152,10 @@
     return exit_code::done;
 }
 
-leaf::result<exit_code> run_history(session& session, const command_options& options,
+leaf::result<exit_code> run_history(command_context& context, const command_options& options,
                                     const command_output& output)
 {
-    BOOST_LEAF_AUTO(newest, read_revision(session, 0));
+    BOOST_LEAF_AUTO(newest, read_revision(context, 0));
     if (newest.status == store_status::absent) {
         return leaf::new_error(no_configuration(0));
     }
@@ -164,7 +164,7 @@
         const std::uint64_t revision = current.envelope.revision;
         std::optional<current_configuration> before;
         if (revision > 1) {
-            BOOST_LEAF_ASSIGN(before, read_revision(session, revision - 1));
+            BOOST_LEAF_ASSIGN(before, read_revision(context, revision - 1));
         }
         write_history_item(current, before, output);
         if (!before || before->status != store_status::ok) {
--- a/packages/ctl/src/status_command.cpp
+++ b/packages/ctl/src/status_command.cpp
@@ -18,15 +18,15 @@
 using nlohmann::ordered_json;
 
 /// The configuration in force as far as the key-value service can say; status works without it.
-configuration_ptr read_configuration_in_force(session& session, const command_options& options)
+configuration_ptr read_configuration_in_force(command_context& context, const command_options& options)
 {
     if (options.store.empty()) {
         return nullptr;
     }
-    const auto store = session.store();
+    const auto store = context.store();
     std::optional<store_answer> answer;
     store.value().get().get(configuration_key, [&](const store_answer& value) { answer = value; });
-    session.run_until([&] { return answer.has_value(); });
+    context.run_until([&] { return answer.has_value(); });
     const auto envelope = answer->status == store_status::ok ? read_envelope(answer->value) : std::nullopt;
     return envelope ? read_configuration(envelope->document, envelope->revision).accepted : nullptr;
 }
@@ -151,19 +151,19 @@
 
 } // namespace
 
-leaf::result<exit_code> run_status(session& session, const command_options& options,
+leaf::result<exit_code> run_status(command_context& context, const command_options& options,
                                    const command_output& output)
 {
     std::optional<fleet_counters> earlier;
     for (std::uint32_t n = 1;; ++n) {
-        BOOST_LEAF_AUTO(daemons, read_fleet(session));
-        const configuration_ptr current = read_configuration_in_force(session, options);
+        BOOST_LEAF_AUTO(daemons, read_fleet(context));
+        const configuration_ptr current = read_configuration_in_force(context, options);
         write_status(daemons, summarize(daemons, earlier), current.get(), output);
         if (!options.is_watching || n == options.count) {
             return exit_code::done;
         }
         earlier = merge_counters(daemons);
-        session.sleep(std::chrono::milliseconds{options.interval_ms});
+        context.sleep(std::chrono::milliseconds{options.interval_ms});
         if (!output.is_json) {
             output.out << '\n';
         }
