--- a/packages/ctl/src/fleet_summary.cpp
+++ b/packages/ctl/src/fleet_summary.cpp
@@ -79,6 +79,9 @@
 std::string_view health_of(const observed_daemon& daemon, const configuration* current)
 {
     const member& process = daemon.instance.process;
+    if (!daemon.instance.operators) {
+        return "no-address";
+    }
     if (!daemon.status) {
         return "no-answer";
     }
--- a/packages/ctl/src/fleet_summary.hpp
+++ b/packages/ctl/src/fleet_summary.hpp
@@ -49,7 +49,8 @@
 fleet_summary summarize(std::span<const observed_daemon> daemons,
                         const std::optional<fleet_counters>& earlier);
 
-/// Returns one word for the state of a daemon: `ok`, `out`, `leaving`, `draining`, `not-ready`, `no-answer`.
+/// Returns one word for the state of a daemon: `ok`, `out`, `leaving`, `draining`, `not-ready`, `no-answer`,
+/// or `no-address` where the instance list does not say where its status is served.
 std::string_view health_of(const observed_daemon& daemon, const configuration* current);
 
 } // namespace hemlocknotch
--- a/packages/ctl/src/revision_wait.cpp
+++ b/packages/ctl/src/revision_wait.cpp
@@ -35,7 +35,10 @@
         if (it.instance.process.state != member_state::live) {
             continue;
         }
-        if (!it.status) {
+        if (!it.instance.operators) {
+            behind.push_back(name + " (no operators' address in the instance list)");
+        }
+        else if (!it.status) {
             behind.push_back(name + " (no answer)");
         }
         else if (it.status->revision < revision) {
--- a/packages/ctl/tests/fleet_summary_test.cpp
+++ b/packages/ctl/tests/fleet_summary_test.cpp
@@ -65,6 +65,8 @@
     BOOST_TEST(health_of(fleet[0], nullptr) == "ok");
     BOOST_TEST(health_of(fleet[1], nullptr) == "not-ready");
     BOOST_TEST(health_of(fleet[3], nullptr) == "no-answer");
+    fleet[3].instance.operators.reset();
+    BOOST_TEST(health_of(fleet[3], nullptr) == "no-address");
     fleet[0].instance.process.state = member_state::leaving;
     BOOST_TEST(health_of(fleet[0], nullptr) == "leaving");
     configuration current;
@@ -77,6 +79,8 @@
     std::vector<observed_daemon> fleet = make_fleet();
     const std::vector<std::string> expected{"agent-2 (revision 6)", "entry-2 (no answer)"};
     BOOST_TEST(daemons_behind(fleet, 7) == expected, boost::test_tools::per_element());
+    fleet[3].instance.operators.reset();
+    BOOST_TEST(daemons_behind(fleet, 6).front() == "entry-2 (no operators' address in the instance list)");
     fleet[3].instance.process.state = member_state::leaving;
     BOOST_TEST(daemons_behind(fleet, 6).empty());
 }
