--- a/packages/daemon/src/caller_exchange.cpp
+++ b/packages/daemon/src/caller_exchange.cpp
@@ -67,6 +67,7 @@
     const evbuffer_ptr buf{evbuffer_new()};
     evbuffer_add(buf.get(), bytes.data(), bytes.size());
     evhttp_send_reply_chunk(request_, buf.get());
+    write_now();
 }
 
 void caller_exchange::finish()
@@ -119,13 +120,13 @@
     stream_ = nullptr;
 }
 
-std::optional<std::uint64_t> caller_exchange::progress(std::size_t step)
+std::optional<std::uint64_t> caller_exchange::progress()
 {
     if (stream_ == nullptr) {
         return std::nullopt;
     }
     const auto taken = body_bytes_ - std::min<std::uint64_t>(body_bytes_, evbuffer_get_length(output_));
-    if (taken < reported_bytes_ + step) {
+    if (taken <= reported_bytes_) {
         return std::nullopt;
     }
     reported_bytes_ = taken;
@@ -146,6 +147,19 @@
     }
 }
 
+void caller_exchange::write_now()
+{
+    // Writing at once spares two changes of the event loop's set of descriptors for each part. What the
+    // system does not take, and errors, are left to the bufferevent.
+    constexpr int at_front = 1;
+    evbuffer_unfreeze(output_, at_front);
+    evbuffer_write(output_, bufferevent_getfd(stream_));
+    evbuffer_freeze(output_, at_front);
+    if (evbuffer_get_length(output_) == 0) {
+        bufferevent_disable(stream_, EV_WRITE);
+    }
+}
+
 void caller_exchange::give_back()
 {
     evhttp_connection_set_closecb(connection_, handle_idle_close, &outputs_);
--- a/packages/daemon/src/caller_exchange.hpp
+++ b/packages/daemon/src/caller_exchange.hpp
@@ -61,9 +61,9 @@
     /// Closes the connection at once. Last call.
     void abort();
 
-    /// Returns how many bytes of the body the caller's connection has taken, if that is `step` more than what
-    /// was returned before.
-    std::optional<std::uint64_t> progress(std::size_t step);
+    /// Returns how many bytes of the body the caller's connection has taken, if that is more than what was
+    /// returned before.
+    std::optional<std::uint64_t> progress();
 
     /// Asks for the connection to be closed after the answer. Precondition: not started.
     void close_after_answer();
@@ -74,6 +74,7 @@
 
     void forget_connection();
     void add_headers(std::span<const header_field> headers);
+    void write_now();
     void give_back();
 
     exchange_id number_;
--- a/packages/daemon/src/caller_front.cpp
+++ b/packages/daemon/src/caller_front.cpp
@@ -70,7 +70,7 @@
 caller_front::caller_front(event_base* base, const caller_front_options& options, caller_sink& sink)
     : options_{options},
       sink_{sink},
-      outputs_{base, [this](exchange_id exchange) { report_progress(exchange); },
+      outputs_{base, options.progress_step_bytes, [this](exchange_id exchange) { report_progress(exchange); },
                [this](int status) { return page_for(status); }},
       server_{base}
 {
@@ -222,7 +222,7 @@
     if (it == nullptr) {
         return;
     }
-    if (const auto taken = it->progress(options_.progress_step_bytes)) {
+    if (const auto taken = it->progress()) {
         sink_.on_progress({exchange, *taken});
     }
 }
--- a/packages/daemon/src/connection_outputs.cpp
+++ b/packages/daemon/src/connection_outputs.cpp
@@ -34,18 +34,24 @@
 
 } // namespace
 
-connection_outputs::connection_outputs(event_base* base, taken_callback taken, page_callback page)
-    : base_{base}, taken_{std::move(taken)}, page_{std::move(page)}, later_{base, [this] { work_off(); }}
+connection_outputs::connection_outputs(event_base* base, std::size_t step_bytes, taken_callback taken,
+                                       page_callback page)
+    : base_{base},
+      step_bytes_{step_bytes},
+      taken_{std::move(taken)},
+      page_{std::move(page)},
+      later_{base, [this] { work_off(); }}
 {
     assert(taken_);
     assert(page_);
+    assert(step_bytes_ > 0);
 }
 
 bufferevent* connection_outputs::make_connection()
 {
     auto* connection = bufferevent_socket_new(base_, -1, 0);
     auto* output = bufferevent_get_output(connection);
-    states_[output] = connection_state{connection, 0, false, false};
+    states_[output] = connection_state{.connection = connection};
     evbuffer_add_cb(output, handle_change, this);
     return connection;
 }
@@ -55,6 +61,7 @@
     assert(writer != 0);
     auto& state = states_[output];
     state.writer = writer;
+    state.taken_bytes = 0;
     state.has_answered = true;
 }
 
@@ -81,7 +88,9 @@
     if (info->n_added > 0 && state.writer == 0) {
         outputs.note_page(state);
     }
-    if (info->n_deleted > 0 && state.writer != 0) {
+    state.taken_bytes += info->n_deleted;
+    if (state.writer != 0 && state.taken_bytes >= outputs.step_bytes_) {
+        state.taken_bytes = 0;
         outputs.progressed_.push_back(state.writer);
         outputs.later_.activate();
     }
--- a/packages/daemon/src/connection_outputs.hpp
+++ b/packages/daemon/src/connection_outputs.hpp
@@ -4,6 +4,7 @@
 
 #include "timer.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <unordered_map>
@@ -26,8 +27,9 @@
     /// is closed.
     using page_callback = std::function<std::string(int status)>;
 
-    /// `base` must outlive it. Preconditions: no callback is empty.
-    connection_outputs(event_base* base, taken_callback taken, page_callback page);
+    /// `taken` is called each time that a peer has taken `step_bytes` more. `base` must outlive the object.
+    /// Preconditions: no callback is empty; the step is above zero.
+    connection_outputs(event_base* base, std::size_t step_bytes, taken_callback taken, page_callback page);
 
     /// Makes the bufferevent of a new connection, as `evhttp_set_bevcb` asks for. The caller owns it.
     bufferevent* make_connection();
@@ -50,6 +52,8 @@
         bufferevent* connection = nullptr;
         /// 0 while no exchange writes.
         exchange_id writer = 0;
+        /// Bytes taken since the last call of `taken`, chunk framing included.
+        std::size_t taken_bytes = 0;
         bool is_page_noted = false;
         /// Whether an answer was written; such a connection's end is told by `forget`.
         bool has_answered = false;
@@ -61,6 +65,7 @@
     void replace_page(bufferevent* connection);
 
     event_base* base_;
+    std::size_t step_bytes_;
     taken_callback taken_;
     page_callback page_;
     /// Keyed by output buffer; an element outlives its connection until the buffer's address is used again.
--- a/packages/daemon/src/libevent_handles.hpp
+++ b/packages/daemon/src/libevent_handles.hpp
@@ -13,6 +13,10 @@
     void operator()(event_base* base) const { event_base_free(base); }
 };
 
+struct event_config_deleter {
+    void operator()(event_config* config) const { event_config_free(config); }
+};
+
 struct event_deleter {
     void operator()(event* it) const { event_free(it); }
 };
--- a/packages/daemon/src/process_runtime.cpp
+++ b/packages/daemon/src/process_runtime.cpp
@@ -30,6 +30,17 @@
     return std::chrono::duration<double>(value).count();
 }
 
+/// Changes of the set of descriptors are gathered and made before each wait, so that one that is undone at
+/// once costs no system call. No descriptor is duplicated, as this needs.
+event_base_ptr make_event_base()
+{
+    const std::unique_ptr<event_config, event_config_deleter> config{event_config_new()};
+    event_config_set_flag(config.get(), EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+    event_base_ptr base{event_base_new_with_config(config.get())};
+    assert(base);
+    return base;
+}
+
 } // namespace
 
 /// One signal that the event loop takes in.
@@ -56,7 +67,7 @@
 process_runtime::process_runtime(const settings& values, runtime_sink& sink)
     : settings_{values},
       sink_{sink},
-      base_{event_base_new()},
+      base_{make_event_base()},
       log_{*parse_log_level(values.log_level),
            values.log_format == "text" ? log_format::text : log_format::json, values.name},
       spans_{std::make_unique<span_recorder>()},
