Tell agents sums of service where an entry hears every agent

Ruled out: rarer reports, which the fair order pays for. Change: an entry that has links to all live agents of a service sends each of them one sum for each account, the receiver's own service excepted, and only those that have changed; the agent takes the highest of its entries' sums, so that one that restarted empty does not lower them. An entry with links to some agents relays incarnations as before. Also: the messages that configuration_tracker::remove_link returns are sent.

--- a/packages/core/include/hemlocknotch/core/message.hpp
+++ b/packages/core/include/hemlocknotch/core/message.hpp
@@ -256,6 +256,26 @@
     friend bool operator==(const service_report_message&, const service_report_message&) = default;
 };
 
+/// Service that one client account has received from all agents but the receiver.
+struct total_item {
+    account_key client_account;
+    /// Service charged, in whole units.
+    std::uint64_t charged = 0;
+
+    friend bool operator==(const total_item&, const total_item&) = default;
+};
+
+/// Entry to agent, in place of a `service_report_message` where the entry hears every agent of the service
+/// itself: sums over all agent incarnations that it knows, the receiver's excepted. Items replace what was
+/// said before.
+struct service_totals_message {
+    account_key service;
+    std::vector<total_item> items;
+    std::vector<lift_item> lifts;
+
+    friend bool operator==(const service_totals_message&, const service_totals_message&) = default;
+};
+
 /// Both ways: the sender's configuration revision.
 struct revision_message {
     std::uint64_t revision = 0;
@@ -286,11 +306,11 @@
 };
 
 /// Any message.
-using message =
-    std::variant<hello_message, submit_message, refuse_message, head_message, part_message, end_message,
-                 ack_message, cancel_message, resolve_message, resolved_message, demand_message, room_message,
-                 grant_message, decline_message, service_report_message, revision_message,
-                 configuration_request_message, configuration_message, heartbeat_message>;
+using message = std::variant<hello_message, submit_message, refuse_message, head_message, part_message,
+                             end_message, ack_message, cancel_message, resolve_message, resolved_message,
+                             demand_message, room_message, grant_message, decline_message,
+                             service_report_message, revision_message, configuration_request_message,
+                             configuration_message, heartbeat_message, service_totals_message>;
 
 /// Returns the name of the kind of `value`, as it stands in metrics and logs, such as `submit`.
 std::string_view kind_of(const message& value);
--- a/packages/core/include/hemlocknotch/core/service_ledger.hpp
+++ b/packages/core/include/hemlocknotch/core/service_ledger.hpp
@@ -7,7 +7,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <span>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -33,6 +37,18 @@
     /// Takes in a report, own items excepted. Returns whether anything changed.
     bool merge(const service_report_message& report);
 
+    /// Takes in sums that the entry called `entry` has made over all incarnations but this one, in place of
+    /// what it said before of the same accounts. Of several entries' sums the highest counts: an entry that
+    /// has just started knows less than the others.
+    void merge_totals(std::string_view entry, const service_totals_message& value);
+
+    /// Returns the sums over all incarnations known but `receiver`, for `merge_totals` there. Accounts
+    /// without service are left out.
+    [[nodiscard]] std::vector<total_item> totals_without(const process_identity& receiver) const;
+
+    /// Returns the lifts of all accounts.
+    [[nodiscard]] std::vector<lift_item> all_lifts() const;
+
     /// Raises the counter of `client_account` to `floor` units of weighted service, if it is lower.
     /// Precondition: `weight` is above zero.
     void lift_to(account_key client_account, double weight, double floor);
@@ -76,6 +92,8 @@
     };
 
     void drop_oldest_source();
+    bool merge_lifts(std::span<const lift_item> lifts);
+    [[nodiscard]] double charged_to(account_key client_account) const;
 
     process_identity own_;
     std::size_t max_sources_;
@@ -84,6 +102,7 @@
     std::unordered_map<account_key, double> totals_;
     std::unordered_map<account_key, double> own_since_report_;
     std::unordered_map<account_key, lift> lifts_;
+    std::map<std::string, std::unordered_map<account_key, double>, std::less<>> totals_by_entry_;
 };
 
 } // namespace hemlocknotch
--- a/packages/core/src/agent_reducer.cpp
+++ b/packages/core/src/agent_reducer.cpp
@@ -37,6 +37,11 @@
 
     void operator()(const service_report_message& value) const { agent::on_service_report(parts, value); }
 
+    void operator()(const service_totals_message& value) const
+    {
+        agent::on_service_totals(parts, link, value);
+    }
+
     void operator()(const heartbeat_message& value) const { agent::on_heartbeat(parts, link, value); }
 
     void operator()(const revision_message& value) const
--- a/packages/core/src/agent_reports.cpp
+++ b/packages/core/src/agent_reports.cpp
@@ -38,6 +38,14 @@
     }
 }
 
+void on_service_totals(agent_parts& parts, link_id link, const service_totals_message& value)
+{
+    const agent_link* const known = parts.links.find(link);
+    if (known != nullptr && known->peer && value.service == account_key::of(parts.options.service)) {
+        parts.selector.ledger().merge_totals(known->peer->name, value);
+    }
+}
+
 void send_reports(agent_parts& parts)
 {
     const auto service = account_key::of(parts.options.service);
--- a/packages/core/src/agent_reports.hpp
+++ b/packages/core/src/agent_reports.hpp
@@ -8,6 +8,9 @@
 /// An entry told counters, its own or relayed.
 void on_service_report(agent_parts& parts, const service_report_message& value);
 
+/// An entry told sums over the other agents.
+void on_service_totals(agent_parts& parts, link_id link, const service_totals_message& value);
+
 /// Sends the changes since the last report to every entry.
 ///
 /// Where this agent has links to all entries that the instance list shows, each entry hears every agent
--- a/packages/core/src/link_handler.cpp
+++ b/packages/core/src/link_handler.cpp
@@ -22,13 +22,6 @@
 template <class... Handlers>
 overloaded(Handlers...) -> overloaded<Handlers...>;
 
-/// Returns `report` without what its receiver has said itself.
-service_report_message without_source(service_report_message report, const process_identity& receiver)
-{
-    std::erase_if(report.sources, [&](const service_source& it) { return it.agent == receiver; });
-    return report;
-}
-
 /// Returns why a link cannot be used; empty where it can.
 std::string_view fault_of(const hello_message& value, const outgoing_link& link)
 {
@@ -44,11 +37,6 @@
     return {};
 }
 
-bool is_empty(const service_report_message& report)
-{
-    return report.sources.empty() && report.lifts.empty();
-}
-
 } // namespace
 
 void link_handler::on_members(entry_turn& turn, const members_event& value)
@@ -103,7 +91,7 @@
         // The agent may have taken it for the link in use and may listen to the other one no more.
         close_in_use(turn, *target);
     }
-    data_.configuration.remove_link(value.link);
+    data_.links.send_all(turn, data_.configuration.remove_link(value.link));
     data_.links.remove(value.link);
     data_.update_permissions();
     if (target != nullptr) {
@@ -177,13 +165,7 @@
         "link-opened",
         {{"agent", link.peer.name}, {"service", value.service}, {"failure_domain", link.failure_domain}}});
     data_.links.send_all(turn, data_.configuration.add_link(link.id, value.configuration_revision));
-    const auto ledger = data_.ledgers.find(link.service);
-    if (ledger != data_.ledgers.end()) {
-        service_report_message report = without_source(ledger->second.whole(link.service), link.peer);
-        if (!is_empty(report)) {
-            link_table::send(turn, link, std::move(report));
-        }
-    }
+    reports_.on_hello(turn, link);
     take_over(turn, link);
 }
 
@@ -259,25 +241,6 @@
     it->second.merge(value);
 }
 
-void link_handler::report_service(entry_turn& turn)
-{
-    for (auto& [service, ledger] : data_.ledgers) {
-        const service_report_message changes = ledger.take_changes(service);
-        if (is_empty(changes)) {
-            continue;
-        }
-        for (auto& [id, link] : data_.links.links()) {
-            if (!link.has_hello || link.service != service) {
-                continue;
-            }
-            service_report_message report = without_source(changes, link.peer);
-            if (!is_empty(report)) {
-                link_table::send(turn, link, std::move(report));
-            }
-        }
-    }
-}
-
 std::optional<instant> link_handler::tell_demand(entry_turn& turn)
 {
     std::optional<instant> again_at;
--- a/packages/core/src/link_handler.hpp
+++ b/packages/core/src/link_handler.hpp
@@ -6,6 +6,7 @@
 #include "entry_data.hpp"
 #include "entry_turn.hpp"
 #include "outcome_handler.hpp"
+#include "report_teller.hpp"
 
 namespace hemlocknotch {
 
@@ -31,7 +32,7 @@
     std::optional<instant> tell_demand(entry_turn& turn);
 
     /// Tells agents what has changed in the service counters.
-    void report_service(entry_turn& turn);
+    void report_service(entry_turn& turn) { reports_.report(turn); }
 
 private:
     void close_in_use(entry_turn& turn, const agent_target& target);
@@ -47,6 +48,7 @@
     entry_data& data_;
     dispatcher& dispatcher_;
     outcome_handler& outcomes_;
+    report_teller reports_{data_};
 };
 
 } // namespace hemlocknotch
--- a/packages/core/src/message.cpp
+++ b/packages/core/src/message.cpp
@@ -44,6 +44,8 @@
     std::string_view operator()(const configuration_message& /*value*/) const { return "configuration"; }
 
     std::string_view operator()(const heartbeat_message& /*value*/) const { return "heartbeat"; }
+
+    std::string_view operator()(const service_totals_message& /*value*/) const { return "service-totals"; }
 };
 
 } // namespace
--- a/packages/core/src/outgoing_link.hpp
+++ b/packages/core/src/outgoing_link.hpp
@@ -53,6 +53,8 @@
     bool is_permitted = false;
     std::vector<std::uint64_t> cached_prefixes;
     told_demand told;
+    /// Sums of service that the agent was told, in units.
+    std::map<account_key, std::uint64_t> told_totals;
 };
 
 /// One agent that this entry links to, or has to until its outstanding requests are resolved.
--- /dev/null
+++ b/packages/core/src/report_teller.cpp
@@ -0,0 +1,86 @@
+#include "report_teller.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlocknotch {
+namespace {
+
+/// Returns `report` without what its receiver has said itself.
+service_report_message without_source(service_report_message report, const process_identity& receiver)
+{
+    std::erase_if(report.sources, [&](const service_source& it) { return it.agent == receiver; });
+    return report;
+}
+
+void relay(entry_turn& turn, outgoing_link& link, const service_report_message& changes)
+{
+    service_report_message report = without_source(changes, link.peer);
+    if (!report.sources.empty() || !report.lifts.empty()) {
+        link_table::send(turn, link, std::move(report));
+    }
+}
+
+} // namespace
+
+void report_teller::on_hello(entry_turn& turn, outgoing_link& link)
+{
+    const auto it = data_.ledgers.find(link.service);
+    if (it == data_.ledgers.end()) {
+        return;
+    }
+    if (hears_all(link.service)) {
+        tell_totals(turn, link, it->second, it->second.all_lifts());
+    }
+    else {
+        relay(turn, link, it->second.whole(link.service));
+    }
+}
+
+void report_teller::report(entry_turn& turn)
+{
+    for (auto& [service, ledger] : data_.ledgers) {
+        const service_report_message changes = ledger.take_changes(service);
+        if (changes.sources.empty() && changes.lifts.empty()) {
+            continue;
+        }
+        const bool has_totals = hears_all(service);
+        for (auto& [id, link] : data_.links.links()) {
+            if (!link.has_hello || link.service != service) {
+                continue;
+            }
+            if (has_totals) {
+                tell_totals(turn, link, ledger, changes.lifts);
+            }
+            else {
+                relay(turn, link, changes);
+            }
+        }
+    }
+}
+
+bool report_teller::hears_all(account_key service) const
+{
+    const auto is_heard = [&](const member& it) {
+        return it.role != process_role::agent || it.state != member_state::live ||
+               account_key::of(it.service) != service || data_.links.usable_link_to(it.name) != nullptr;
+    };
+    return std::all_of(data_.members.begin(), data_.members.end(), is_heard);
+}
+
+void report_teller::tell_totals(entry_turn& turn, outgoing_link& link, const service_ledger& ledger,
+                                std::vector<lift_item> lifts)
+{
+    service_totals_message value{link.service, {}, std::move(lifts)};
+    for (const total_item& it : ledger.totals_without(link.peer)) {
+        std::uint64_t& told = link.told_totals[it.client_account];
+        if (std::exchange(told, it.charged) != it.charged) {
+            value.items.push_back(it);
+        }
+    }
+    if (!value.items.empty() || !value.lifts.empty()) {
+        link_table::send(turn, link, std::move(value));
+    }
+}
+
+} // namespace hemlocknotch
--- a/packages/core/src/service_ledger.cpp
+++ b/packages/core/src/service_ledger.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <utility>
 
 namespace hemlocknotch {
@@ -46,19 +47,64 @@
             is_any_new = true;
         }
     }
-    for (const lift_item& item : report.lifts) {
+    is_any_new = merge_lifts(report.lifts) || is_any_new;
+    while (sources_.size() > max_sources_) {
+        drop_oldest_source();
+    }
+    return is_any_new;
+}
+
+bool service_ledger::merge_lifts(std::span<const lift_item> lifts)
+{
+    bool is_any_new = false;
+    for (const lift_item& item : lifts) {
         lift& it = lifts_[item.client_account];
         if (item.lift > it.amount) {
             it = lift{item.lift, true};
             is_any_new = true;
         }
     }
-    while (sources_.size() > max_sources_) {
-        drop_oldest_source();
-    }
     return is_any_new;
 }
 
+void service_ledger::merge_totals(std::string_view entry, const service_totals_message& value)
+{
+    auto& totals = totals_by_entry_[std::string{entry}];
+    for (const total_item& it : value.items) {
+        totals[it.client_account] = static_cast<double>(it.charged);
+    }
+    merge_lifts(value.lifts);
+}
+
+std::vector<total_item> service_ledger::totals_without(const process_identity& receiver) const
+{
+    const auto own = sources_.find(receiver);
+    std::vector<total_item> items;
+    items.reserve(totals_.size());
+    for (const auto& [client_account, total] : totals_) {
+        double charged = total;
+        if (own != sources_.end()) {
+            const auto it = own->second.cells.find(client_account);
+            charged -= it == own->second.cells.end() ? 0.0 : it->second.charged;
+        }
+        const auto units = static_cast<std::uint64_t>(std::max(0.0, std::round(charged)));
+        if (units > 0) {
+            items.push_back({client_account, units});
+        }
+    }
+    return items;
+}
+
+std::vector<lift_item> service_ledger::all_lifts() const
+{
+    std::vector<lift_item> items;
+    items.reserve(lifts_.size());
+    for (const auto& [client_account, it] : lifts_) {
+        items.push_back({client_account, it.amount});
+    }
+    return items;
+}
+
 void service_ledger::lift_to(account_key client_account, double weight, double floor)
 {
     assert(weight > 0.0);
@@ -74,11 +120,21 @@
 double service_ledger::counter(account_key client_account, double weight) const
 {
     assert(weight > 0.0);
-    const auto total = totals_.find(client_account);
     const auto raised = lifts_.find(client_account);
-    const double charged = total == totals_.end() ? 0.0 : total->second;
     const double amount = raised == lifts_.end() ? 0.0 : raised->second.amount;
-    return (charged + amount) / weight;
+    return (charged_to(client_account) + amount) / weight;
+}
+
+double service_ledger::charged_to(account_key client_account) const
+{
+    const auto total = totals_.find(client_account);
+    const double by_sources = total == totals_.end() ? 0.0 : total->second;
+    double others = 0.0;
+    for (const auto& [entry, totals] : totals_by_entry_) {
+        const auto it = totals.find(client_account);
+        others = std::max(others, it == totals.end() ? 0.0 : it->second);
+    }
+    return std::max(by_sources, own_counter(client_account, 1.0) + others);
 }
 
 double service_ledger::own_counter(account_key client_account, double weight) const
@@ -131,9 +187,7 @@
         }
         report.sources.push_back(std::move(told));
     }
-    for (const auto& [client_account, it] : lifts_) {
-        report.lifts.push_back({client_account, it.amount});
-    }
+    report.lifts = all_lifts();
     return report;
 }
 
--- a/packages/core/tests/service_ledger_test.cpp
+++ b/packages/core/tests/service_ledger_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <random>
+#include <string_view>
 #include <vector>
 
 using namespace hemlocknotch;
@@ -83,6 +84,35 @@
     BOOST_TEST(it.counter(farm, 2.0) == 7.0);
 }
 
+BOOST_AUTO_TEST_CASE(totals_leave_out_their_receiver_and_count_once)
+{
+    service_ledger first{{"agent-a", 1}};
+    service_ledger second{{"agent-b", 1}};
+    service_ledger entry{{"entry-a", 1}};
+    first.charge(township, 5.0);
+    second.charge(township, 7.0);
+    entry.merge(first.take_changes(service));
+    entry.merge(second.take_changes(service));
+    const service_totals_message told{service, entry.totals_without({"agent-a", 1}), {}};
+    for (const std::string_view teller : {"entry-a", "entry-b", "entry-a"}) {
+        first.merge_totals(teller, told);
+    }
+    BOOST_TEST(first.counter(township, 1.0) == 12.0);
+    BOOST_TEST(first.counter(township, 2.0) == 6.0);
+}
+
+// An entry that has just started knows less than the others.
+BOOST_AUTO_TEST_CASE(highest_of_several_totals_counts)
+{
+    service_ledger it{{"agent-a", 1}};
+    it.merge_totals("entry-a", {service, {{township, 9}}, {}});
+    it.merge_totals("entry-b", {service, {{township, 2}}, {{farm, 4.0}}});
+    BOOST_TEST(it.counter(township, 1.0) == 9.0);
+    BOOST_TEST(it.counter(farm, 1.0) == 4.0);
+    it.merge_totals("entry-a", {service, {{township, 3}}, {}});
+    BOOST_TEST(it.counter(township, 1.0) == 3.0);
+}
+
 BOOST_AUTO_TEST_CASE(incarnation_that_changed_least_recently_is_dropped_first)
 {
     service_ledger it{{"entry-a", 1}, 2};
--- a/packages/wire/src/message_fields.hpp
+++ b/packages/wire/src/message_fields.hpp
@@ -153,6 +153,18 @@
     visit(m.service, m.sources, m.lifts);
 }
 
+template <class V, value_of<total_item> M>
+void visit_fields(V& visit, M& m)
+{
+    visit(m.client_account, m.charged);
+}
+
+template <class V, value_of<service_totals_message> M>
+void visit_fields(V& visit, M& m)
+{
+    visit(m.service, m.items, m.lifts);
+}
+
 template <class V, value_of<revision_message> M>
 void visit_fields(V& visit, M& m)
 {
--- a/packages/wire/tests/message_codec_test.cpp
+++ b/packages/wire/tests/message_codec_test.cpp
@@ -53,6 +53,7 @@
         configuration_request_message{},
         configuration_message{3, "{}"},
         heartbeat_message{1, true},
+        service_totals_message{account_key{1}, {{account_key{2}, 3}}, {{account_key{2}, 1.0}}},
     };
 }
 
