--- a/packages/core/fuzz/fleet.cpp
+++ b/packages/core/fuzz/fleet.cpp
@@ -5,6 +5,7 @@
 
 #include "fleet_size.hpp"
 
+#include <algorithm>
 #include <iostream>
 #include <utility>
 
@@ -32,9 +33,16 @@
     tell_members();
     watch_store();
     call_in();
-    break_something();
+    if (options_.is_calm) {
+        heal();
+        is_faulty_ = true; // Callers come while this is set.
+    }
+    else {
+        break_something();
+    }
     while (steps_ < options_.steps) {
         time_.step();
+        measure_use();
     }
     heal();
     constexpr duration quiet_time = std::chrono::seconds{200};
@@ -52,6 +60,27 @@
     }
 }
 
+void fleet::measure_use()
+{
+    const duration passed = time_.now() - std::exchange(measured_at_, time_.now());
+    const bool has_waiting = std::any_of(entries_.begin(), entries_.end(), [](const entry_node& it) {
+        return it.reducer->state().status().waiting > 0;
+    });
+    if (!has_waiting || passed > std::chrono::seconds{1}) {
+        return;
+    }
+    for (const agent_node& it : agents_) {
+        busy_ += passed * it.endpoint->running();
+        wanted_ += passed * endpoint_limit;
+    }
+}
+
+double fleet::utilisation() const
+{
+    return static_cast<double>(busy_.count()) /
+           static_cast<double>(std::max<duration::rep>(1, wanted_.count()));
+}
+
 void fleet::start_entry(std::size_t n)
 {
     entry_node& it = entries_[n];
--- a/packages/core/fuzz/fleet.hpp
+++ b/packages/core/fuzz/fleet.hpp
@@ -24,6 +24,9 @@
     std::uint64_t steps = 100000;
     /// Whether messages on one link also come doubled and out of order.
     bool is_disordered = false;
+    /// No faults, short delays, more callers than the endpoints bear: `utilisation` then says whether places
+    /// were idle while work waited.
+    bool is_calm = false;
     /// A fault of the harness itself that the oracle must see; empty for none.
     std::string mutation;
     /// Messages and faults are printed from this step on.
@@ -43,6 +46,9 @@
 
     [[nodiscard]] const oracle& judge() const { return oracle_; }
 
+    /// Returns the share of the endpoints' places that were busy while requests waited at any entry.
+    [[nodiscard]] double utilisation() const;
+
 private:
     struct connection;
     using connection_ptr = std::shared_ptr<connection>;
@@ -125,6 +131,7 @@
     void deliver(const connection_ptr& link, bool is_down, message content);
     void hand_over(const connection_ptr& link, bool is_down, const message& content);
     void cut(const connection_ptr& link);
+    void measure_use();
     void check(entry_node& of);
     void check(agent_node& of);
     void call_in();
@@ -155,6 +162,9 @@
     bool is_faulty_ = true;
     exchange_id last_exchange_ = 0;
     std::uint64_t steps_ = 0;
+    instant measured_at_;
+    duration busy_{};
+    duration wanted_{};
 };
 
 } // namespace hemlocknotch::fuzz
--- a/packages/core/fuzz/fleet_links.cpp
+++ b/packages/core/fuzz/fleet_links.cpp
@@ -20,7 +20,8 @@
     time_.after(time_.time(100, 5000), [this, link, address = effect.address] {
         agent_node& agent = agents_[link->agent];
         entry_node& entry = entries_[link->entry];
-        const bool is_refused = agent.identity != link->agent_process || (is_faulty_ && time_.once_in(8));
+        const bool is_refused =
+            agent.identity != link->agent_process || (is_faulty_ && !options_.is_calm && time_.once_in(8));
         if (is_refused || entry.identity != link->entry_process) {
             cut(link);
             return;
@@ -49,7 +50,7 @@
 
 void fleet::deliver(const connection_ptr& link, bool is_down, message content)
 {
-    instant at = time_.now() + time_.time(100, 4000);
+    instant at = time_.now() + time_.time(100, options_.is_calm ? 500 : 4000);
     at = std::max(at, link->stalled_until);
     instant& last = is_down ? link->last_down : link->last_up;
     const bool is_late = options_.is_disordered && is_faulty_ && time_.once_in(50);
--- a/packages/core/fuzz/fleet_platform.cpp
+++ b/packages/core/fuzz/fleet_platform.cpp
@@ -129,7 +129,8 @@
     if (!is_faulty_) {
         return;
     }
-    time_.after(time_.time(1000, time_.once_in(4) ? 150000 : 15000), [this] { call_in(); });
+    const std::uint64_t pause = options_.is_calm ? 8000 : time_.once_in(4) ? 150000 : 15000;
+    time_.after(time_.time(1000, pause), [this] { call_in(); });
     const std::vector<std::string> accounts{"north", "south", "east"};
     const std::vector<std::string> profiles{"history", "draft", "transfer", "transfer"};
     caller_request_event request;
--- a/packages/core/fuzz/main_core_fuzz.cpp
+++ b/packages/core/fuzz/main_core_fuzz.cpp
@@ -18,8 +18,8 @@
     }
 }
 
-/// Returns whether no promise was broken.
-bool run(const fleet_options& options)
+/// Returns whether no promise was broken and the places were used.
+bool run(const fleet_options& options, double min_utilisation)
 {
     fleet value{options};
     try {
@@ -30,8 +30,13 @@
                   << "\n";
         return false;
     }
-    std::cout << "seed " << options.seed << ": " << value.steps() << " steps\n";
+    std::cout << "seed " << options.seed << ": " << value.steps() << " steps, utilisation "
+              << value.utilisation() << "\n";
     print_outcomes(value);
+    if (value.utilisation() < min_utilisation) {
+        std::cout << "utilisation while work waits is below " << min_utilisation << "\n";
+        return false;
+    }
     return true;
 }
 
@@ -43,11 +48,15 @@
         "Runs entries and agents against each other under random faults and checks what they promise."};
     fleet_options options;
     std::uint64_t seeds = 1;
+    double min_utilisation = 0.0;
     app.add_option("--seed", options.seed, "First seed");
     app.add_option("--seeds", seeds, "Number of seeds, one run each");
     app.add_option("--steps", options.steps, "Events for each run while faults come");
     app.add_flag("--disordered", options.is_disordered,
                  "Messages on a link come doubled and out of order too");
+    app.add_flag("--calm", options.is_calm, "No faults and more work than the endpoints bear");
+    app.add_option("--min-utilisation", min_utilisation,
+                   "Share of the endpoints' places that must be busy while requests wait");
     app.add_option("--trace-from", options.trace_from, "Print messages and faults from this step on");
     app.add_option("--check-mutation", options.mutation,
                    "Build this fault into the harness; exits 0 only if a promise is seen broken")
@@ -57,7 +66,7 @@
     CLI11_PARSE(app, argc, argv);
     bool is_kept = true;
     for (std::uint64_t n = 0; n < seeds; ++n, ++options.seed) {
-        is_kept = run(options) && is_kept;
+        is_kept = run(options, min_utilisation) && is_kept;
     }
     return is_kept == options.mutation.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
 }
