Entry: a body that can never be held is not told to come back

Cause: a body above max_held_bytes but within its profile's limit was refused as queue-full with a Retry-After, although no later try could pass.

--- a/packages/core/src/caller_handler.cpp
+++ b/packages/core/src/caller_handler.cpp
@@ -57,7 +57,8 @@
     if (profile == nullptr || current->find_service(profile->service) == nullptr) {
         return refused(refusal_code::unknown_profile);
     }
-    if (value.body.size() > profile->max_body_bytes) {
+    // A body that could never be held must not be told to come back.
+    if (value.body.size() > std::min<std::uint64_t>(profile->max_body_bytes, data_.options.max_held_bytes)) {
         return refused(refusal_code::body_too_large);
     }
     if (data_.is_draining) {
--- a/packages/core/tests/caller_handler_test.cpp
+++ b/packages/core/tests/caller_handler_test.cpp
@@ -66,6 +66,13 @@
     auto large = request_of(6, "draft");
     large.body = std::string(51, 'x');
     on(large);
+    require_refusal(refusal_code::body_too_large);
+    large.exchange = 7;
+    large.body = std::string(30, 'x');
+    on(large);
+    BOOST_TEST(status().held_bytes == 30U);
+    large.exchange = 8;
+    on(large);
     require_refusal(refusal_code::queue_full);
 }
 
