--- a/packages/standins/include/hemlocknotch/standins/load_metrics.hpp
+++ b/packages/standins/include/hemlocknotch/standins/load_metrics.hpp
@@ -17,13 +17,20 @@
 
 namespace hemlocknotch::standins {
 
-/// Figures of one run of the load, over its window: from its begin to its length. An account counts as
+/// The stretch of a run that its figures are taken over.
+struct load_window {
+    duration begin{};
+    duration end{};
+};
+
+/// Figures of one run of the load, over a window. An account counts as
 /// backlogged while it has a request to the model service that was sent and whose answer's head has not come.
 /// Not thread-safe; time comes from the caller and never goes back.
 class load_metrics {
 public:
-    /// Makes empty figures of a run of `length` for the accounts and weights of `mix`.
-    load_metrics(const deployment_mix& mix, duration length);
+    /// Makes empty figures for the accounts and weights of `mix`. Precondition: the window ends after it
+    /// begins.
+    load_metrics(const deployment_mix& mix, const load_window& window);
 
     /// Notes that a request to the model service was sent at `at`.
     void on_sent(std::string_view account, duration at);
@@ -54,6 +61,11 @@
         duration backlogged_time{};
     };
 
+    void set_backlogged(std::size_t account, bool is_backlogged, duration at);
+    void begin_window(duration at);
+
+    [[nodiscard]] duration window_length() const { return window_.end - window_.begin; }
+
     [[nodiscard]] std::size_t index_of(std::string_view account) const;
     [[nodiscard]] double fair_share_of_a_minute() const;
     [[nodiscard]] std::vector<double> shares_of_backlogged() const;
@@ -62,7 +74,8 @@
     std::vector<account_state> accounts_;
     std::map<std::string, std::size_t, std::less<>> index_;
     fairness_meter fairness_;
-    duration length_;
+    load_window window_;
+    bool is_begun_ = false;
     double units_ = 0.0;
     std::multiset<duration> waiting_since_;
     double used_room_ = 0.0;
--- a/packages/standins/include/hemlocknotch/standins/load_runner.hpp
+++ b/packages/standins/include/hemlocknotch/standins/load_runner.hpp
@@ -24,6 +24,8 @@
     std::vector<endpoint_address> engines;
     account_spread spread = account_spread::even;
     std::uint64_t seed = 1;
+    /// Figures are taken from here on, so that what was started has found its pace.
+    duration warm_up{};
     /// Requests are sent for this long ...
     duration length = std::chrono::seconds{45};
     /// ... and may end within this.
--- a/packages/standins/src/load_metrics.cpp
+++ b/packages/standins/src/load_metrics.cpp
@@ -66,9 +66,10 @@
     return values[std::min(place, values.size() - 1)];
 }
 
-load_metrics::load_metrics(const deployment_mix& mix, duration length)
-    : fairness_{weights_of(mix)}, length_{length}
+load_metrics::load_metrics(const deployment_mix& mix, const load_window& window)
+    : fairness_{weights_of(mix)}, window_{window}
 {
+    assert(window.begin < window.end);
     for (const account_mix& it : mix.accounts) {
         index_[it.account] = accounts_.size();
         accounts_.push_back({it.account, it.weight, 0, duration::zero(), duration::zero()});
@@ -82,35 +83,64 @@
     return it->second;
 }
 
+void load_metrics::begin_window(duration at)
+{
+    if (is_begun_ || at < window_.begin) {
+        return;
+    }
+    is_begun_ = true;
+    for (std::size_t i = 0; i < accounts_.size(); ++i) {
+        if (accounts_[i].waiting > 0) {
+            set_backlogged(i, true, window_.begin);
+        }
+    }
+}
+
+void load_metrics::set_backlogged(std::size_t account, bool is_backlogged, duration at)
+{
+    if (!is_begun_) {
+        return;
+    }
+    account_state& state = accounts_[account];
+    if (is_backlogged) {
+        state.backlogged_since = at;
+    }
+    else {
+        state.backlogged_time += std::min(at, window_.end) - std::min(state.backlogged_since, window_.end);
+    }
+    fairness_.set_backlogged(account, is_backlogged);
+}
+
 void load_metrics::on_sent(std::string_view account, duration at)
 {
-    if (at >= length_) {
+    if (at >= window_.end) {
         return;
     }
+    begin_window(at);
     account_state& state = accounts_[index_of(account)];
     waiting_since_.insert(at);
     if (state.waiting++ == 0) {
-        state.backlogged_since = at;
-        fairness_.set_backlogged(index_of(account), true);
+        set_backlogged(index_of(account), true, at);
     }
 }
 
 void load_metrics::on_not_waiting(std::string_view account, duration sent, duration at)
 {
-    if (sent >= length_) {
+    if (sent >= window_.end) {
         return;
     }
+    begin_window(at);
     account_state& state = accounts_[index_of(account)];
     waiting_since_.erase(waiting_since_.find(sent));
     if (--state.waiting == 0) {
-        state.backlogged_time += std::min(at, length_) - std::min(state.backlogged_since, length_);
-        fairness_.set_backlogged(index_of(account), false);
+        set_backlogged(index_of(account), false, at);
     }
 }
 
 void load_metrics::on_service(std::string_view account, double units, duration at)
 {
-    if (at >= length_) {
+    begin_window(at);
+    if (at < window_.begin || at >= window_.end) {
         return;
     }
     units_ += units;
@@ -119,7 +149,8 @@
 
 void load_metrics::on_engine_sample(double running, double capacity, duration at)
 {
-    if (at >= length_ || waiting_since_.empty() || *waiting_since_.begin() + waiting_threshold > at) {
+    const bool is_outside = at < window_.begin || at >= window_.end;
+    if (is_outside || waiting_since_.empty() || *waiting_since_.begin() + waiting_threshold > at) {
         return;
     }
     const double room = std::floor(capacity);
@@ -132,7 +163,7 @@
     const double weights =
         std::accumulate(accounts_.begin(), accounts_.end(), 0.0,
                         [](double sum, const account_state& it) { return sum + it.weight; });
-    return units_ / seconds(length_) * seconds_per_minute / weights;
+    return units_ / seconds(window_length()) * seconds_per_minute / weights;
 }
 
 std::vector<double> load_metrics::shares_of_backlogged() const
@@ -141,8 +172,8 @@
     for (std::size_t i = 0; i < accounts_.size(); ++i) {
         const account_state& it = accounts_[i];
         const duration running =
-            it.waiting > 0 ? length_ - std::min(it.backlogged_since, length_) : duration::zero();
-        if (seconds(it.backlogged_time + running) >= backlogged_share * seconds(length_)) {
+            it.waiting > 0 ? window_.end - std::min(it.backlogged_since, window_.end) : duration::zero();
+        if (seconds(it.backlogged_time + running) >= backlogged_share * seconds(window_length())) {
             shares.push_back(fairness_.weighted_service(i));
         }
     }
@@ -190,7 +221,7 @@
             {"jain", rounded(jain_index(shares))},
             {"jain_accounts", shares.size()},
             {"utilisation", rounded(room_ > 0 ? used_room_ / room_ : 1.0)},
-            {"units_per_second", rounded(units_ / seconds(length_))},
+            {"units_per_second", rounded(units_ / seconds(window_length()))},
             {"requests", records.size()},
             {"refused_not_run", outcomes["not-run"]},
             {"may_have_run", outcomes["may-have-run"]},
--- a/packages/standins/src/load_runner.cpp
+++ b/packages/standins/src/load_runner.cpp
@@ -21,7 +21,7 @@
       mix_{mix},
       trace_{std::move(trace)},
       options_{options},
-      metrics_{mix, options.length},
+      metrics_{mix, {options.warm_up, options.length}},
       pool_{loop, options.entries, options.spread, options.seed},
       send_timer_{loop.base(), [this] { send_due(); }},
       close_timer_{loop.base(), [this] { close_ended(); }},
--- a/packages/standins/src/main_load.cpp
+++ b/packages/standins/src/main_load.cpp
@@ -32,6 +32,7 @@
     std::string spread = "even";
     std::uint64_t seed = 1;
     std::uint32_t seconds = 45;
+    std::uint32_t warm_up_seconds = 0;
     std::uint32_t drain_seconds = 10;
     bool is_withdrawing = true;
 };
@@ -57,6 +58,9 @@
 
 load_options options_of(const arguments& args)
 {
+    if (args.warm_up_seconds >= args.seconds) {
+        throw std::runtime_error{"--warm-up-seconds has to be below --seconds"};
+    }
     load_options options;
     for (const std::string& it : args.entries) {
         options.entries.push_back(parse_balanced_entry(it));
@@ -65,6 +69,7 @@
     options.spread = args.spread == "skewed" ? account_spread::skewed : account_spread::even;
     options.seed = args.seed;
     options.length = std::chrono::seconds{args.seconds};
+    options.warm_up = std::chrono::seconds{args.warm_up_seconds};
     options.drain = std::chrono::seconds{args.drain_seconds};
     options.is_withdrawing = args.is_withdrawing;
     return options;
@@ -166,6 +171,9 @@
         ->capture_default_str();
     app.add_option("--seed", args.seed, "Seed of the choice of entries")->capture_default_str();
     app.add_option("--seconds", args.seconds, "Length of the run")->capture_default_str();
+    app.add_option("--warm-up-seconds", args.warm_up_seconds,
+                   "Figures are taken from here on; below --seconds")
+        ->capture_default_str();
     app.add_option("--drain-seconds", args.drain_seconds, "Time for answers to end after that")
         ->capture_default_str();
     app.add_flag("!--wait-for-all", args.is_withdrawing,
--- a/tools/fleet/runs.py
+++ b/tools/fleet/runs.py
@@ -16,7 +16,7 @@
 from fleet.scenarios import MOVED_DOMAIN, Scenario, StepRunner
 from fleet.sizes import Size
 
-DRAIN_S = 6
+DRAIN_S = 3
 LOAD_MARGIN_S = 60
 ACCEPTANCE_LIMIT_S = 3.0
 SHARE_TARGET = 0.9
@@ -52,6 +52,7 @@
     """Returns the load tool's command line for a fleet."""
     command = ["load", "--size", options.size.name, "--trace", str(trace), "--seed", str(options.seed)]
     command += ["--seconds", str(options.seconds), "--drain-seconds", str(options.drain_seconds)]
+    command += ["--warm-up-seconds", str(options.scenario.warm_up_s)]
     command += ["--spread", options.scenario.spread, "--record", str(fleet.directory / "records")]
     for entry in fleet.entries():
         command += ["--entry", f"{entry.name}={entry.address},{entry.operators}"]
--- a/tools/fleet/scenarios.py
+++ b/tools/fleet/scenarios.py
@@ -34,6 +34,7 @@
     load: float = 1.3
     spread: str = "even"
     head_start_s: int = 0
+    warm_up_s: int = 0
     flood_factor: float = 1.0
     is_warm: bool = True
     has_relays: bool = False
@@ -177,9 +178,9 @@
 SCENARIOS = {
     it.name: it
     for it in (
-        Scenario("steady", load=1.6, head_start_s=5, has_baseline=True),
-        Scenario("skewed", load=1.6, head_start_s=5, spread="skewed", has_baseline=True),
-        Scenario("flood", load=0.85, flood_factor=15.0, has_baseline=True),
+        Scenario("steady", load=1.6, head_start_s=5, warm_up_s=8, has_baseline=True),
+        Scenario("skewed", load=1.6, head_start_s=5, warm_up_s=8, spread="skewed", has_baseline=True),
+        Scenario("flood", load=0.85, flood_factor=15.0, warm_up_s=8, has_baseline=True),
         Scenario("cold", is_warm=False, steps=(Step(0.6, "go-cold", go_cold),)),
         Scenario("domain-move", steps=MOVE),
         Scenario("partition", has_relays=True, steps=PARTITION),
