--- a/packages/daemon/src/process_runtime.cpp
+++ b/packages/daemon/src/process_runtime.cpp
@@ -76,7 +76,7 @@
       watcher_{base_.get(), *store_, configuration_watcher_options{.watch_limit = values.store_watch_limit},
                entropy_, *this},
       started_{clock_.now()},
-      tick_{base_.get(), [this] { tick_if_due(); }},
+      tick_{base_.get(), [this] { sink_.on_tick(); }},
       members_{base_.get(), [this] { poll_members(); }},
       exit_{base_.get(), [this] { exit_when_sent(); }}
 {
@@ -128,7 +128,6 @@
 
 void process_runtime::execute(const schedule_tick_effect& effect)
 {
-    tick_at_ = effect.at;
     tick_.start(effect.at - clock_.now());
 }
 
@@ -215,17 +214,6 @@
     });
 }
 
-void process_runtime::tick_if_due()
-{
-    // The event loop counts from the time at which it woke up, so that its timers can be early.
-    const auto now = clock_.now();
-    if (now < tick_at_) {
-        tick_.start(tick_at_ - now);
-        return;
-    }
-    sink_.on_tick();
-}
-
 void process_runtime::on_signal(int number)
 {
     if (number == SIGHUP) {
--- a/packages/daemon/src/process_runtime.hpp
+++ b/packages/daemon/src/process_runtime.hpp
@@ -85,7 +85,6 @@
     void on_unreadable_envelope() override;
     void read_document(std::uint64_t revision, const std::string& document);
     void poll_members();
-    void tick_if_due();
     void on_signal(int number);
     void exit_when_sent();
 
@@ -104,7 +103,6 @@
     std::function<std::optional<std::string>()> reload_;
     instant started_;
     instant stopped_;
-    instant tick_at_;
     bool is_ready_ = false;
     bool is_stopping_ = false;
     bool is_instance_list_reached_ = true;
