Take the fairness gap from the start of a run, the utilisation after the warm-up

Change: gap and Jain's index over the whole run from the first request; only the utilisation begins after the warm-up. Seen: build/bin/standins_test passes.

--- a/packages/standins/include/hemlocknotch/standins/load_metrics.hpp
+++ b/packages/standins/include/hemlocknotch/standins/load_metrics.hpp
@@ -17,7 +17,8 @@
 
 namespace hemlocknotch::standins {
 
-/// The stretch of a run that its figures are taken over.
+/// When a run's figures are taken: from its start to `end`, the utilisation from `begin`, so that what was
+/// started has found its pace.
 struct load_window {
     duration begin{};
     duration end{};
@@ -75,7 +76,6 @@
     std::map<std::string, std::size_t, std::less<>> index_;
     fairness_meter fairness_;
     load_window window_;
-    bool is_begun_ = false;
     double units_ = 0.0;
     std::multiset<duration> waiting_since_;
     double used_room_ = 0.0;
--- a/packages/standins/include/hemlocknotch/standins/load_runner.hpp
+++ b/packages/standins/include/hemlocknotch/standins/load_runner.hpp
@@ -24,7 +24,7 @@
     std::vector<endpoint_address> engines;
     account_spread spread = account_spread::even;
     std::uint64_t seed = 1;
-    /// Figures are taken from here on, so that what was started has found its pace.
+    /// The utilisation is taken from here on, so that what was started has found its pace.
     duration warm_up{};
     /// Requests are sent for this long ...
     duration length = std::chrono::seconds{45};
--- a/packages/standins/src/load_metrics.cpp
+++ b/packages/standins/src/load_metrics.cpp
@@ -83,24 +83,8 @@
     return it->second;
 }
 
-void load_metrics::begin_window(duration at)
-{
-    if (is_begun_ || at < window_.begin) {
-        return;
-    }
-    is_begun_ = true;
-    for (std::size_t i = 0; i < accounts_.size(); ++i) {
-        if (accounts_[i].waiting > 0) {
-            set_backlogged(i, true, window_.begin);
-        }
-    }
-}
-
 void load_metrics::set_backlogged(std::size_t account, bool is_backlogged, duration at)
 {
-    if (!is_begun_) {
-        return;
-    }
     account_state& state = accounts_[account];
     if (is_backlogged) {
         state.backlogged_since = at;
@@ -116,7 +100,6 @@
     if (at >= window_.end) {
         return;
     }
-    begin_window(at);
     account_state& state = accounts_[index_of(account)];
     waiting_since_.insert(at);
     if (state.waiting++ == 0) {
@@ -129,7 +112,6 @@
     if (sent >= window_.end) {
         return;
     }
-    begin_window(at);
     account_state& state = accounts_[index_of(account)];
     waiting_since_.erase(waiting_since_.find(sent));
     if (--state.waiting == 0) {
@@ -139,8 +121,7 @@
 
 void load_metrics::on_service(std::string_view account, double units, duration at)
 {
-    begin_window(at);
-    if (at < window_.begin || at >= window_.end) {
+    if (at >= window_.end) {
         return;
     }
     units_ += units;
@@ -163,7 +144,7 @@
     const double weights =
         std::accumulate(accounts_.begin(), accounts_.end(), 0.0,
                         [](double sum, const account_state& it) { return sum + it.weight; });
-    return units_ / seconds(window_length()) * seconds_per_minute / weights;
+    return units_ / seconds(window_.end) * seconds_per_minute / weights;
 }
 
 std::vector<double> load_metrics::shares_of_backlogged() const
@@ -173,7 +154,7 @@
         const account_state& it = accounts_[i];
         const duration running =
             it.waiting > 0 ? window_.end - std::min(it.backlogged_since, window_.end) : duration::zero();
-        if (seconds(it.backlogged_time + running) >= backlogged_share * seconds(window_length())) {
+        if (seconds(it.backlogged_time + running) >= backlogged_share * seconds(window_.end)) {
             shares.push_back(fairness_.weighted_service(i));
         }
     }
@@ -221,7 +202,7 @@
             {"jain", rounded(jain_index(shares))},
             {"jain_accounts", shares.size()},
             {"utilisation", rounded(room_ > 0 ? used_room_ / room_ : 1.0)},
-            {"units_per_second", rounded(units_ / seconds(window_length()))},
+            {"units_per_second", rounded(units_ / seconds(window_.end))},
             {"requests", records.size()},
             {"refused_not_run", outcomes["not-run"]},
             {"may_have_run", outcomes["may-have-run"]},
--- a/packages/standins/src/main_load.cpp
+++ b/packages/standins/src/main_load.cpp
@@ -172,7 +172,7 @@
     app.add_option("--seed", args.seed, "Seed of the choice of entries")->capture_default_str();
     app.add_option("--seconds", args.seconds, "Length of the run")->capture_default_str();
     app.add_option("--warm-up-seconds", args.warm_up_seconds,
-                   "Figures are taken from here on; below --seconds")
+                   "Utilisation is taken from here on; below --seconds")
         ->capture_default_str();
     app.add_option("--drain-seconds", args.drain_seconds, "Time for answers to end after that")
         ->capture_default_str();
--- a/packages/standins/tests/load_metrics_test.cpp
+++ b/packages/standins/tests/load_metrics_test.cpp
@@ -22,18 +22,17 @@
 BOOST_AUTO_TEST_CASE(only_the_window_counts)
 {
     load_metrics metrics{two_accounts(), {10s, 20s}};
-    metrics.on_sent("a", 1s);
-    metrics.on_sent("b", 1s);
-    metrics.on_service("a", 500.0, 5s);
+    metrics.on_sent("a", 0s);
+    metrics.on_sent("b", 0s);
+    metrics.on_service("a", 30.0, 5s);
     metrics.on_engine_sample(0.0, 4.0, 9s);
-    metrics.on_service("a", 30.0, 12s);
     metrics.on_service("b", 30.0, 13s);
     metrics.on_engine_sample(3.0, 4.0, 14s);
     metrics.on_service("b", 500.0, 20s);
     const nlohmann::json summary = metrics.summary({});
     BOOST_TEST(summary.at("fairness_gap_units") == 30.0);
-    BOOST_TEST(summary.at("units_per_second") == 6.0);
-    BOOST_TEST(summary.at("fair_share_60s_units") == 180.0);
+    BOOST_TEST(summary.at("units_per_second") == 3.0);
+    BOOST_TEST(summary.at("fair_share_60s_units") == 90.0);
     BOOST_TEST(summary.at("utilisation") == 0.75);
     BOOST_TEST(summary.at("jain") == 1.0);
     BOOST_TEST(summary.at("jain_accounts") == 2U);
