Tell each gauge of the agent once, and describe those that were not

Cause: the daemon's catalog test found five gauges of the agent's reducer without a description; two of them repeat what the shell tells. Result: daemon_test passes.

--- a/packages/core/src/agent_reducer.cpp
+++ b/packages/core/src/agent_reducer.cpp
@@ -99,9 +99,7 @@
     const auto gauge = [&](std::string_view name, double value) {
         parts.measure(metric_kind::gauge, name, value);
     };
-    gauge("hemlocknotch_agent_running_requests", static_cast<double>(parts.dispatches.running()));
     gauge("hemlocknotch_agent_waiting_requests", static_cast<double>(parts.dispatches.waiting()));
-    gauge("hemlocknotch_agent_concurrency_limit", parts.limit->limit());
     gauge("hemlocknotch_agent_grants", static_cast<double>(parts.grants.size()));
     gauge("hemlocknotch_agent_tombstones", static_cast<double>(parts.tombstones.size()));
 }
--- a/packages/daemon/src/metric_catalog.cpp
+++ b/packages/daemon/src/metric_catalog.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr std::array descriptions{
+    metric_description{"hemlocknotch_agent_grants", "Grants given and not yet used, declined or expired."},
+    metric_description{"hemlocknotch_agent_tombstones",
+                       "Dispatches remembered so that a late copy cannot run."},
+    metric_description{"hemlocknotch_agent_waiting_requests", "Requests accepted that do not run yet."},
     metric_description{"hemlocknotch_callers_connected", "Requests of callers that have not ended."},
     metric_description{"hemlocknotch_configuration_errors_total",
                        "Configuration documents that failed their check."},
