--- a/packages/core/src/agent_reducer.cpp
+++ b/packages/core/src/agent_reducer.cpp
@@ -94,18 +94,6 @@
     }
 }
 
-void tell_gauges(agent_parts& parts)
-{
-    const auto gauge = [&](std::string_view name, double value) {
-        parts.measure(metric_kind::gauge, name, value);
-    };
-    gauge("hemlocknotch_agent_running_requests", static_cast<double>(parts.dispatches.running()));
-    gauge("hemlocknotch_agent_waiting_requests", static_cast<double>(parts.dispatches.waiting()));
-    gauge("hemlocknotch_agent_concurrency_limit", parts.limit->limit());
-    gauge("hemlocknotch_agent_grants", static_cast<double>(parts.grants.size()));
-    gauge("hemlocknotch_agent_tombstones", static_cast<double>(parts.tombstones.size()));
-}
-
 /// Does what is due at this time.
 void do_periodic_duties(agent_parts& parts)
 {
@@ -121,7 +109,6 @@
     if (parts.now >= schedule.next_report) {
         schedule.next_report = parts.now + parts.options.report_interval;
         agent::send_reports(parts);
-        tell_gauges(parts);
     }
     if (parts.now >= schedule.next_health) {
         schedule.next_health = parts.now + parts.options.health_interval;
