--- /dev/null
+++ b/packages/wire/bench/line_fit.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <span>
+
+namespace hemlocknotch::bench {
+
+/// One measured point.
+struct point {
+    double x = 0.0;
+    double y = 0.0;
+};
+
+/// A straight line through points by least squares.
+struct line_fit {
+    double slope = 0.0;
+    /// Standard error of the slope.
+    double slope_error = 0.0;
+    double intercept = 0.0;
+};
+
+/// Fits a line. Precondition: at least three points with different `x`.
+line_fit fit_line(std::span<const point> points);
+
+} // namespace hemlocknotch::bench
