--- a/packages/core/fuzz/fleet.hpp
+++ b/packages/core/fuzz/fleet.hpp
@@ -24,6 +24,9 @@
     std::uint64_t steps = 100000;
     /// Whether messages on one link also come doubled and out of order.
     bool is_disordered = false;
+    /// No faults, short delays, more callers than the endpoints bear: `utilisation` then says whether places
+    /// were idle while work waited.
+    bool is_calm = false;
     /// A fault of the harness itself that the oracle must see; empty for none.
     std::string mutation;
     /// Messages and faults are printed from this step on.
@@ -43,6 +46,9 @@
 
     [[nodiscard]] const oracle& judge() const { return oracle_; }
 
+    /// Returns the share of the endpoints' places that were busy while requests waited at any entry.
+    [[nodiscard]] double utilisation() const;
+
 private:
     struct connection;
     using connection_ptr = std::shared_ptr<connection>;
@@ -55,7 +61,6 @@
         std::map<link_id, connection_ptr> links;
         instant tick_at;
         bool is_watching = false;
-        bool is_stopping = false;
         std::uint64_t revision = 0;
         member_state state = member_state::live;
     };
@@ -91,8 +96,8 @@
     void stop_links(const std::map<link_id, connection_ptr>& links);
     void feed(entry_node& to, decltype(entry_event::content) content);
     void feed(agent_node& to, decltype(agent_event::content) content);
-    template <class Node, class Content>
-    void feed_if(Node& to, const process_identity& process, Content content);
+    void feed_if(entry_node& to, const process_identity& process, decltype(entry_event::content) content);
+    void feed_if(agent_node& to, const process_identity& process, decltype(agent_event::content) content);
 
     void on(entry_node& from, const open_link_effect& effect);
     void on(entry_node& from, const reply_head_effect& effect);
@@ -126,6 +131,7 @@
     void deliver(const connection_ptr& link, bool is_down, message content);
     void hand_over(const connection_ptr& link, bool is_down, const message& content);
     void cut(const connection_ptr& link);
+    void measure_use();
     void check(entry_node& of);
     void check(agent_node& of);
     void call_in();
@@ -156,6 +162,9 @@
     bool is_faulty_ = true;
     exchange_id last_exchange_ = 0;
     std::uint64_t steps_ = 0;
+    instant measured_at_;
+    duration busy_{};
+    duration wanted_{};
 };
 
 } // namespace hemlocknotch::fuzz
--- a/packages/core/src/agent_grants.cpp
+++ b/packages/core/src/agent_grants.cpp
@@ -12,6 +12,16 @@
 /// Prompt beginnings named in a grant, at the most.
 constexpr std::size_t max_named_prefixes = 16;
 
+/// After a time without demand, most free places are held back for this long until all entries have told
+/// theirs: the first one to tell would otherwise get them all. Longer than the entries' demand interval.
+constexpr duration gather_time = std::chrono::milliseconds{25};
+
+/// Free places for each one that is granted within `gather_time`.
+constexpr long long places_per_early_grant = 8;
+
+/// Free places for each one that is told as room.
+constexpr long long places_per_room = 8;
+
 void give_back(agent_parts& parts, const issued_grant& grant)
 {
     parts.selector.charge(grant.client_account, -grant.charged);
@@ -44,16 +54,42 @@
     return true;
 }
 
-void issue_grants(agent_parts& parts)
+/// Returns the number of grants that may go out now, and asks for a tick where more may later.
+long long grants_allowed(agent_parts& parts)
 {
     const long long places = free_places(parts) + parts.options.grants_ahead;
-    for (long long n = 0; n < places; ++n) {
+    agent_schedule& schedule = parts.schedule;
+    if (!schedule.first_demand) {
+        schedule.first_demand = parts.now;
+        schedule.early_grants = (std::max(0LL, places) + places_per_early_grant - 1) / places_per_early_grant;
+    }
+    if (parts.now - *schedule.first_demand >= gather_time) {
+        return places;
+    }
+    schedule.next_offer = *schedule.first_demand + gather_time;
+    return std::min(places, schedule.early_grants);
+}
+
+void issue_grants(agent_parts& parts)
+{
+    const long long allowed = grants_allowed(parts);
+    for (long long n = 0; n < allowed; ++n) {
         if (!issue_grant(parts)) {
             return;
         }
+        --parts.schedule.early_grants;
     }
 }
 
+/// Returns the room to tell while no demand is known: a small part of the free places. The rest goes by
+/// grants when work comes for it, in fair order; requests sent into room come in no order between entries,
+/// and where a backlog begins they would decide who runs for as long as they take.
+std::uint32_t room_to_tell(const agent_parts& parts)
+{
+    const long long places = std::max(0LL, free_places(parts));
+    return static_cast<std::uint32_t>((places + places_per_room - 1) / places_per_room);
+}
+
 void tell_room(agent_parts& parts, std::uint32_t places)
 {
     std::vector<link_room> told;
@@ -62,7 +98,7 @@
             told.push_back({link, it.room_told});
         }
     }
-    const std::vector<link_room> wanted = split_room(told, places);
+    const std::vector<link_room> wanted = split_room(told, places, parts.options.identity.incarnation);
     const bool is_out = is_draining(parts);
     for (const link_room& item : wanted) {
         agent_link& it = *parts.links.find(item.link);
@@ -128,12 +164,13 @@
     if (parts.demand.has_any()) {
         tell_room(parts, 0);
         issue_grants(parts);
-        if (free_places(parts) > 0) {
+        if (free_places(parts) > 0 && !parts.schedule.next_offer) {
             parts.schedule.next_offer = parts.demand.next_retry(parts.now);
         }
         return;
     }
-    tell_room(parts, static_cast<std::uint32_t>(std::max(0LL, free_places(parts))));
+    parts.schedule.first_demand.reset();
+    tell_room(parts, room_to_tell(parts));
 }
 
 } // namespace hemlocknotch::agent
--- a/packages/ctl/src/fleet_reader.cpp
+++ b/packages/ctl/src/fleet_reader.cpp
@@ -1,5 +1,7 @@
 #include "fleet_reader.hpp"
 
+#include <hemlocknotch/platform/json_fields.hpp>
+
 #include "command_error.hpp"
 
 #include <nlohmann/json.hpp>
@@ -14,18 +16,6 @@
 
 constexpr int status_ok = 200;
 
-std::uint64_t read_count(const json& value, const char* name)
-{
-    const auto it = value.find(name);
-    return it != value.end() && it->is_number_unsigned() ? it->get<std::uint64_t>() : 0;
-}
-
-bool read_flag(const json& value, const char* name)
-{
-    const auto it = value.find(name);
-    return it != value.end() && it->is_boolean() && it->get<bool>();
-}
-
 std::map<std::string, std::map<std::string, double>> read_counters(const json& value)
 {
     std::map<std::string, std::map<std::string, double>> counters;
@@ -46,13 +36,13 @@
     return counters;
 }
 
-leaf::result<std::vector<listed_instance>> read_instances(session& session)
+leaf::result<std::vector<listed_instance>> read_instances(command_context& context)
 {
-    BOOST_LEAF_AUTO(list, session.instances());
+    BOOST_LEAF_AUTO(list, context.instances());
     std::optional<http_answer> answer;
-    list.get().send({http_method::get, "/instances", ""}, session.call_limit(),
+    list.get().send({http_method::get, "/instances", ""}, context.call_limit(),
                     [&](const http_answer& value) { answer = value; });
-    session.run_until([&] { return answer.has_value(); });
+    context.run_until([&] { return answer.has_value(); });
     const auto read = answer->status == status_ok ? read_instance_document(answer->body) : std::nullopt;
     if (!read) {
         return leaf::new_error(command_error{exit_code::unknown, "the instance list gave no answer",
@@ -70,22 +60,22 @@
         return std::nullopt;
     }
     daemon_status status;
-    status.revision = read_count(value, "revision");
-    status.is_ready = read_flag(value, "is_ready");
-    status.is_draining = read_flag(value, "is_draining");
-    status.links = read_count(value, "links");
-    status.waiting = read_count(value, "waiting");
-    status.outstanding = read_count(value, "outstanding");
-    status.running = read_count(value, "running");
-    status.limit = read_count(value, "limit");
-    status.room = read_count(value, "room");
+    status.revision = read_count_field(value, "revision");
+    status.is_ready = read_flag_field(value, "is_ready");
+    status.is_draining = read_flag_field(value, "is_draining");
+    status.links = read_count_field(value, "links");
+    status.waiting = read_count_field(value, "waiting");
+    status.outstanding = read_count_field(value, "outstanding");
+    status.running = read_count_field(value, "running");
+    status.limit = read_count_field(value, "limit");
+    status.room = read_count_field(value, "room");
     status.counters = read_counters(value);
     return status;
 }
 
-leaf::result<std::vector<observed_daemon>> read_fleet(session& session)
+leaf::result<std::vector<observed_daemon>> read_fleet(command_context& context)
 {
-    BOOST_LEAF_AUTO(instances, read_instances(session));
+    BOOST_LEAF_AUTO(instances, read_instances(context));
     std::vector<observed_daemon> daemons;
     daemons.reserve(instances.size());
     for (const listed_instance& it : instances) {
@@ -97,15 +87,15 @@
             continue;
         }
         ++open_calls;
-        session.daemon(*it.instance.operators)
-            .send({http_method::get, "/status", ""}, session.call_limit(), [&](const http_answer& answer) {
+        context.daemon(*it.instance.operators)
+            .send({http_method::get, "/status", ""}, context.call_limit(), [&](const http_answer& answer) {
                 --open_calls;
                 if (answer.status == status_ok) {
                     it.status = read_daemon_status(answer.body);
                 }
             });
     }
-    session.run_until([&] { return open_calls == 0; });
+    context.run_until([&] { return open_calls == 0; });
     std::sort(daemons.begin(), daemons.end(),
               [](const auto& a, const auto& b) { return a.instance.process.name < b.instance.process.name; });
     return daemons;
--- a/packages/daemon/src/process_runtime.cpp
+++ b/packages/daemon/src/process_runtime.cpp
@@ -30,6 +30,17 @@
     return std::chrono::duration<double>(value).count();
 }
 
+/// Changes of the set of descriptors are gathered and made before each wait, so that one that is undone at
+/// once costs no system call. No descriptor is duplicated, as this needs.
+event_base_ptr make_event_base()
+{
+    const std::unique_ptr<event_config, event_config_deleter> config{event_config_new()};
+    event_config_set_flag(config.get(), EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+    event_base_ptr base{event_base_new_with_config(config.get())};
+    assert(base);
+    return base;
+}
+
 } // namespace
 
 /// One signal that the event loop takes in.
@@ -56,7 +67,7 @@
 process_runtime::process_runtime(const settings& values, runtime_sink& sink)
     : settings_{values},
       sink_{sink},
-      base_{event_base_new()},
+      base_{make_event_base()},
       log_{*parse_log_level(values.log_level),
            values.log_format == "text" ? log_format::text : log_format::json, values.name},
       spans_{std::make_unique<span_recorder>()},
@@ -65,7 +76,7 @@
       watcher_{base_.get(), *store_, configuration_watcher_options{.watch_limit = values.store_watch_limit},
                entropy_, *this},
       started_{clock_.now()},
-      tick_{base_.get(), [this] { tick_if_due(); }},
+      tick_{base_.get(), [this] { sink_.on_tick(); }},
       members_{base_.get(), [this] { poll_members(); }},
       exit_{base_.get(), [this] { exit_when_sent(); }}
 {
@@ -117,7 +128,6 @@
 
 void process_runtime::execute(const schedule_tick_effect& effect)
 {
-    tick_at_ = effect.at;
     tick_.start(effect.at - clock_.now());
 }
 
@@ -204,17 +214,6 @@
     });
 }
 
-void process_runtime::tick_if_due()
-{
-    // The event loop counts from the time at which it woke up, so that its timers can be early.
-    const auto now = clock_.now();
-    if (now < tick_at_) {
-        tick_.start(tick_at_ - now);
-        return;
-    }
-    sink_.on_tick();
-}
-
 void process_runtime::on_signal(int number)
 {
     if (number == SIGHUP) {
