Describe the agent's new gauges

Cause: the agent's decisions write five gauges that the catalog did not have; the test that compares both found them after the merge. Change: five descriptions. daemon_test passes; the test documents still fails because docs/OPERATORS.md lacks four of these gauges and docs/CAPACITY.md is not there yet.

--- a/packages/daemon/src/metric_catalog.cpp
+++ b/packages/daemon/src/metric_catalog.cpp
@@ -7,6 +7,15 @@
 namespace {
 
 constexpr std::array descriptions{
+    metric_description{"hemlocknotch_agent_concurrency_limit",
+                       "Requests that the endpoint is given at once, as the agent's decisions last told."},
+    metric_description{"hemlocknotch_agent_grants", "Grants that are out."},
+    metric_description{"hemlocknotch_agent_running_requests",
+                       "Requests that hold a place of the endpoint, as the agent's decisions last told."},
+    metric_description{"hemlocknotch_agent_tombstones",
+                       "Ids kept so that a late copy of a request does not run."},
+    metric_description{"hemlocknotch_agent_waiting_requests",
+                       "Accepted requests that wait for a place of the endpoint."},
     metric_description{"hemlocknotch_callers_connected", "Requests of callers that have not ended."},
     metric_description{"hemlocknotch_configuration_errors_total",
                        "Configuration documents that failed their check."},
