Keep an agent's send window above what its entry acknowledges

Cause: an entry told an agent that its caller had taken bytes only after a quarter of reply_window_bytes (64 KiB by default), while limits.send_window_bytes could be as low as 4,096: such an answer stops for good. Found by reading. Change: one function gives the step to the decisions and to the callers' front, at most 16 KiB, and the setting's least value is twice that. Test: refuses_combinations_that_cannot_work.

--- a/packages/core/include/hemlocknotch/core/entry_options.hpp
+++ b/packages/core/include/hemlocknotch/core/entry_options.hpp
@@ -3,6 +3,7 @@
 #include <hemlocknotch/core/process_identity.hpp>
 #include <hemlocknotch/core/time.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -43,4 +44,16 @@
     duration stop_limit = std::chrono::seconds{60};
 };
 
+/// Largest number of bytes that a caller may have taken without the agent being told. An agent's send window must be
+/// at least twice this, or its answers would wait for an acknowledgement that is not due yet.
+inline constexpr std::size_t max_acknowledgement_step_bytes = 16U << 10U;
+
+/// Returns after how many bytes taken by the caller an entry with `options` tells the agent. At least 1.
+constexpr std::size_t acknowledgement_step_bytes(const entry_options& options)
+{
+    constexpr std::size_t steps_in_window = 4;
+    const std::size_t step = options.reply_window_bytes / steps_in_window;
+    return std::clamp<std::size_t>(step, 1, max_acknowledgement_step_bytes);
+}
+
 } // namespace hemlocknotch
--- a/packages/core/src/outcome_handler.cpp
+++ b/packages/core/src/outcome_handler.cpp
@@ -8,15 +8,6 @@
 namespace hemlocknotch {
 namespace {
 
-/// Bytes taken by the caller after which the agent is told. An agent's window must be at least twice this.
-constexpr std::uint64_t max_ack_step_bytes = 16U << 10U;
-
-std::uint64_t ack_step(const entry_options& options)
-{
-    return std::min<std::uint64_t>(max_ack_step_bytes,
-                                   std::max<std::size_t>(1, options.reply_window_bytes / 4));
-}
-
 void ack_end(entry_turn& turn, outgoing_link& link, const end_message& end)
 {
     link_table::send(
@@ -239,7 +230,7 @@
 
 void outcome_handler::acknowledge(entry_turn& turn, entry_request& value)
 {
-    const std::uint64_t offset = value.answer.take_ack(ack_step(data_.options));
+    const std::uint64_t offset = value.answer.take_ack(acknowledgement_step_bytes(data_.options));
     outgoing_link* const link = data_.links.find(value.link);
     if (offset == 0 || link == nullptr || !link->is_open) {
         return;
--- a/packages/daemon/src/entry_shell.cpp
+++ b/packages/daemon/src/entry_shell.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 /// Progress of slow callers is told in steps of this part of the reply window.
-constexpr std::size_t progress_steps = 4;
 
 settings with_incarnation(settings values, std::uint64_t incarnation)
 {
@@ -29,7 +28,7 @@
     out.incarnation = values.entry.identity.incarnation;
     out.max_header_bytes = values.max_header_bytes;
     out.max_body_bytes = values.max_body_bytes;
-    out.progress_step_bytes = values.entry.reply_window_bytes / progress_steps;
+    out.progress_step_bytes = acknowledgement_step_bytes(values.entry);
     out.idle_limit = values.caller_idle_limit;
     return out;
 }
--- a/packages/daemon/src/setting_list.cpp
+++ b/packages/daemon/src/setting_list.cpp
@@ -274,7 +274,7 @@
     setting_description{.path = "limits.send_window_bytes",
                         .scope = setting_scope::agent,
                         .field = nested<&settings::agent, &agent_options::send_window_bytes>,
-                        .least = 4096,
+                        .least = 2 * max_acknowledgement_step_bytes,
                         .most = gigabyte,
                         .meaning = "Bytes of an answer that may be ahead of the entry's acknowledgement."},
     setting_description{.path = "limits.watchers_per_domain",
--- a/packages/daemon/tests/settings_reading_test.cpp
+++ b/packages/daemon/tests/settings_reading_test.cpp
@@ -120,6 +120,11 @@
     initial["concurrency"] = {{"initial", 9}, {"max", 8}};
     BOOST_TEST(fault_paths(initial, process_role::agent) == std::set<std::string>{"concurrency.initial"});
 
+    // A smaller window would wait for an acknowledgement that the entry does not send yet.
+    auto window = agent_settings();
+    window["limits"] = {{"send_window_bytes", 2 * max_acknowledgement_step_bytes - 1}};
+    BOOST_TEST(fault_paths(window, process_role::agent) == std::set<std::string>{"limits.send_window_bytes"});
+
     auto fencing = agent_settings();
     fencing["endpoint"]["kind"] = "plain";
     fencing["endpoint"]["checks_fencing"] = true;
