Send small parts at once to callers, and tell an idle agent of work at once

Two faults: the callers' server left Nagle's algorithm on, so that the part after the head waited for a delayed acknowledgement (40 ms); and a request that came within demand_interval (20 ms) of an earlier message to an agent waited it out although the agent had free places. Change: TCP_NODELAY on listening sockets, which accepted ones take over, also in the stand-ins; demand of which an agent knows nothing is told at most 1 ms after the last message.

--- a/packages/core/include/hemlocknotch/core/entry_options.hpp
+++ b/packages/core/include/hemlocknotch/core/entry_options.hpp
@@ -44,8 +44,8 @@
     duration stop_limit = std::chrono::seconds{60};
 };
 
-/// Largest number of bytes that a caller may have taken without the agent being told. An agent's send window must be
-/// at least twice this, or its answers would wait for an acknowledgement that is not due yet.
+/// Largest number of bytes that a caller may have taken without the agent being told. An agent's send window
+/// must be at least twice this, or its answers would wait for an acknowledgement that is not due yet.
 inline constexpr std::size_t max_acknowledgement_step_bytes = 16U << 10U;
 
 /// Returns after how many bytes taken by the caller an entry with `options` tells the agent. At least 1.
--- a/packages/core/src/demand_teller.cpp
+++ b/packages/core/src/demand_teller.cpp
@@ -57,6 +57,15 @@
     return told.is_whole_due || told.queue_version != queue.version() || !told.doubted.empty();
 }
 
+bool is_demand_urgent(const waiting_queue& queue, const told_demand& told)
+{
+    const std::vector<account_key> accounts = accounts_of(queue, told);
+    return std::any_of(accounts.begin(), accounts.end(), [&](account_key it) {
+        const bool is_believed = told.accounts.contains(it) && !told.doubted.contains(it);
+        return !is_believed && queue.count_of(it) > 0;
+    });
+}
+
 std::optional<demand_message> next_demand(const waiting_queue& queue, told_demand& told, instant now)
 {
     demand_message result;
--- a/packages/core/src/demand_teller.hpp
+++ b/packages/core/src/demand_teller.hpp
@@ -13,6 +13,10 @@
 /// Returns whether there may be something to tell an agent of `queue`.
 [[nodiscard]] bool is_demand_due(const waiting_queue& queue, const told_demand& told);
 
+/// Returns whether an account has work waiting of which the agent does not know: an agent with free places
+/// would leave them idle until it is told.
+[[nodiscard]] bool is_demand_urgent(const waiting_queue& queue, const told_demand& told);
+
 /// Returns the demand message that brings an agent up to date with `queue`, and remembers it as told; nothing
 /// where the agent knows enough. A count is told when it changes between none and some, rises to another
 /// power of two or falls by more than one, so that a long queue costs few messages.
--- a/packages/core/src/link_handler.cpp
+++ b/packages/core/src/link_handler.cpp
@@ -5,6 +5,7 @@
 #include "demand_teller.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <string>
 #include <utility>
 
@@ -14,6 +15,9 @@
 /// Heartbeats are rarer by this factor on a link on which nothing is outstanding and nothing waits.
 constexpr int idle_factor = 4;
 
+/// Demand of which an agent knows nothing is told to it at most this often.
+constexpr duration urgent_interval = std::chrono::milliseconds{1};
+
 template <class... Handlers>
 struct overloaded : Handlers... {
     using Handlers::operator()...;
@@ -253,13 +257,16 @@
         if (is_wanted && !is_demand_due(queue, link.told)) {
             continue;
         }
-        if (link.told.next_at > turn.now()) {
-            again_at = std::min(again_at.value_or(link.told.next_at), link.told.next_at);
+        const bool is_urgent = is_wanted && is_demand_urgent(queue, link.told);
+        const instant due_at = is_urgent ? link.told.urgent_at : link.told.next_at;
+        if (due_at > turn.now()) {
+            again_at = std::min(again_at.value_or(due_at), due_at);
             continue;
         }
         auto demand = is_wanted ? next_demand(queue, link.told, turn.now()) : take_back_demand(link.told);
         if (demand) {
             link.told.next_at = turn.now() + data_.options.demand_interval;
+            link.told.urgent_at = turn.now() + std::min(urgent_interval, data_.options.demand_interval);
             link_table::send(turn, link, std::move(*demand));
         }
     }
--- a/packages/core/src/outgoing_link.hpp
+++ b/packages/core/src/outgoing_link.hpp
@@ -25,8 +25,9 @@
     bool is_whole_due = true;
     /// Version of the waiting queue that was told.
     std::uint64_t queue_version = 0;
-    /// The next message may be sent from this time on.
+    /// The next message may be sent from this time on; an urgent one from `urgent_at` on.
     instant next_at;
+    instant urgent_at;
 };
 
 /// One link to an agent, from the order to open it until it has closed.
--- a/packages/core/tests/demand_teller_test.cpp
+++ b/packages/core/tests/demand_teller_test.cpp
@@ -45,6 +45,25 @@
 
 BOOST_FIXTURE_TEST_SUITE(demand_teller_test, counted_queue)
 
+BOOST_AUTO_TEST_CASE(only_work_that_the_agent_knows_nothing_of_is_urgent)
+{
+    BOOST_TEST(!is_demand_urgent(queue, told));
+    add(1);
+    BOOST_TEST(is_demand_urgent(queue, told));
+    tell();
+    BOOST_TEST(!is_demand_urgent(queue, told));
+    add(7);
+    BOOST_TEST(!is_demand_urgent(queue, told));
+    tell();
+    for (int n = 0; n < 8; ++n) {
+        on_grant_used(told, north);
+        remove_one();
+    }
+    BOOST_TEST(!is_demand_urgent(queue, told));
+    add(1);
+    BOOST_TEST(is_demand_urgent(queue, told));
+}
+
 BOOST_AUTO_TEST_CASE(tells_coarse_steps_only)
 {
     add(1);
--- a/packages/core/tests/link_handler_test.cpp
+++ b/packages/core/tests/link_handler_test.cpp
@@ -97,6 +97,23 @@
     BOOST_TEST(all<close_link_effect>().size() == 1U);
 }
 
+// A request that came soon after the one before waited out the demand interval, while the agent was idle.
+BOOST_AUTO_TEST_CASE(work_that_the_agent_knows_nothing_of_is_told_without_waiting_for_the_interval)
+{
+    pass(std::chrono::milliseconds{20});
+    call(5, "draft");
+    BOOST_TEST(sent<demand_message>().size() == 1U);
+    const auto north = account_key::of("north");
+    on_message(1, grant_message{.grant = 1,
+                                .client_account = north,
+                                .time_to_live = std::chrono::seconds{1},
+                                .cached_prefixes = {}});
+    BOOST_TEST(sent<submit_message>().size() == 1U);
+    pass(std::chrono::milliseconds{2});
+    call(6, "draft");
+    BOOST_TEST(sent<demand_message>().size() == 1U);
+}
+
 // Without a link to agent-3 its sums would be incomplete, so incarnations are relayed one by one.
 BOOST_AUTO_TEST_CASE(relays_service_reports_to_other_agents)
 {
--- a/packages/daemon/src/http_server.cpp
+++ b/packages/daemon/src/http_server.cpp
@@ -7,6 +7,7 @@
 #include <event2/listener.h>
 #include <event2/util.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -45,6 +46,15 @@
     return ntohs(reinterpret_cast<const sockaddr_in*>(&storage)->sin_port);
 }
 
+/// Lets accepted connections, which take over the option, send small parts at once. A part would otherwise
+/// wait until the one before it is acknowledged (Nagle's algorithm, RFC 896), up to 40 ms with delayed
+/// acknowledgements.
+void send_without_delay(evhttp_bound_socket* socket)
+{
+    const int enabled = 1;
+    setsockopt(evhttp_bound_socket_get_fd(socket), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+}
+
 endpoint_address with_port(const endpoint_address& address, std::uint16_t port)
 {
     const auto is_v6 = address.host().find(':') != std::string::npos;
@@ -78,6 +88,7 @@
                 std::strerror(errno),
             "Choose an address of this machine and a free port, or port 0 to let the system choose."});
     }
+    send_without_delay(socket);
     return with_port(address, bound_port(socket));
 }
 
--- a/packages/standins/src/http_server.cpp
+++ b/packages/standins/src/http_server.cpp
@@ -7,6 +7,7 @@
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
@@ -228,6 +229,9 @@
     if (listener_ == nullptr) {
         throw std::runtime_error{"cannot listen at " + address.to_string()};
     }
+    // Accepted connections take over the option; small parts go out at once.
+    const int enabled = 1;
+    setsockopt(evhttp_bound_socket_get_fd(listener_), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
     const std::string host =
         address.host().find(':') == std::string::npos ? address.host() : "[" + address.host() + "]";
     address_ = endpoint_address::parse(host + ":" + std::to_string(bound_port(listener_)));
