Let an answer that has begun wait for a place at its agent

Cause: after a link or endpoint fault an answer that its caller holds in part can only go on at the same agent; that agent, busy with new work, refused it with no-room each time until resolve_limit, and the answer was cut.

--- a/packages/core/src/agent_submits.cpp
+++ b/packages/core/src/agent_submits.cpp
@@ -74,6 +74,15 @@
     return true;
 }
 
+/// Returns whether a submit that has no grant may be taken. One that goes on with an answer which has begun
+/// waits for a place rather than being refused: its endpoint is at work on it already, and its caller holds a
+/// part of the answer.
+bool has_room_for(const agent_parts& parts, const submit_message& value)
+{
+    const bool goes_on = value.offset > 0;
+    return free_places(parts) > 0 || (goes_on && parts.dispatches.waiting() < parts.limit->limit());
+}
+
 std::optional<refusal_code> reason_against(const agent_parts& parts, const agent_link& link,
                                            const submit_message& value, bool has_grant)
 {
@@ -86,7 +95,7 @@
     if (value.grant != 0 && !has_grant) {
         return refusal_code::grant_expired;
     }
-    if (link.is_superseded || (!has_grant && free_places(parts) <= 0)) {
+    if (link.is_superseded || (!has_grant && !has_room_for(parts, value))) {
         return refusal_code::no_room;
     }
     return std::nullopt;
--- a/packages/core/tests/agent_resume_test.cpp
+++ b/packages/core/tests/agent_resume_test.cpp
@@ -34,6 +34,43 @@
     BOOST_TEST(parts.front().offset == 10U);
 }
 
+// Answers that had begun were refused again and again by a busy agent until their time was up, and were cut.
+BOOST_AUTO_TEST_CASE(an_answer_that_has_begun_waits_for_a_place_instead_of_being_refused)
+{
+    make_ready();
+    const call_id first = started_call(tell(1, make_submit(1)));
+    started_call(tell(1, make_submit(2)));
+    BOOST_TEST(sent<refuse_message>(tell(1, make_submit(3))).size() == 1U);
+    submit_message resumed = make_submit(4, 2);
+    resumed.is_idempotent = true;
+    resumed.is_resumable = true;
+    resumed.offset = 10;
+    const auto effects = tell(1, resumed);
+    BOOST_TEST(sent<refuse_message>(effects).empty());
+    BOOST_TEST(all_of<start_call_effect>(effects).empty());
+    const auto started = all_of<start_call_effect>(give(endpoint_end_event{first, call_outcome::complete}));
+    BOOST_REQUIRE_EQUAL(started.size(), 1);
+    BOOST_TEST((started.front().id == resumed.id));
+    BOOST_TEST(started.front().offset == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(no_more_answers_wait_for_a_place_than_may_run)
+{
+    make_ready();
+    for (std::uint64_t n = 1; n <= 2; ++n) {
+        tell(1, make_submit(n));
+    }
+    std::size_t refused = 0;
+    for (std::uint64_t n = 3; n <= 6; ++n) {
+        submit_message resumed = make_submit(n, 2);
+        resumed.is_idempotent = true;
+        resumed.is_resumable = true;
+        resumed.offset = 10;
+        refused += sent<refuse_message>(tell(1, resumed)).size();
+    }
+    BOOST_TEST(refused == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hemlocknotch::test
