Follow every tick of an agent by another, and keep what an account is owed over short absences

An agent asked for a tick only when the time had changed; a tick that came a moment early left nothing due and the same time, so that no other tick came, and reports and heartbeats stopped until something else moved the time. Besides, an account whose only known request had just been granted counted as idle, and was lifted to the others' level at its next request, losing what it was owed. Change: a tick forgets what was scheduled; an account is lifted only after three report intervals without demand. Tests: a_tick_that_comes_early_is_followed_by_another, short_absence_takes_away_nothing_and_a_long_one_does.

--- a/packages/core/src/account_selector.cpp
+++ b/packages/core/src/account_selector.cpp
@@ -5,6 +5,12 @@
 #include <utility>
 
 namespace hemlocknotch {
+namespace {
+
+/// An account is idle once it has not been backlogged for this many report intervals.
+constexpr int idle_intervals = 3;
+
+} // namespace
 
 account_selector::account_selector(process_identity own, std::unique_ptr<fair_order> order,
                                    duration report_interval)
@@ -20,7 +26,7 @@
     agent_count_ = n;
 }
 
-void account_selector::set_backlogged(const std::vector<account_key>& backlogged)
+void account_selector::set_backlogged(const std::vector<account_key>& backlogged, instant now)
 {
     std::optional<double> lowest;
     for (const account_key it : backlogged_) {
@@ -28,10 +34,27 @@
     }
     floor_ = std::max(floor_, lowest.value_or(0.0));
     for (const account_key it : backlogged) {
-        if (!backlogged_.contains(it)) {
+        if (was_idle(it, now)) {
             ledger_.lift_to(it, weight_of(it), lowest.value_or(floor_));
         }
     }
+    note_backlogged(backlogged, now);
+}
+
+bool account_selector::was_idle(account_key client_account, instant now) const
+{
+    const auto it = last_backlogged_.find(client_account);
+    return !backlogged_.contains(client_account) &&
+           (it == last_backlogged_.end() || now - it->second > idle_intervals * report_interval_);
+}
+
+void account_selector::note_backlogged(const std::vector<account_key>& backlogged, instant now)
+{
+    for (const account_key it : backlogged_) {
+        last_backlogged_[it] = now;
+    }
+    std::erase_if(last_backlogged_,
+                  [&](const auto& it) { return now - it.second > idle_intervals * report_interval_; });
     backlogged_ = {backlogged.begin(), backlogged.end()};
 }
 
--- a/packages/core/src/account_selector.hpp
+++ b/packages/core/src/account_selector.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace hemlocknotch {
@@ -31,8 +32,10 @@
     /// Sets the number of agents of the service that take work. Precondition: at least 1.
     void set_agent_count(std::size_t n);
 
-    /// Tells which accounts are backlogged now, in order of their keys; lifts those that were not before.
-    void set_backlogged(const std::vector<account_key>& backlogged);
+    /// Tells which accounts are backlogged at `now`, in order of their keys; lifts those that were not for
+    /// longer than a few report intervals. An account whose last request was just granted is away until its
+    /// entry tells the next one; a lift each time would take away what it is still owed.
+    void set_backlogged(const std::vector<account_key>& backlogged, instant now);
 
     /// Returns the position in `waiting` of the account to serve next; nothing where it is empty.
     [[nodiscard]] std::optional<std::size_t> next(std::span<const account_demand> waiting, instant now,
@@ -67,6 +70,8 @@
 
 private:
     [[nodiscard]] double counter(account_key client_account) const;
+    [[nodiscard]] bool was_idle(account_key client_account, instant now) const;
+    void note_backlogged(const std::vector<account_key>& backlogged, instant now);
 
     /// Returns the units charged in a second: on average, or since the last report where that is more, as it
     /// is when free places are filled; not less than one request in each report interval.
@@ -83,6 +88,8 @@
     double mean_cost_ = 1.0;
     bool has_mean_cost_ = false;
     std::set<account_key> backlogged_;
+    /// When each account was last backlogged, as far back as it matters.
+    std::unordered_map<account_key, instant> last_backlogged_;
     /// Lowest counter among the backlogged accounts when there last were any.
     double floor_ = 0.0;
 };
--- a/packages/core/src/agent_grants.cpp
+++ b/packages/core/src/agent_grants.cpp
@@ -128,7 +128,7 @@
         return;
     }
     parts.demand.on_demand(link, value, parts.now);
-    parts.selector.set_backlogged(parts.demand.backlogged());
+    parts.selector.set_backlogged(parts.demand.backlogged(), parts.now);
 }
 
 void on_decline(agent_parts& parts, link_id link, const decline_message& value)
--- a/packages/core/src/agent_links.cpp
+++ b/packages/core/src/agent_links.cpp
@@ -87,7 +87,7 @@
     }
     return_grants_of(parts, event.link);
     parts.demand.remove_link(event.link);
-    parts.selector.set_backlogged(parts.demand.backlogged());
+    parts.selector.set_backlogged(parts.demand.backlogged(), parts.now);
     const auto is_on_link = [&](const agent_dispatch& it) { return it.link == event.link; };
     for (const request_id& id : parts.dispatches.select(is_on_link)) {
         agent_dispatch& it = *parts.dispatches.find(id);
--- a/packages/core/src/agent_reducer.cpp
+++ b/packages/core/src/agent_reducer.cpp
@@ -152,7 +152,11 @@
 
     void operator()(const store_contact_event& event) const { agent::on_store_contact(parts, event); }
 
-    void operator()(const tick_event& /*event*/) const { do_periodic_duties(parts); }
+    void operator()(const tick_event& /*event*/) const
+    {
+        parts.schedule.scheduled.reset();
+        do_periodic_duties(parts);
+    }
 
     void operator()(const stop_event& event) const { agent::on_stop(parts, event); }
 };
--- a/packages/core/tests/account_selector_test.cpp
+++ b/packages/core/tests/account_selector_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <memory>
 
 using namespace hemlocknotch;
@@ -12,6 +13,7 @@
 
 const account_key township{1};
 const account_key farm{2};
+constexpr instant start{std::chrono::seconds{100}};
 
 account_selector make_selector()
 {
@@ -22,31 +24,45 @@
 
 BOOST_AUTO_TEST_SUITE(account_selector_test)
 
+// In the skewed scenario each grant of an account's last known request cost the account what it was owed.
+BOOST_AUTO_TEST_CASE(short_absence_takes_away_nothing_and_a_long_one_does)
+{
+    account_selector it = make_selector();
+    it.set_backlogged({township, farm}, start);
+    it.charge(township, 100.0);
+    it.set_backlogged({township}, start + std::chrono::seconds{1});
+    it.set_backlogged({township, farm}, start + std::chrono::seconds{3});
+    BOOST_TEST(it.ledger().counter(farm, 1.0) == 0.0);
+    it.set_backlogged({township}, start + std::chrono::seconds{4});
+    it.set_backlogged({township, farm}, start + std::chrono::seconds{8});
+    BOOST_TEST(it.ledger().counter(farm, 1.0) == 100.0);
+}
+
 BOOST_AUTO_TEST_CASE(idle_time_earns_no_credit)
 {
     account_selector it = make_selector();
-    it.set_backlogged({township});
+    it.set_backlogged({township}, start);
     it.charge(township, 100.0);
-    it.set_backlogged({township, farm});
+    it.set_backlogged({township, farm}, start);
     BOOST_TEST(it.ledger().counter(farm, 1.0) == 100.0);
 }
 
 BOOST_AUTO_TEST_CASE(account_that_returns_to_an_empty_backlog_is_lifted_to_the_last_floor)
 {
     account_selector it = make_selector();
-    it.set_backlogged({township});
+    it.set_backlogged({township}, start);
     it.charge(township, 100.0);
-    it.set_backlogged({});
-    it.set_backlogged({farm});
+    it.set_backlogged({}, start);
+    it.set_backlogged({farm}, start);
     BOOST_TEST(it.ledger().counter(farm, 1.0) == 100.0);
 }
 
 BOOST_AUTO_TEST_CASE(account_ahead_of_the_others_is_not_set_back)
 {
     account_selector it = make_selector();
-    it.set_backlogged({township});
+    it.set_backlogged({township}, start);
     it.charge(farm, 100.0);
-    it.set_backlogged({township, farm});
+    it.set_backlogged({township, farm}, start);
     BOOST_TEST(it.ledger().counter(farm, 1.0) == 100.0);
     BOOST_TEST(it.ledger().counter(township, 1.0) == 0.0);
 }
--- a/packages/core/tests/agent_reducer_test.cpp
+++ b/packages/core/tests/agent_reducer_test.cpp
@@ -148,4 +148,16 @@
     BOOST_TEST((sent<end_message>(effects).at(0).outcome == verdict::may_have_run));
 }
 
+// A tick that came a moment early left nothing due and asked for no other: reports and heartbeats stopped.
+BOOST_FIXTURE_TEST_CASE(a_tick_that_comes_early_is_followed_by_another, agent_fixture)
+{
+    make_ready();
+    const auto asked = all_of<schedule_tick_effect>(pass(std::chrono::seconds{1}));
+    BOOST_REQUIRE_EQUAL(asked.size(), 1);
+    now = asked.front().at - duration{1};
+    const auto again = all_of<schedule_tick_effect>(give(tick_event{}));
+    BOOST_REQUIRE_EQUAL(again.size(), 1);
+    BOOST_TEST((again.front().at == asked.front().at));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
