--- a/packages/core/src/entry_core.cpp
+++ b/packages/core/src/entry_core.cpp
@@ -24,7 +24,8 @@
     if (!is_started_) {
         start(turn);
     }
-    if (scheduled_at_ <= turn.now()) {
+    const bool is_tick = std::holds_alternative<tick_event>(event.content);
+    if (is_tick || scheduled_at_ <= turn.now()) {
         scheduled_at_ = instant::max();
     }
     std::visit(
--- a/packages/core/tests/entry_core_test.cpp
+++ b/packages/core/tests/entry_core_test.cpp
@@ -2,6 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <chrono>
+#include <variant>
+
 namespace hemlocknotch {
 namespace {
 
@@ -86,6 +90,20 @@
     BOOST_TEST(status().revision == 5U);
 }
 
+// Without another tick, timers stood still until the next event of another kind.
+BOOST_AUTO_TEST_CASE(a_tick_that_comes_early_is_followed_by_another)
+{
+    entry_fixture entry;
+    entry.configure({});
+    const auto asked = entry.pass(std::chrono::seconds{2}, std::chrono::seconds{2});
+    const auto is_tick = [](const entry_effect& it) {
+        return std::holds_alternative<schedule_tick_effect>(it);
+    };
+    BOOST_TEST(std::count_if(asked.begin(), asked.end(), is_tick) == 1);
+    const auto again = entry.on(tick_event{});
+    BOOST_TEST(std::count_if(again.begin(), again.end(), is_tick) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hemlocknotch
