--- a/packages/platform/include/hemlocknotch/platform/fencing_holder.hpp
+++ b/packages/coordination/include/hemlocknotch/coordination/fencing_holder.hpp
@@ -2,7 +2,7 @@
 
 #include <hemlocknotch/core/fencing.hpp>
 #include <hemlocknotch/core/process_identity.hpp>
-#include <hemlocknotch/platform/key_value_service.hpp>
+#include <hemlocknotch/coordination/key_value_service.hpp>
 
 #include <cstdint>
 #include <functional>
--- a/packages/platform/include/hemlocknotch/platform/http_client.hpp
+++ b/packages/coordination/include/hemlocknotch/coordination/http_client.hpp
@@ -34,6 +34,8 @@
     /// Path and query, percent-encoded.
     std::string target;
     std::string body;
+    /// Media type of the body; empty: not stated.
+    std::string content_type = {};
 };
 
 /// How a call ended.
--- a/packages/platform/include/hemlocknotch/platform/http_platform.hpp
+++ b/packages/coordination/include/hemlocknotch/coordination/http_platform.hpp
@@ -2,8 +2,8 @@
 
 #include <hemlocknotch/core/endpoint_address.hpp>
 #include <hemlocknotch/core/time.hpp>
-#include <hemlocknotch/platform/instance_list.hpp>
-#include <hemlocknotch/platform/key_value_service.hpp>
+#include <hemlocknotch/coordination/instance_list.hpp>
+#include <hemlocknotch/coordination/key_value_service.hpp>
 
 #include <memory>
 
--- a/packages/platform/src/configuration_document.cpp
+++ b/packages/coordination/src/configuration_document.cpp
@@ -1,6 +1,6 @@
-#include <hemlocknotch/platform/configuration_document.hpp>
-#include <hemlocknotch/platform/json_document.hpp>
-#include <hemlocknotch/platform/object_reader.hpp>
+#include <hemlocknotch/coordination/configuration_document.hpp>
+#include <hemlocknotch/coordination/json_document.hpp>
+#include <hemlocknotch/coordination/object_reader.hpp>
 
 #include <algorithm>
 #include <array>
--- a/packages/platform/src/configuration_envelope.cpp
+++ b/packages/coordination/src/configuration_envelope.cpp
@@ -1,5 +1,5 @@
-#include <hemlocknotch/platform/configuration_envelope.hpp>
-#include <hemlocknotch/platform/json_fields.hpp>
+#include <hemlocknotch/coordination/configuration_envelope.hpp>
+#include <hemlocknotch/coordination/json_fields.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/packages/platform/src/http_client.cpp
+++ b/packages/coordination/src/http_client.cpp
@@ -1,4 +1,4 @@
-#include <hemlocknotch/platform/http_client.hpp>
+#include <hemlocknotch/coordination/http_client.hpp>
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -113,6 +113,9 @@
         }
         evkeyvalq* headers = evhttp_request_get_output_headers(request);
         evhttp_add_header(headers, "Host", host.c_str());
+        if (!call.content_type.empty()) {
+            evhttp_add_header(headers, "Content-Type", call.content_type.c_str());
+        }
         evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
         // Takes the request, also where it fails.
         if (evhttp_make_request(connection_.get(), request, command_of(call.method), call.target.c_str()) !=
--- a/packages/platform/src/http_instance_list.cpp
+++ b/packages/coordination/src/http_instance_list.cpp
@@ -1,6 +1,6 @@
 #include "http_instance_list.hpp"
 
-#include <hemlocknotch/platform/instance_document.hpp>
+#include <hemlocknotch/coordination/instance_document.hpp>
 
 #include <cassert>
 #include <utility>
--- a/packages/platform/src/http_instance_list.hpp
+++ b/packages/coordination/src/http_instance_list.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <hemlocknotch/platform/http_client.hpp>
-#include <hemlocknotch/platform/instance_list.hpp>
+#include <hemlocknotch/coordination/http_client.hpp>
+#include <hemlocknotch/coordination/instance_list.hpp>
 
 namespace hemlocknotch {
 
--- a/packages/platform/src/http_key_value_service.hpp
+++ b/packages/coordination/src/http_key_value_service.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <hemlocknotch/platform/http_client.hpp>
-#include <hemlocknotch/platform/key_value_service.hpp>
+#include <hemlocknotch/coordination/http_client.hpp>
+#include <hemlocknotch/coordination/key_value_service.hpp>
 
 #include <string_view>
 
--- a/packages/platform/src/http_platform.cpp
+++ b/packages/coordination/src/http_platform.cpp
@@ -1,4 +1,4 @@
-#include <hemlocknotch/platform/http_platform.hpp>
+#include <hemlocknotch/coordination/http_platform.hpp>
 
 #include "http_instance_list.hpp"
 #include "http_key_value_service.hpp"
--- a/packages/platform/src/instance_document.cpp
+++ b/packages/coordination/src/instance_document.cpp
@@ -1,5 +1,5 @@
-#include <hemlocknotch/platform/instance_document.hpp>
-#include <hemlocknotch/platform/json_fields.hpp>
+#include <hemlocknotch/coordination/instance_document.hpp>
+#include <hemlocknotch/coordination/json_fields.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/packages/platform/src/json_document.cpp
+++ b/packages/coordination/src/json_document.cpp
@@ -1,4 +1,4 @@
-#include <hemlocknotch/platform/json_document.hpp>
+#include <hemlocknotch/coordination/json_document.hpp>
 
 #include <set>
 #include <string>
--- a/packages/platform/src/json_fields.cpp
+++ b/packages/coordination/src/json_fields.cpp
@@ -1,4 +1,4 @@
-#include <hemlocknotch/platform/json_fields.hpp>
+#include <hemlocknotch/coordination/json_fields.hpp>
 
 #include <cassert>
 
--- a/packages/platform/src/object_reader.cpp
+++ b/packages/coordination/src/object_reader.cpp
@@ -1,4 +1,4 @@
-#include <hemlocknotch/platform/object_reader.hpp>
+#include <hemlocknotch/coordination/object_reader.hpp>
 
 #include <cassert>
 #include <cmath>
--- a/packages/platform/tests/configuration_document_test.cpp
+++ b/packages/coordination/tests/configuration_document_test.cpp
@@ -1,4 +1,4 @@
-#include <hemlocknotch/platform/configuration_document.hpp>
+#include <hemlocknotch/coordination/configuration_document.hpp>
 
 #include <boost/test/unit_test.hpp>
 
--- a/packages/platform/tests/configuration_envelope_test.cpp
+++ b/packages/coordination/tests/configuration_envelope_test.cpp
@@ -1,4 +1,4 @@
-#include <hemlocknotch/platform/configuration_envelope.hpp>
+#include <hemlocknotch/coordination/configuration_envelope.hpp>
 
 #include <boost/test/unit_test.hpp>
 
--- a/packages/platform/tests/fake_key_value_service.hpp
+++ b/packages/coordination/tests/fake_key_value_service.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <hemlocknotch/platform/key_value_service.hpp>
+#include <hemlocknotch/coordination/key_value_service.hpp>
 
 #include <cassert>
 #include <cstdint>
--- a/packages/platform/tests/fencing_holder_test.cpp
+++ b/packages/coordination/tests/fencing_holder_test.cpp
@@ -1,4 +1,4 @@
-#include <hemlocknotch/platform/fencing_holder.hpp>
+#include <hemlocknotch/coordination/fencing_holder.hpp>
 
 #include "fake_key_value_service.hpp"
 
--- a/packages/platform/tests/instance_document_test.cpp
+++ b/packages/coordination/tests/instance_document_test.cpp
@@ -1,4 +1,4 @@
-#include <hemlocknotch/platform/instance_document.hpp>
+#include <hemlocknotch/coordination/instance_document.hpp>
 
 #include <boost/test/unit_test.hpp>
 
--- a/packages/ctl/include/hemlocknotch/ctl/config_editor.hpp
+++ b/packages/ctl/include/hemlocknotch/ctl/config_editor.hpp
@@ -2,7 +2,7 @@
 
 #include <hemlocknotch/ctl/edit_environment.hpp>
 #include <hemlocknotch/ctl/edit_result.hpp>
-#include <hemlocknotch/platform/key_value_service.hpp>
+#include <hemlocknotch/coordination/key_value_service.hpp>
 
 #include <cstdint>
 #include <functional>
--- a/packages/ctl/src/check_command.hpp
+++ b/packages/ctl/src/check_command.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <hemlocknotch/platform/configuration_document.hpp>
+#include <hemlocknotch/coordination/configuration_document.hpp>
 
 #include "command_options.hpp"
 #include "command_output.hpp"
--- a/packages/ctl/src/command_context.cpp
+++ b/packages/ctl/src/command_context.cpp
@@ -1,6 +1,6 @@
 #include "command_context.hpp"
 
-#include <hemlocknotch/platform/http_platform.hpp>
+#include <hemlocknotch/coordination/http_platform.hpp>
 
 #include "command_error.hpp"
 
--- a/packages/ctl/src/command_context.hpp
+++ b/packages/ctl/src/command_context.hpp
@@ -2,8 +2,8 @@
 
 #include <hemlocknotch/core/endpoint_address.hpp>
 #include <hemlocknotch/ctl/edit_environment.hpp>
-#include <hemlocknotch/platform/http_client.hpp>
-#include <hemlocknotch/platform/key_value_service.hpp>
+#include <hemlocknotch/coordination/http_client.hpp>
+#include <hemlocknotch/coordination/key_value_service.hpp>
 
 #include "command_options.hpp"
 
--- a/packages/ctl/src/envelope_writer.hpp
+++ b/packages/ctl/src/envelope_writer.hpp
@@ -2,8 +2,8 @@
 
 #include <hemlocknotch/ctl/config_editor.hpp>
 #include <hemlocknotch/ctl/edit_environment.hpp>
-#include <hemlocknotch/platform/configuration_envelope.hpp>
-#include <hemlocknotch/platform/key_value_service.hpp>
+#include <hemlocknotch/coordination/configuration_envelope.hpp>
+#include <hemlocknotch/coordination/key_value_service.hpp>
 
 #include <cstdint>
 #include <functional>
--- a/packages/ctl/src/fleet_reader.cpp
+++ b/packages/ctl/src/fleet_reader.cpp
@@ -1,6 +1,6 @@
 #include "fleet_reader.hpp"
 
-#include <hemlocknotch/platform/json_fields.hpp>
+#include <hemlocknotch/coordination/json_fields.hpp>
 
 #include "command_error.hpp"
 
--- a/packages/ctl/src/fleet_reader.hpp
+++ b/packages/ctl/src/fleet_reader.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <hemlocknotch/platform/instance_document.hpp>
+#include <hemlocknotch/coordination/instance_document.hpp>
 
 #include "command_context.hpp"
 
--- a/packages/ctl/src/store_reader.hpp
+++ b/packages/ctl/src/store_reader.hpp
@@ -2,7 +2,7 @@
 
 #include <hemlocknotch/ctl/config_editor.hpp>
 #include <hemlocknotch/ctl/edit_environment.hpp>
-#include <hemlocknotch/platform/key_value_service.hpp>
+#include <hemlocknotch/coordination/key_value_service.hpp>
 
 #include <cstdint>
 #include <string>
--- a/packages/daemon/src/claim_keeper.hpp
+++ b/packages/daemon/src/claim_keeper.hpp
@@ -3,7 +3,7 @@
 #include <hemlocknotch/core/entry_effect.hpp>
 #include <hemlocknotch/core/entry_event.hpp>
 #include <hemlocknotch/core/time.hpp>
-#include <hemlocknotch/platform/key_value_service.hpp>
+#include <hemlocknotch/coordination/key_value_service.hpp>
 
 #include "timer.hpp"
 
--- a/packages/daemon/src/command_line.cpp
+++ b/packages/daemon/src/command_line.cpp
@@ -2,10 +2,13 @@
 
 #include "agent_shell.hpp"
 #include "entry_shell.hpp"
+#include "gateway/gateway_command.hpp"
 #include "settings_reading.hpp"
 #include "settings_reference.hpp"
 #include "start_error.hpp"
 
+#include <hemlocknotch/platform/settings_path.hpp>
+
 #include <CLI/CLI.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
@@ -27,6 +30,7 @@
     "hemlocknotchd: shares model engines and plain services fairly between client accounts.\n"
     "\n"
     "  hemlocknotchd entry --settings entry.json   takes callers' requests and passes them to agents\n"
+    "  hemlocknotchd gateway --settings gateway.json   takes callers' requests and calls endpoints itself\n"
     "  hemlocknotchd agent --settings agent.json   stands beside one endpoint and decides what runs there\n"
     "\n"
     "A settings file is JSON with comments. See what may stand in it with --print-settings, and check one\n"
@@ -148,6 +152,12 @@
     app.add_flag("--print-settings", is_print_settings, "Print the settings of both daemons, and exit");
     auto* entry = add_role(app, "entry", "Take callers' requests and pass them to agents", given);
     auto* agent = add_role(app, "agent", "Stand beside one endpoint and decide what runs there", given);
+    auto* direct = app.add_subcommand("gateway", "Take callers' requests and call endpoints on the users' platform");
+    direct->add_option("--settings", given.settings_path, "Settings file (JSON with comments)")
+        ->type_name("FILE")
+        ->envname(platform::settings_path_variable);
+    direct->add_flag("--check", given.is_check, "Check the settings, say what is wrong, and exit");
+    direct->footer(exit_codes);
     app.require_subcommand(0, 1);
     try {
         app.parse(argc, argv);
@@ -162,6 +172,9 @@
         if (agent->parsed()) {
             return run_role(given, process_role::agent);
         }
+        if (direct->parsed()) {
+            return run_gateway(given.settings_path, given.is_check);
+        }
     }
     catch (const std::exception& error) {
         std::cerr << "hemlocknotchd: " << error.what() << "\n";
--- /dev/null
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -0,0 +1,330 @@
+#include "caller_connection.hpp"
+
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <charconv>
+#include <utility>
+
+namespace hemlocknotch::daemon {
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr int status_request_timeout = 408;
+constexpr int status_too_large = 413;
+constexpr int status_fields_too_large = 431;
+constexpr int status_version = 505;
+constexpr int http_1_1 = 11;
+/// Bytes of further requests that are held while one is answered.
+constexpr std::size_t max_held_bytes = std::size_t{1} << 20U;
+/// Bytes of an answer that a slow caller may leave untaken; bounds memory.
+constexpr std::size_t max_untaken_bytes = std::size_t{8} << 20U;
+/// How long a caller may take to close after a last answer.
+constexpr duration linger = std::chrono::seconds{2};
+/// Added to the idle limit, so that a request sent just inside it is still read.
+constexpr duration idle_margin = std::chrono::milliseconds{500};
+
+bool has_body(int status)
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+
+std::string hex(std::size_t n)
+{
+    std::array<char, 16> buf{};
+    const auto [end, ec] = std::to_chars(buf.data(), buf.data() + buf.size(), n, 16);
+    return {buf.data(), end};
+}
+
+/// Returns whether a header line continues on the next line, which RFC 9112 forbids (section 5.2).
+bool has_folded_line(std::string_view head)
+{
+    return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
+int status_of(const boost::beast::error_code& fault)
+{
+    using boost::beast::http::error;
+    if (fault == error::header_limit) {
+        return status_fields_too_large;
+    }
+    return fault == error::body_limit ? status_too_large : status_bad_request;
+}
+
+} // namespace
+
+caller_connection::caller_connection(event_base* base, int fd, caller_connection_owner& owner)
+    : owner_{owner}, channel_{socket_channel::adopt(base, fd, *this)}, timer_{base, [this] { on_timeout(); }}
+{
+    start_waiting();
+}
+
+caller_connection::~caller_connection()
+{
+    channel_->close();
+}
+
+void caller_connection::start_waiting()
+{
+    timer_.start(owner_.limits().idle_timeout + idle_margin);
+}
+
+void caller_connection::on_bytes(std::string_view bytes)
+{
+    if (is_closed_) {
+        return;
+    }
+    held_ += bytes;
+    if (is_serving()) {
+        if (held_.size() > max_held_bytes) {
+            abort();
+        }
+        return;
+    }
+    read_requests();
+}
+
+void caller_connection::read_requests()
+{
+    if (is_reading_) {
+        return;
+    }
+    is_reading_ = true;
+    while (!is_closed_ && !is_serving() && !held_.empty() && !is_last_) {
+        if (!parser_) {
+            const auto& limits = owner_.limits();
+            parser_ = std::make_unique<request_parser>(limits.max_header_bytes, limits.max_body_bytes);
+            timer_.start(limits.header_timeout);
+        }
+        const auto had_head = parser_->is_header_done();
+        const auto head_end = had_head ? std::string::npos : held_.find("\r\n\r\n");
+        if (head_end != std::string::npos && has_folded_line(std::string_view{held_}.substr(0, head_end))) {
+            fail(status_bad_request, "A header line is folded.");
+            break;
+        }
+        boost::beast::error_code fault;
+        const auto n = parser_->parse(held_, fault);
+        held_.erase(0, n);
+        if (fault) {
+            fail(status_of(fault), fault.message());
+            break;
+        }
+        if (parser_->is_done()) {
+            take_request();
+            continue;
+        }
+        if (parser_->is_header_done() && !had_head) {
+            // The caller's own time limit bounds the body; the idle limit its pauses.
+            start_waiting();
+            const auto expects = std::ranges::any_of(
+                parser_->fields(), [](const auto& it) { return is_same_name(it.name, "Expect"); });
+            if (expects && !has_sent_continue_) {
+                has_sent_continue_ = true;
+                channel_->send("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+        }
+        if (n == 0 || held_.empty()) {
+            break;
+        }
+    }
+    is_reading_ = false;
+}
+
+void caller_connection::take_request()
+{
+    timer_.stop();
+    const auto parser = std::exchange(parser_, nullptr);
+    has_sent_continue_ = false;
+    const auto& connection = parser->connection_values();
+    is_last_ = has_token(connection, "close");
+    if (parser->version() != http_1_1) {
+        return fail(status_version, "The version is not HTTP/1.1.");
+    }
+    auto request = std::make_shared<gateway::caller_request>();
+    if (auto fault = owner_.dialect().read_request(parser->fields(), request->fields); !fault.empty()) {
+        return fail(status_bad_request, fault);
+    }
+    unsigned hosts = 0;
+    for (auto& it : parser->fields()) {
+        if (is_same_name(it.name, "Host")) {
+            ++hosts;
+            request->host = it.value;
+        }
+        else if (is_same_name(it.name, "Content-Length") || is_same_name(it.name, "Expect") ||
+                 owner_.dialect().is_set_by_gateway(it.name)) {
+            continue;
+        }
+        else if (!is_connection_header(it.name, connection) || owner_.dialect().is_part_of_request(it.name)) {
+            request->headers.push_back(std::move(it));
+        }
+    }
+    if (hosts != 1 || request->host.empty()) {
+        return fail(status_bad_request, "The request names no host, or more than one.");
+    }
+    request->method = parser->method();
+    request->target = parser->target();
+    request->body = std::move(parser->body());
+    is_head_method_ = request->method == "HEAD";
+    owner_.on_request(*this, std::move(request));
+}
+
+void caller_connection::fail(int status, std::string_view reason)
+{
+    owner_.on_malformed(status, reason);
+    is_last_ = true;
+    parser_.reset();
+    reply({status, {{"Content-Type", "text/plain"}}}, std::string{reason} + "\n");
+}
+
+void caller_connection::append_head(std::string& out, const gateway::answer_head& head)
+{
+    const auto reason = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(head.status));
+    out += "HTTP/1.1 " + std::to_string(head.status) + " ";
+    out.append(reason.data(), reason.size());
+    out += "\r\n";
+    for (const auto& it : head.headers) {
+        out += it.name;
+        out += ": ";
+        out += it.value;
+        out += "\r\n";
+    }
+    is_last_ = is_last_ || owner_.is_stopping();
+    if (is_last_) {
+        out += "Connection: close\r\n";
+    }
+}
+
+void caller_connection::reply(const gateway::answer_head& head, std::string_view body)
+{
+    if (is_closed_) {
+        return;
+    }
+    std::string out;
+    append_head(out, head);
+    if (has_body(head.status)) {
+        out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        if (!is_head_method_) {
+            out += body;
+        }
+    }
+    else {
+        out += "\r\n";
+    }
+    channel_->send(out);
+    finish_answer();
+}
+
+void caller_connection::begin_stream(const gateway::answer_head& head)
+{
+    if (is_closed_) {
+        return;
+    }
+    std::string out;
+    append_head(out, head);
+    out += "Transfer-Encoding: chunked\r\n\r\n";
+    // Goes out with the first part.
+    held_answer_ = std::move(out);
+}
+
+void caller_connection::send_part(std::string_view bytes)
+{
+    if (is_closed_ || bytes.empty()) {
+        return;
+    }
+    auto out = std::exchange(held_answer_, {});
+    out += hex(bytes.size());
+    out += "\r\n";
+    out += bytes;
+    out += "\r\n";
+    channel_->send(out);
+    if (channel_->pending_bytes() > max_untaken_bytes) {
+        is_overrun_ = true;
+        timer_.activate();
+    }
+}
+
+void caller_connection::end_stream()
+{
+    if (is_closed_) {
+        return;
+    }
+    channel_->send(std::exchange(held_answer_, {}) + "0\r\n\r\n");
+    finish_answer();
+}
+
+void caller_connection::finish_answer()
+{
+    exchange_ = 0;
+    is_head_method_ = false;
+    if (is_last_) {
+        channel_->close_when_drained();
+        timer_.start(linger);
+        return;
+    }
+    start_waiting();
+    if (!held_.empty()) {
+        is_resuming_ = true;
+        timer_.activate();
+    }
+}
+
+void caller_connection::abort()
+{
+    const auto exchange = std::exchange(exchange_, 0);
+    close();
+    if (exchange != 0) {
+        owner_.on_gone(exchange);
+    }
+}
+
+void caller_connection::close_if_idle()
+{
+    if (!is_closed_ && !is_serving() && !parser_ && held_.empty()) {
+        is_last_ = true;
+        channel_->close_when_drained();
+        timer_.start(linger);
+    }
+}
+
+void caller_connection::on_end(channel_end /*end*/)
+{
+    abort();
+}
+
+void caller_connection::on_timeout()
+{
+    if (is_closed_) {
+        return;
+    }
+    if (is_overrun_) {
+        return abort();
+    }
+    if (std::exchange(is_resuming_, false)) {
+        if (!is_serving()) {
+            start_waiting();
+            read_requests();
+        }
+        return;
+    }
+    if (!is_serving() && (is_last_ || !parser_)) {
+        return close();
+    }
+    if (parser_ && !is_serving()) {
+        fail(status_request_timeout, "The request was not received in time.");
+    }
+}
+
+void caller_connection::close()
+{
+    if (is_closed_) {
+        return;
+    }
+    is_closed_ = true;
+    timer_.stop();
+    channel_->close();
+    owner_.on_closed(*this);
+}
+
+} // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/daemon/src/gateway/caller_server.cpp
@@ -0,0 +1,155 @@
+#include "caller_server.hpp"
+
+#include "../start_error.hpp"
+
+#include <arpa/inet.h>
+#include <boost/leaf/error.hpp>
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <cassert>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace hemlocknotch::daemon {
+namespace {
+
+/// Connections that the system holds until they are accepted: a burst of a second at the largest rates, while
+/// this process waits for the processor.
+constexpr int accept_backlog = 1024;
+
+} // namespace
+
+caller_server::caller_server(event_base* base, const gateway::message_dialect& dialect, std::size_t max_connections,
+                             caller_request_sink& sink)
+    : base_{base},
+      dialect_{dialect},
+      max_connections_{max_connections},
+      sink_{sink},
+      reaper_{base, [this] { closed_.clear(); }}
+{
+    assert(max_connections >= 1);
+}
+
+caller_server::~caller_server() = default;
+
+boost::leaf::result<void> caller_server::listen(const endpoint_address& address)
+{
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(address.port());
+    if (inet_pton(AF_INET, address.host().c_str(), &at.sin_addr) != 1) {
+        return boost::leaf::new_error(start_error{"cannot listen on " + address.to_string(), "Name an IPv4 address."});
+    }
+    listener_.reset(evconnlistener_new_bind(base_, handle_accept, this,
+                                            LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_CLOSE_ON_FREE,
+                                            accept_backlog, reinterpret_cast<sockaddr*>(&at), sizeof at));
+    if (!listener_) {
+        return boost::leaf::new_error(
+            start_error{"cannot listen on " + address.to_string() + " for callers: " + std::strerror(errno),
+                        "Choose an address of this instance and a free port."});
+    }
+    return {};
+}
+
+void caller_server::handle_accept(evconnlistener* /*listener*/, evutil_socket_t fd, sockaddr* /*address*/,
+                                  int /*length*/, void* self)
+{
+    auto& that = *static_cast<caller_server*>(self);
+    if (that.connections_.size() >= that.max_connections_) {
+        ::close(fd);
+        that.sink_.on_malformed(0, "too-many-connections");
+        return;
+    }
+    auto made = std::make_unique<caller_connection>(that.base_, fd, that);
+    auto* key = made.get();
+    that.connections_.emplace(key, std::move(made));
+}
+
+void caller_server::close_idle()
+{
+    listener_.reset();
+    std::vector<caller_connection*> all;
+    all.reserve(connections_.size());
+    for (const auto& [it, owned] : connections_) {
+        all.push_back(it);
+    }
+    for (auto* it : all) {
+        it->close_if_idle();
+    }
+}
+
+void caller_server::on_request(caller_connection& connection, std::shared_ptr<const gateway::caller_request> request)
+{
+    const auto exchange = ++last_exchange_;
+    serving_.emplace(exchange, &connection);
+    connection.set_exchange(exchange);
+    sink_.on_request(exchange, std::move(request));
+}
+
+void caller_server::on_gone(gateway::exchange_id exchange)
+{
+    serving_.erase(exchange);
+    sink_.on_caller_gone(exchange);
+}
+
+void caller_server::on_closed(caller_connection& connection)
+{
+    const auto it = connections_.find(&connection);
+    assert(it != connections_.end());
+    closed_.push_back(std::move(it->second));
+    connections_.erase(it);
+    reaper_.activate();
+}
+
+caller_connection* caller_server::find(gateway::exchange_id exchange)
+{
+    const auto it = serving_.find(exchange);
+    return it == serving_.end() ? nullptr : it->second;
+}
+
+caller_connection* caller_server::take(gateway::exchange_id exchange)
+{
+    auto* out = find(exchange);
+    serving_.erase(exchange);
+    return out;
+}
+
+void caller_server::reply(gateway::exchange_id exchange, const gateway::answer_head& head, std::string_view body)
+{
+    if (auto* it = take(exchange)) {
+        it->reply(head, body);
+    }
+}
+
+void caller_server::begin_stream(gateway::exchange_id exchange, const gateway::answer_head& head)
+{
+    if (auto* it = find(exchange)) {
+        it->begin_stream(head);
+    }
+}
+
+void caller_server::send_part(gateway::exchange_id exchange, std::string_view bytes)
+{
+    if (auto* it = find(exchange)) {
+        it->send_part(bytes);
+    }
+}
+
+void caller_server::end_stream(gateway::exchange_id exchange)
+{
+    if (auto* it = take(exchange)) {
+        it->end_stream();
+    }
+}
+
+void caller_server::abort(gateway::exchange_id exchange)
+{
+    if (auto* it = take(exchange)) {
+        it->set_exchange(0);
+        it->abort();
+    }
+}
+
+} // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/daemon/src/gateway/caller_server.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/gateway/router.hpp>
+
+#include "../timer.hpp"
+#include "caller_connection.hpp"
+
+#include <boost/leaf/result.hpp>
+#include <event2/listener.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace hemlocknotch::daemon {
+
+struct listener_deleter {
+    void operator()(evconnlistener* it) const { evconnlistener_free(it); }
+};
+
+/// What callers do. Calls come from the event loop.
+class caller_request_sink {
+public:
+    virtual ~caller_request_sink() = default;
+
+    virtual void on_request(gateway::exchange_id exchange, std::shared_ptr<const gateway::caller_request> request) = 0;
+    virtual void on_caller_gone(gateway::exchange_id exchange) = 0;
+    virtual void on_malformed(int status, std::string_view reason) = 0;
+};
+
+/// Accepts callers' connections and passes requests and answers between them and their sink. Used on the event
+/// loop's thread only.
+class caller_server final : public caller_connection_owner {
+public:
+    /// All must outlive the server. `max_connections` is at least 1.
+    caller_server(event_base* base, const gateway::message_dialect& dialect, std::size_t max_connections,
+                  caller_request_sink& sink);
+    ~caller_server() override;
+
+    caller_server(const caller_server&) = delete;
+    caller_server(caller_server&&) = delete;
+    caller_server& operator=(const caller_server&) = delete;
+    caller_server& operator=(caller_server&&) = delete;
+
+    /// Listens on `address`. Fails with a `start_error`.
+    boost::leaf::result<void> listen(const endpoint_address& address);
+
+    void set_limits(const gateway::caller_limits& limits) { limits_ = limits; }
+
+    /// From now on each answer is the last of its connection.
+    void begin_stop() { is_stopping_ = true; }
+    /// Accepts no more connections and closes those without a request.
+    void close_idle();
+
+    void reply(gateway::exchange_id exchange, const gateway::answer_head& head, std::string_view body);
+    void begin_stream(gateway::exchange_id exchange, const gateway::answer_head& head);
+    void send_part(gateway::exchange_id exchange, std::string_view bytes);
+    void end_stream(gateway::exchange_id exchange);
+    void abort(gateway::exchange_id exchange);
+
+    [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
+    [[nodiscard]] std::size_t serving_count() const { return serving_.size(); }
+
+    void on_request(caller_connection& connection, std::shared_ptr<const gateway::caller_request> request) override;
+    void on_gone(gateway::exchange_id exchange) override;
+    void on_closed(caller_connection& connection) override;
+    void on_malformed(int status, std::string_view reason) override { sink_.on_malformed(status, reason); }
+    [[nodiscard]] const gateway::caller_limits& limits() const override { return limits_; }
+    [[nodiscard]] const gateway::message_dialect& dialect() const override { return dialect_; }
+    [[nodiscard]] bool is_stopping() const override { return is_stopping_; }
+
+private:
+    static void handle_accept(evconnlistener* listener, evutil_socket_t fd, sockaddr* address, int length,
+                              void* self);
+    /// Ends the exchange and returns its connection; null where the caller has gone.
+    caller_connection* take(gateway::exchange_id exchange);
+    caller_connection* find(gateway::exchange_id exchange);
+
+    event_base* base_;
+    const gateway::message_dialect& dialect_;
+    std::size_t max_connections_;
+    caller_request_sink& sink_;
+    gateway::caller_limits limits_;
+    std::unique_ptr<evconnlistener, listener_deleter> listener_;
+    std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>> connections_;
+    std::unordered_map<gateway::exchange_id, caller_connection*> serving_;
+    std::vector<std::unique_ptr<caller_connection>> closed_;
+    timer reaper_;
+    gateway::exchange_id last_exchange_ = 0;
+    bool is_stopping_ = false;
+};
+
+} // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/daemon/src/gateway/endpoint_pool.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <hemlocknotch/gateway/router_port.hpp>
+
+#include "../timer.hpp"
+#include "endpoint_connection.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace hemlocknotch::daemon {
+
+/// Connections to endpoints, kept between calls. Used on the event loop's thread only.
+class endpoint_pool final : public endpoint_connection_owner {
+public:
+    /// All must outlive the pool.
+    endpoint_pool(event_base* base, const gateway::message_dialect& dialect, endpoint_answer_sink& sink,
+                  std::function<instant()> now);
+    ~endpoint_pool() override;
+
+    endpoint_pool(const endpoint_pool&) = delete;
+    endpoint_pool(endpoint_pool&&) = delete;
+    endpoint_pool& operator=(const endpoint_pool&) = delete;
+    endpoint_pool& operator=(endpoint_pool&&) = delete;
+
+    /// Starts a call; tells of it later, never from within this function.
+    void start(const gateway::call_start& start);
+    /// Ends a call and closes its connection.
+    void cancel(gateway::call_id call);
+
+    [[nodiscard]] std::uint64_t opened_count() const { return opened_; }
+    [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
+
+    void on_call_done(endpoint_connection& connection) override;
+    void on_closed(endpoint_connection& connection) override;
+    [[nodiscard]] instant now() const override { return now_(); }
+
+private:
+    endpoint_connection* take_idle(const gateway::call_start& start);
+    endpoint_connection* open(const gateway::call_start& start);
+    void reap();
+
+    event_base* base_;
+    const gateway::message_dialect& dialect_;
+    endpoint_answer_sink& sink_;
+    std::function<instant()> now_;
+    std::unordered_map<endpoint_connection*, std::unique_ptr<endpoint_connection>> connections_;
+    std::map<endpoint_address, std::vector<endpoint_connection*>> by_address_;
+    std::unordered_map<gateway::call_id, endpoint_connection*> calls_;
+    std::vector<std::unique_ptr<endpoint_connection>> closed_;
+    std::vector<gateway::call_id> unstarted_;
+    timer reaper_;
+    std::uint64_t opened_ = 0;
+};
+
+} // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_command.cpp
@@ -0,0 +1,104 @@
+#include "gateway_command.hpp"
+
+#include <hemlocknotch/platform/header_dialect.hpp>
+#include <hemlocknotch/platform/store_client.hpp>
+
+#include "../start_error.hpp"
+#include "gateway_settings.hpp"
+#include "gateway_shell.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <event2/event.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <memory>
+#include <optional>
+
+namespace hemlocknotch::daemon {
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+
+std::optional<gateway_settings> load(const std::string& path)
+{
+    std::ifstream file{path, std::ios::binary};
+    if (!file) {
+        std::cerr << path << ": cannot be read. Name a file that exists and that this user may read.\n";
+        return std::nullopt;
+    }
+    const std::string text{std::istreambuf_iterator<char>{file}, {}};
+    auto reading = read_gateway_settings(text);
+    for (const auto& it : reading.errors) {
+        std::cerr << path << ": " << it << "\n";
+    }
+    return std::move(reading.accepted);
+}
+
+/// Calls back on a signal while it lives.
+class signal_watch {
+public:
+    signal_watch(event_base* base, int number, std::function<void()> callback)
+        : callback_{std::move(callback)}, event_{evsignal_new(base, number, handle, &callback_)}
+    {
+        event_add(event_.get(), nullptr);
+    }
+
+private:
+    static void handle(evutil_socket_t /*number*/, short /*what*/, void* callback)
+    {
+        (*static_cast<std::function<void()>*>(callback))();
+    }
+
+    std::function<void()> callback_;
+    event_ptr event_;
+};
+
+boost::leaf::result<int> run(const gateway_settings& settings, const std::string& path)
+{
+    static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
+    const event_base_ptr base{event_base_new()};
+    const platform::header_dialect dialect;
+    platform::store_client store{base.get(), *settings.store};
+    gateway_shell shell{base.get(), settings, dialect, store};
+    const signal_watch stop{base.get(), SIGTERM, [&] { shell.stop(); }};
+    const signal_watch interrupt{base.get(), SIGINT, [&] { shell.stop(); }};
+    const signal_watch reload{base.get(), SIGHUP, [&] {
+                                  if (load(path)) {
+                                      shell.reload();
+                                  }
+                              }};
+    BOOST_LEAF_CHECK(shell.start());
+    event_base_dispatch(base.get());
+    return exit_ok;
+}
+
+} // namespace
+
+int run_gateway(const std::string& path, bool is_check)
+{
+    const auto settings = load(path);
+    if (!settings) {
+        return exit_usage;
+    }
+    if (is_check) {
+        std::cout << path << ": the settings are good.\n";
+        return exit_ok;
+    }
+    return boost::leaf::try_handle_all([&] { return run(*settings, path); },
+                                       [](const start_error& error) {
+                                           std::cerr << "hemlocknotchd: " << error.what << ". " << error.remedy
+                                                     << "\n";
+                                           return exit_failed;
+                                       },
+                                       [] {
+                                           std::cerr << "hemlocknotchd: could not start for an unknown reason.\n";
+                                           return exit_failed;
+                                       });
+}
+
+} // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_settings.cpp
@@ -0,0 +1,137 @@
+#include "gateway_settings.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace hemlocknotch::daemon {
+namespace {
+
+using nlohmann::json;
+
+/// Reads fields by their path and collects what is wrong with them.
+class settings_reader {
+public:
+    explicit settings_reader(const json& root) : root_{root} {}
+
+    std::string text(const std::string& path)
+    {
+        const auto* it = find(path);
+        if (it == nullptr || !it->is_string() || it->get_ref<const std::string&>().empty()) {
+            fault(path, "is missing or no text", "Give a text that is not empty");
+            return {};
+        }
+        return it->get<std::string>();
+    }
+
+    /// Reads an address. An absent one is a fault where it is required.
+    std::optional<endpoint_address> address(const std::string& path, bool is_required)
+    {
+        const auto* it = find(path);
+        if (it == nullptr && !is_required) {
+            return std::nullopt;
+        }
+        auto out = it != nullptr && it->is_string() ? endpoint_address::parse(it->get<std::string>()) : std::nullopt;
+        if (!out) {
+            fault(path, "is missing or no address", "Give a numeric IP address with a port, such as 127.0.0.1:8080");
+        }
+        return out;
+    }
+
+    std::vector<endpoint_address> addresses(const std::string& path)
+    {
+        std::vector<endpoint_address> out;
+        const auto* it = find(path);
+        if (it == nullptr) {
+            return out;
+        }
+        if (!it->is_array()) {
+            fault(path, "is no list", "Give a list of addresses");
+            return out;
+        }
+        for (const auto& element : *it) {
+            auto read = element.is_string() ? endpoint_address::parse(element.get<std::string>()) : std::nullopt;
+            if (!read) {
+                fault(path, "has an element that is no address", "Give numeric IP addresses with ports");
+                return out;
+            }
+            out.push_back(std::move(*read));
+        }
+        return out;
+    }
+
+    double number(const std::string& path, double fallback, double least)
+    {
+        const auto* it = find(path);
+        if (it == nullptr) {
+            return fallback;
+        }
+        if (!it->is_number() || it->get<double>() < least) {
+            fault(path, "is no number in its range", "Give a number of at least " + std::to_string(least));
+            return fallback;
+        }
+        return it->get<double>();
+    }
+
+    std::vector<std::string> take_errors() { return std::move(errors_); }
+
+private:
+    /// Returns the field at `path`; null where it is absent or null.
+    const json* find(const std::string& path) const
+    {
+        const json::json_pointer pointer{path};
+        if (!root_.contains(pointer)) {
+            return nullptr;
+        }
+        const auto& it = root_.at(pointer);
+        return it.is_null() ? nullptr : &it;
+    }
+
+    void fault(const std::string& path, const std::string& what, const std::string& remedy)
+    {
+        errors_.push_back(path + " " + what + ". " + remedy + ".");
+    }
+
+    const json& root_;
+    std::vector<std::string> errors_;
+};
+
+duration from_seconds(double value)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>{value});
+}
+
+} // namespace
+
+gateway_settings_reading read_gateway_settings(std::string_view text)
+{
+    const auto root = json::parse(text, nullptr, false, true);
+    if (!root.is_object()) {
+        return {std::nullopt, {"The file is no JSON object. Give one object; comments are allowed."}};
+    }
+    settings_reader reader{root};
+    gateway_settings out;
+    out.instance = reader.text("/instance");
+    out.failure_domain = reader.text("/failure_domain");
+    out.callers = reader.address("/listen/callers", true);
+    out.readiness = reader.address("/listen/readiness", true);
+    out.members = reader.address("/listen/members", false);
+    out.metrics = reader.address("/listen/metrics", false);
+    out.store = reader.address("/store", true);
+    out.seeds = reader.addresses("/seeds");
+    constexpr double least_descriptors = 64.0;
+    out.descriptors = static_cast<std::size_t>(
+        reader.number("/limits/descriptors", static_cast<double>(out.descriptors), least_descriptors));
+    out.stop_grace = from_seconds(reader.number("/limits/stop_grace_s", 8.0, 1.0));
+    out.drain_bound = from_seconds(reader.number("/bounds/drain_ms", 2000.0, 100.0) / 1000.0);
+    out.configuration_bound = from_seconds(reader.number("/bounds/configuration_ms", 2000.0, 100.0) / 1000.0);
+    out.retry_ratio = reader.number("/bounds/retry_ratio", out.retry_ratio, 0.0);
+    out.retry_reserve = reader.number("/bounds/retry_reserve", out.retry_reserve, 0.0);
+    auto errors = reader.take_errors();
+    if (!errors.empty()) {
+        return {std::nullopt, std::move(errors)};
+    }
+    return {std::move(out), {}};
+}
+
+} // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_settings.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/core/time.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hemlocknotch::daemon {
+
+/// Settings of one gateway.
+struct gateway_settings {
+    std::string instance;
+    std::string failure_domain;
+    /// Where callers connect.
+    std::optional<endpoint_address> callers;
+    /// Where the balancer asks for readiness.
+    std::optional<endpoint_address> readiness;
+    /// Where other gateways connect; absent: no exchange with others.
+    std::optional<endpoint_address> members;
+    /// Where metrics are read; absent: nowhere.
+    std::optional<endpoint_address> metrics;
+    /// The platform's store.
+    std::optional<endpoint_address> store;
+    /// Where other gateways may be found while the store is away.
+    std::vector<endpoint_address> seeds;
+    /// Descriptors of this process, those kept for files left out.
+    std::size_t descriptors = 1024;
+    /// Time between the request to stop and the end by force.
+    duration stop_grace = std::chrono::seconds{8};
+    /// Time within which a leaving endpoint, or a configuration, is to be heeded.
+    duration drain_bound = std::chrono::seconds{2};
+    duration configuration_bound = std::chrono::seconds{2};
+    /// Bound on retries over the whole fleet.
+    double retry_ratio = 0.2;
+    double retry_reserve = 50.0;
+};
+
+/// What reading a settings file gave.
+struct gateway_settings_reading {
+    std::optional<gateway_settings> accepted;
+    /// One line for each fault, with its place and what to do. Empty where the settings were accepted.
+    std::vector<std::string> errors;
+};
+
+/// Reads settings from JSON with comments. Fields that are not known are ignored. Thread-safe.
+gateway_settings_reading read_gateway_settings(std::string_view text);
+
+} // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -0,0 +1,306 @@
+#include "gateway_shell.hpp"
+
+#include <boost/leaf/error.hpp>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlocknotch::daemon {
+namespace {
+
+/// Time for the balancer to notice that this instance takes no more connections: it asks once a second and
+/// needs two misses.
+constexpr duration balancer_delay = std::chrono::milliseconds{2600};
+constexpr duration stop_check_interval = std::chrono::milliseconds{200};
+/// Left before the end by force.
+constexpr duration stop_margin = std::chrono::milliseconds{300};
+/// Part of the descriptors that callers' connections may take; the rest is for endpoints and the registry.
+constexpr std::size_t caller_descriptor_share = 2;
+constexpr std::string_view metrics_path = "/metrics";
+
+gateway::router_options router_options_of(const gateway_settings& settings)
+{
+    gateway::router_options out;
+    out.retries = {settings.retry_ratio, settings.retry_reserve};
+    return out;
+}
+
+follower_options follower_options_of(const gateway_settings& settings)
+{
+    return {settings.instance, settings.members.value_or(*settings.callers)};
+}
+
+void append_metric(std::string& out, std::string_view name, std::string_view type, double value)
+{
+    out += "# TYPE ";
+    out += name;
+    out += " ";
+    out += type;
+    out += "\n";
+    out += name;
+    out += " " + std::to_string(value) + "\n";
+}
+
+} // namespace
+
+gateway_shell::gateway_shell(event_base* base, const gateway_settings& settings,
+                             const gateway::message_dialect& dialect, gateway::registry_feed& feed)
+    : base_{base},
+      settings_{settings},
+      dialect_{dialect},
+      log_{STDOUT_FILENO, settings.instance, [this] { return clock_.now(); }},
+      model_placement_{gateway::affinity_options{}},
+      router_{router_options_of(settings), model_placement_, plain_placement_, *this},
+      follower_{base,
+                feed,
+                view_,
+                follower_options_of(settings),
+                [this] { return clock_.now(); },
+                [this](const gateway::registry_difference& it) { take_registry(it); },
+                [this](const log_effect& it) { log(it); }},
+      feed_{feed},
+      callers_{base, dialect, settings.descriptors / caller_descriptor_share, *this},
+      pool_{base, dialect, *this, [this] { return clock_.now(); }},
+      readiness_pages_{base, [this](std::string_view path) { return readiness(path); }},
+      metrics_pages_{base, [this](std::string_view path) { return metrics(path); }},
+      due_{base,
+           [this] {
+               router_.on_time(clock_.now());
+               arm();
+           }},
+      stop_timer_{base, [this] { check_stop(); }}
+{
+}
+
+gateway_shell::~gateway_shell() = default;
+
+boost::leaf::result<void> gateway_shell::start()
+{
+    log({log_level::info,
+         "started",
+         {{"failure_domain", settings_.failure_domain}, {"callers", settings_.callers->to_string()}}});
+    BOOST_LEAF_CHECK(callers_.listen(*settings_.callers));
+    BOOST_LEAF_CHECK(readiness_pages_.listen(*settings_.readiness, "readiness"));
+    if (settings_.metrics) {
+        BOOST_LEAF_CHECK(metrics_pages_.listen(*settings_.metrics, "metrics"));
+    }
+    follower_.start();
+    return {};
+}
+
+void gateway_shell::reload()
+{
+    log({log_level::info, "settings-read-again", {}});
+}
+
+void gateway_shell::stop()
+{
+    if (stop_since_ != instant::max()) {
+        return;
+    }
+    stop_since_ = clock_.now();
+    log({log_level::info, "stopping", {{"open_requests", std::to_string(callers_.serving_count())}}});
+    callers_.begin_stop();
+    stop_timer_.start(balancer_delay);
+}
+
+void gateway_shell::check_stop()
+{
+    callers_.close_idle();
+    const auto passed = clock_.now() - stop_since_;
+    const auto is_idle = callers_.serving_count() == 0 && callers_.connection_count() == 0;
+    if (is_idle || passed >= settings_.stop_grace - stop_margin) {
+        follower_.leave();
+        log({log_level::info, "stopped", {{"open_requests", std::to_string(callers_.serving_count())}}});
+        event_base_loopbreak(base_);
+        return;
+    }
+    stop_timer_.start(stop_check_interval);
+}
+
+void gateway_shell::take_registry(const gateway::registry_difference& difference)
+{
+    const auto now = clock_.now();
+    if (difference.has_out_of_service) {
+        const auto domains = view_.out_of_service();
+        log({log_level::info, "failure-domains-out-of-service", {{"count", std::to_string(domains.size())}}});
+        router_.set_out_of_service(domains);
+    }
+    if (difference.has_members) {
+        const auto members = view_.members();
+        log({log_level::info, "members-changed", {{"count", std::to_string(members.size())}}});
+        router_.set_gateways(std::max<std::size_t>(1, members.size()));
+    }
+    if (difference.has_configuration) {
+        const auto configuration = view_.configuration();
+        log({log_level::info,
+             "configuration-taken",
+             {{"version", std::to_string(configuration->version())},
+              {"revision", std::to_string(view_.revision())}}});
+        callers_.set_limits(configuration->document().limits);
+        router_.set_configuration(configuration, now);
+    }
+    if (difference.has_endpoints) {
+        const auto records = view_.endpoints();
+        if (wants_log(log_level::info)) {
+            log_.write({log_level::info, "endpoints-changed", {{"count", std::to_string(records.size())}}});
+        }
+        router_.set_endpoints(records, now);
+    }
+    arm();
+}
+
+void gateway_shell::arm()
+{
+    const auto now = clock_.now();
+    const auto at = router_.next_time(now);
+    if (at == instant::max()) {
+        due_.stop();
+    }
+    else {
+        due_.start(at - now);
+    }
+}
+
+void gateway_shell::start_call(const gateway::call_start& start)
+{
+    pool_.start(start);
+}
+
+void gateway_shell::cancel_call(gateway::call_id call)
+{
+    pool_.cancel(call);
+}
+
+void gateway_shell::reply(gateway::exchange_id exchange, const gateway::answer_head& head, std::string_view body)
+{
+    callers_.reply(exchange, head, body);
+}
+
+void gateway_shell::begin_stream(gateway::exchange_id exchange, const gateway::answer_head& head)
+{
+    callers_.begin_stream(exchange, head);
+}
+
+void gateway_shell::send_part(gateway::exchange_id exchange, std::string_view bytes)
+{
+    callers_.send_part(exchange, bytes);
+}
+
+void gateway_shell::end_stream(gateway::exchange_id exchange)
+{
+    callers_.end_stream(exchange);
+}
+
+void gateway_shell::abort(gateway::exchange_id exchange)
+{
+    callers_.abort(exchange);
+}
+
+bool gateway_shell::wants_log(log_level level)
+{
+    return log_.wants(level);
+}
+
+void gateway_shell::write_log(const log_effect& record)
+{
+    log_.write(record);
+}
+
+void gateway_shell::log(const log_effect& record)
+{
+    if (log_.wants(record.level)) {
+        log_.write(record);
+    }
+}
+
+void gateway_shell::on_request(gateway::exchange_id exchange,
+                               std::shared_ptr<const gateway::caller_request> request)
+{
+    router_.on_request(exchange, std::move(request), clock_.now());
+    arm();
+}
+
+void gateway_shell::on_caller_gone(gateway::exchange_id exchange)
+{
+    router_.on_caller_gone(exchange, clock_.now());
+    arm();
+}
+
+void gateway_shell::on_malformed(int status, std::string_view reason)
+{
+    ++malformed_;
+    if (wants_log(log_level::warning)) {
+        log_.write({log_level::warning,
+                    "request-malformed",
+                    {{"status", std::to_string(status)}, {"reason", std::string{reason}}}});
+    }
+}
+
+void gateway_shell::on_head(gateway::call_id call, gateway::answer_head head, const gateway::answer_fields& fields)
+{
+    router_.on_head(call, std::move(head), fields, clock_.now());
+}
+
+void gateway_shell::on_part(gateway::call_id call, std::string_view bytes)
+{
+    router_.on_part(call, bytes, clock_.now());
+}
+
+void gateway_shell::on_end(gateway::call_id call, gateway::call_outcome outcome)
+{
+    router_.on_end(call, outcome, clock_.now());
+    arm();
+}
+
+page gateway_shell::readiness(std::string_view path) const
+{
+    constexpr int ok = 200;
+    constexpr int not_found = 404;
+    constexpr int unavailable = 503;
+    if (path != dialect_.readiness_path()) {
+        return {not_found, "no such page\n"};
+    }
+    if (stop_since_ != instant::max()) {
+        return {unavailable, "stopping\n"};
+    }
+    return router_.has_configuration() ? page{ok, "ready\n"} : page{unavailable, "no configuration yet\n"};
+}
+
+page gateway_shell::metrics(std::string_view path) const
+{
+    constexpr int ok = 200;
+    constexpr int not_found = 404;
+    if (path != metrics_path) {
+        return {not_found, "no such page\n"};
+    }
+    const auto& it = router_.counters();
+    std::string out;
+    const auto counter = [&](std::string_view name, std::uint64_t value) {
+        append_metric(out, name, "counter", static_cast<double>(value));
+    };
+    const auto gauge = [&](std::string_view name, std::size_t value) {
+        append_metric(out, name, "gauge", static_cast<double>(value));
+    };
+    counter("hemlocknotch_gateway_requests_total", it.requests);
+    counter("hemlocknotch_gateway_answered_total", it.answered);
+    counter("hemlocknotch_gateway_refused_total", it.refused);
+    counter("hemlocknotch_gateway_failed_total", it.failed);
+    counter("hemlocknotch_gateway_cancelled_total", it.cancelled);
+    counter("hemlocknotch_gateway_sends_total", it.sends);
+    counter("hemlocknotch_gateway_retries_total", it.retries);
+    counter("hemlocknotch_gateway_resumed_streams_total", it.resumed_streams);
+    counter("hemlocknotch_gateway_malformed_total", malformed_);
+    counter("hemlocknotch_gateway_registry_calls_total", feed_.call_count());
+    counter("hemlocknotch_gateway_endpoint_connections_opened_total", pool_.opened_count());
+    counter("hemlocknotch_gateway_log_lines_left_out_total", log_.left_out());
+    gauge("hemlocknotch_gateway_open_requests", router_.exchange_count());
+    gauge("hemlocknotch_gateway_caller_connections", callers_.connection_count());
+    gauge("hemlocknotch_gateway_endpoint_connections", pool_.connection_count());
+    gauge("hemlocknotch_gateway_configuration_version",
+          view_.configuration() ? view_.configuration()->version() : 0);
+    return {ok, std::move(out)};
+}
+
+} // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <hemlocknotch/gateway/affinity_placement.hpp>
+#include <hemlocknotch/gateway/least_loaded_placement.hpp>
+#include <hemlocknotch/gateway/registry_feed.hpp>
+#include <hemlocknotch/gateway/registry_view.hpp>
+#include <hemlocknotch/gateway/request_fields.hpp>
+#include <hemlocknotch/gateway/router.hpp>
+
+#include "../libevent_handles.hpp"
+#include "../process_clock.hpp"
+#include "../timer.hpp"
+#include "caller_server.hpp"
+#include "endpoint_pool.hpp"
+#include "gateway_settings.hpp"
+#include "line_log.hpp"
+#include "page_server.hpp"
+#include "registry_follower.hpp"
+
+#include <boost/leaf/result.hpp>
+
+#include <memory>
+#include <string>
+
+namespace hemlocknotch::daemon {
+
+/// The process of a gateway: carries out what the router decides. Used by one thread.
+class gateway_shell final : private gateway::router_port,
+                            private caller_request_sink,
+                            private endpoint_answer_sink {
+public:
+    /// `base`, `dialect` and `feed` must outlive the shell.
+    gateway_shell(event_base* base, const gateway_settings& settings, const gateway::message_dialect& dialect,
+                  gateway::registry_feed& feed);
+    ~gateway_shell() override;
+
+    gateway_shell(const gateway_shell&) = delete;
+    gateway_shell(gateway_shell&&) = delete;
+    gateway_shell& operator=(const gateway_shell&) = delete;
+    gateway_shell& operator=(gateway_shell&&) = delete;
+
+    /// Listens and follows the registry. Fails with a `start_error`.
+    boost::leaf::result<void> start();
+
+    /// Tells that the settings were read again.
+    void reload();
+
+    /// Finishes what was begun and ends the event loop.
+    void stop();
+
+private:
+    void start_call(const gateway::call_start& start) override;
+    void cancel_call(gateway::call_id call) override;
+    void reply(gateway::exchange_id exchange, const gateway::answer_head& head, std::string_view body) override;
+    void begin_stream(gateway::exchange_id exchange, const gateway::answer_head& head) override;
+    void send_part(gateway::exchange_id exchange, std::string_view bytes) override;
+    void end_stream(gateway::exchange_id exchange) override;
+    void abort(gateway::exchange_id exchange) override;
+    bool wants_log(log_level level) override;
+    void write_log(const log_effect& record) override;
+
+    void on_request(gateway::exchange_id exchange, std::shared_ptr<const gateway::caller_request> request) override;
+    void on_caller_gone(gateway::exchange_id exchange) override;
+    void on_malformed(int status, std::string_view reason) override;
+
+    void on_head(gateway::call_id call, gateway::answer_head head, const gateway::answer_fields& fields) override;
+    void on_part(gateway::call_id call, std::string_view bytes) override;
+    void on_end(gateway::call_id call, gateway::call_outcome outcome) override;
+
+    void take_registry(const gateway::registry_difference& difference);
+    void arm();
+    void check_stop();
+    void log(const log_effect& record);
+    [[nodiscard]] page readiness(std::string_view path) const;
+    [[nodiscard]] page metrics(std::string_view path) const;
+
+    event_base* base_;
+    gateway_settings settings_;
+    const gateway::message_dialect& dialect_;
+    process_clock clock_;
+    line_log log_;
+    gateway::affinity_placement model_placement_;
+    gateway::least_loaded_placement plain_placement_;
+    gateway::router router_;
+    gateway::registry_view view_;
+    registry_follower follower_;
+    gateway::registry_feed& feed_;
+    caller_server callers_;
+    endpoint_pool pool_;
+    page_server readiness_pages_;
+    page_server metrics_pages_;
+    timer due_;
+    timer stop_timer_;
+    instant stop_since_ = instant::max();
+    std::uint64_t malformed_ = 0;
+};
+
+} // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/daemon/src/gateway/message_parser.hpp
@@ -0,0 +1,150 @@
+#pragma once
+
+#include <hemlocknotch/gateway/request_fields.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hemlocknotch::daemon {
+
+/// Returns whether `a` and `b` are the same header name, in any case.
+bool is_same_name(std::string_view a, std::string_view b);
+
+/// Returns whether `name` concerns one connection only (RFC 9110, section 7.6.1), or one of those that
+/// `connection_values` (values of Connection headers) names.
+bool is_connection_header(std::string_view name, const std::vector<std::string>& connection_values);
+
+/// Returns whether a comma-separated list in `values` has `token`, in any case.
+bool has_token(const std::vector<std::string>& values, std::string_view token);
+
+/// Parses one HTTP/1.1 message with Boost.Beast, strictly: ambiguous framing is an error. Collects head and body;
+/// the owner takes the body whenever it likes. Used by one thread at a time.
+template <bool is_request>
+class message_parser final : public boost::beast::http::basic_parser<is_request> {
+    using base = boost::beast::http::basic_parser<is_request>;
+    using error_code = boost::beast::error_code;
+    using beast_view = boost::beast::string_view;
+
+public:
+    message_parser(std::size_t max_header_bytes, std::uint64_t max_body_bytes)
+    {
+        this->header_limit(static_cast<std::uint32_t>(max_header_bytes));
+        this->body_limit(max_body_bytes);
+        this->eager(true);
+    }
+
+    /// Parses `bytes` and returns how many were used. What is left belongs to the next message, or has to be
+    /// given again with more. `fault` is set where the message cannot be read.
+    std::size_t parse(std::string_view bytes, boost::beast::error_code& fault)
+    {
+        error_code ec;
+        const auto n = this->put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+        fault = ec == boost::beast::http::error::need_more ? error_code{} : ec;
+        return n;
+    }
+
+    [[nodiscard]] const std::string& method() const { return method_; }
+    [[nodiscard]] const std::string& target() const { return target_; }
+    [[nodiscard]] int status() const { return status_; }
+    [[nodiscard]] int version() const { return version_; }
+    [[nodiscard]] std::vector<gateway::header_field>& fields() { return fields_; }
+    [[nodiscard]] std::string& body() { return body_; }
+    /// Values of Connection and Transfer-Encoding headers, and the number of Host headers.
+    [[nodiscard]] const std::vector<std::string>& connection_values() const { return connection_values_; }
+    [[nodiscard]] const std::vector<std::string>& coding_values() const { return coding_values_; }
+    /// The framing cannot be trusted: two lengths, a length beside chunks, or a coding other than chunked.
+    [[nodiscard]] bool is_ambiguous() const
+    {
+        return length_count_ > 1 || (length_count_ > 0 && !coding_values_.empty()) || coding_values_.size() > 1 ||
+               (coding_values_.size() == 1 && !is_same_name(coding_values_.front(), "chunked"));
+    }
+
+private:
+    void on_request_impl(boost::beast::http::verb /*method*/, beast_view method, beast_view target, int version,
+                         error_code& ec) override
+    {
+        method_.assign(method.data(), method.size());
+        target_.assign(target.data(), target.size());
+        version_ = version;
+        ec = {};
+    }
+
+    void on_response_impl(int status, beast_view /*reason*/, int version, error_code& ec) override
+    {
+        status_ = status;
+        version_ = version;
+        ec = {};
+    }
+
+    void on_field_impl(boost::beast::http::field name, beast_view text, beast_view value, error_code& ec) override
+    {
+        ec = {};
+        if (has_head_) {
+            return; // A trailer.
+        }
+        using boost::beast::http::field;
+        std::string copy{value.data(), value.size()};
+        if (name == field::connection) {
+            connection_values_.push_back(copy);
+        }
+        else if (name == field::transfer_encoding) {
+            coding_values_.push_back(copy);
+        }
+        else if (name == field::content_length) {
+            ++length_count_;
+        }
+        fields_.push_back({std::string{text.data(), text.size()}, std::move(copy)});
+    }
+
+    void on_header_impl(error_code& ec) override
+    {
+        has_head_ = true;
+        ec = is_ambiguous() ? make_error_code(boost::beast::http::error::bad_transfer_encoding) : error_code{};
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& ec) override { ec = {}; }
+
+    std::size_t on_body_impl(beast_view bytes, error_code& ec) override
+    {
+        ec = {};
+        body_.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/, beast_view /*extensions*/, error_code& ec) override
+    {
+        ec = {};
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*left*/, beast_view bytes, error_code& ec) override
+    {
+        ec = {};
+        body_.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_finish_impl(error_code& ec) override { ec = {}; }
+
+    std::string method_;
+    std::string target_;
+    int status_ = 0;
+    int version_ = 0;
+    std::vector<gateway::header_field> fields_;
+    std::vector<std::string> connection_values_;
+    std::vector<std::string> coding_values_;
+    unsigned length_count_ = 0;
+    bool has_head_ = false;
+    std::string body_;
+};
+
+using request_parser = message_parser<true>;
+using answer_parser = message_parser<false>;
+
+} // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -0,0 +1,172 @@
+#include "registry_follower.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlocknotch::daemon {
+namespace {
+
+using gateway::registry_answer;
+using gateway::registry_status;
+
+/// Longest wait of one watch.
+constexpr duration watch_wait = std::chrono::milliseconds{700};
+/// Pause after a failed call; short against the bounds of a few seconds, long against the store's usual answer.
+constexpr duration retry_pause = std::chrono::milliseconds{250};
+/// Failures for so long are an outage, after which registrations may have lapsed.
+constexpr duration outage_after = std::chrono::milliseconds{500};
+/// Life of the registration without renewal, and the time between renewals, which leaves room for two failures.
+constexpr duration lease_time = std::chrono::seconds{10};
+constexpr duration lease_interval = std::chrono::seconds{3};
+
+std::string to_text(registry_status status)
+{
+    switch (status) {
+    case registry_status::ok:
+        return "ok";
+    case registry_status::refused:
+        return "refused";
+    case registry_status::history_lost:
+        return "history-lost";
+    case registry_status::lease_lost:
+        return "lease-lost";
+    case registry_status::unknown:
+        break;
+    }
+    return "no-answer";
+}
+
+} // namespace
+
+registry_follower::registry_follower(event_base* base, gateway::registry_feed& feed, gateway::registry_view& view,
+                                     const follower_options& options, std::function<instant()> now,
+                                     changed_callback changed, log_callback log)
+    : feed_{feed},
+      view_{view},
+      options_{options},
+      now_{std::move(now)},
+      changed_{std::move(changed)},
+      log_{std::move(log)},
+      next_{base, [this] { needs_whole_ ? read() : watch(); }},
+      lease_{base, [this] { lease_number_ == 0 ? join() : keep(); }},
+      grace_{base, [this] { report(view_.on_time(now_())); }}
+{
+}
+
+void registry_follower::start()
+{
+    read();
+    join();
+}
+
+void registry_follower::leave()
+{
+    next_.stop();
+    lease_.stop();
+    if (lease_number_ != 0) {
+        feed_.leave(std::exchange(lease_number_, 0));
+    }
+}
+
+void registry_follower::take_told(const std::vector<gateway::registry_change>& changes, std::uint64_t revision,
+                                  instant as_of)
+{
+    report(view_.apply(changes, revision, now_()));
+    if (!needs_whole_ && as_of > current_as_of_) {
+        current_as_of_ = as_of;
+    }
+}
+
+void registry_follower::read()
+{
+    const auto asked_at = now_();
+    feed_.read([this, asked_at](registry_answer answer) { take(std::move(answer), true, asked_at); });
+}
+
+void registry_follower::watch()
+{
+    const auto asked_at = now_();
+    if (asked_at - current_as_of_ < options_.max_age) {
+        return schedule(current_as_of_);
+    }
+    feed_.watch(view_.revision(), watch_wait,
+                [this, asked_at](registry_answer answer) { take(std::move(answer), false, asked_at); });
+}
+
+void registry_follower::take(registry_answer answer, bool is_whole, instant asked_at)
+{
+    if (answer.status == registry_status::history_lost) {
+        log_({log_level::info, "registry-history-lost", {{"revision", std::to_string(view_.revision())}}});
+        needs_whole_ = true;
+        return next_.start(duration::zero());
+    }
+    if (answer.status != registry_status::ok) {
+        return note_failure(answer.status);
+    }
+    note_answer();
+    needs_whole_ = false;
+    current_as_of_ = std::max(current_as_of_, asked_at);
+    report(is_whole ? view_.replace(answer.changes, answer.revision, now_())
+                    : view_.apply(answer.changes, answer.revision, now_()));
+    schedule(asked_at);
+}
+
+void registry_follower::note_failure(registry_status status)
+{
+    if (failed_since_ == instant::max()) {
+        failed_since_ = now_();
+        log_({log_level::warning,
+              "registry-lost",
+              {{"status", to_text(status)}, {"revision", std::to_string(view_.revision())}}});
+    }
+    next_.start(retry_pause);
+}
+
+void registry_follower::note_answer()
+{
+    const auto since = std::exchange(failed_since_, instant::max());
+    if (since == instant::max()) {
+        return;
+    }
+    const auto lasted = now_() - since;
+    if (lasted >= outage_after) {
+        view_.on_registry_back(now_());
+    }
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(lasted).count();
+    log_({log_level::info, "registry-back", {{"after_ms", std::to_string(ms)}}});
+}
+
+void registry_follower::schedule(instant asked_at)
+{
+    next_.start(asked_at + options_.max_age - now_());
+}
+
+void registry_follower::join()
+{
+    feed_.join(options_.instance, options_.members, lease_time, [this](const registry_answer& answer) {
+        lease_number_ = answer.status == registry_status::ok ? answer.lease : 0;
+        lease_.start(lease_number_ == 0 ? retry_pause * 2 : lease_interval);
+    });
+}
+
+void registry_follower::keep()
+{
+    feed_.keep(lease_number_, [this](const registry_answer& answer) {
+        const auto is_lost = answer.status == registry_status::lease_lost;
+        lease_number_ = is_lost ? 0 : lease_number_;
+        lease_.start(is_lost ? duration::zero() : answer.status == registry_status::ok ? lease_interval : retry_pause * 2);
+    });
+}
+
+void registry_follower::report(const gateway::registry_difference& difference)
+{
+    if (const auto at = view_.next_time(); at != instant::max()) {
+        grace_.start(at - now_());
+    }
+    if (difference.has_configuration || difference.has_endpoints || difference.has_out_of_service ||
+        difference.has_members) {
+        changed_(difference);
+    }
+}
+
+} // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/daemon/src/gateway/socket_channel.cpp
@@ -0,0 +1,247 @@
+#include "socket_channel.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cassert>
+#include <cerrno>
+
+namespace hemlocknotch::daemon {
+namespace {
+
+/// Bytes taken in one read: a few prompts, or some hundred events of a stream.
+constexpr std::size_t read_size = std::size_t{64} << 10U;
+/// A connection whose peer acknowledges nothing for so long is broken; below the time after which an instance
+/// counts as out of touch (3 s).
+constexpr int silence_limit_ms = 2500;
+constexpr int keepalive_idle_s = 1;
+constexpr int keepalive_interval_s = 1;
+constexpr int keepalive_probes = 2;
+
+template <class Value>
+void set_option(int fd, int level, int name, Value value)
+{
+    // A refused option costs speed or a late discovery of a dead peer, never a wrong answer.
+    static_cast<void>(setsockopt(fd, level, name, &value, sizeof value));
+}
+
+void set_options(int fd)
+{
+    set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, silence_limit_ms);
+}
+
+bool to_sockaddr(const endpoint_address& address, sockaddr_in& out)
+{
+    out = {};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(address.port());
+    return inet_pton(AF_INET, address.host().c_str(), &out.sin_addr) == 1;
+}
+
+} // namespace
+
+std::shared_ptr<socket_channel> socket_channel::adopt(event_base* base, int fd, channel_sink& sink)
+{
+    set_options(fd);
+    std::shared_ptr<socket_channel> out{new socket_channel{base, fd, sink, true}};
+    event_add(out->read_event_.get(), nullptr);
+    return out;
+}
+
+std::shared_ptr<socket_channel> socket_channel::connect(event_base* base, const endpoint_address& address,
+                                                        std::chrono::milliseconds limit, channel_sink& sink)
+{
+    sockaddr_in to{};
+    if (!to_sockaddr(address, to)) {
+        return nullptr;
+    }
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return nullptr;
+    }
+    std::shared_ptr<socket_channel> out{new socket_channel{base, fd, sink, false}};
+    set_options(fd);
+    if (::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 && errno != EINPROGRESS) {
+        return nullptr;
+    }
+    out->wait_for_connection(limit);
+    return out;
+}
+
+socket_channel::socket_channel(event_base* base, int fd, channel_sink& sink, bool is_connected)
+    : sink_{&sink},
+      fd_{fd},
+      read_event_{event_new(base, fd, EV_READ | EV_PERSIST, handle_read, this)},
+      write_event_{event_new(base, fd, EV_WRITE, handle_write, this)},
+      is_connected_{is_connected}
+{
+    assert(read_event_ && write_event_);
+}
+
+socket_channel::~socket_channel()
+{
+    close();
+}
+
+void socket_channel::send(std::string_view bytes)
+{
+    if (fd_ < 0 || is_closing_ || bytes.empty()) {
+        return;
+    }
+    if (is_connected_ && pending_bytes() == 0) {
+        const auto n = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (n > 0) {
+            bytes.remove_prefix(static_cast<std::size_t>(n));
+        }
+        // An error shows again on the next read, which reports it outside of this call.
+    }
+    if (bytes.empty()) {
+        return;
+    }
+    pending_ += bytes;
+    if (is_connected_ && !is_write_awaited_) {
+        is_write_awaited_ = true;
+        event_add(write_event_.get(), nullptr);
+    }
+}
+
+void socket_channel::pause_reading()
+{
+    if (fd_ >= 0) {
+        event_del(read_event_.get());
+    }
+}
+
+void socket_channel::resume_reading()
+{
+    if (fd_ >= 0 && is_connected_) {
+        event_add(read_event_.get(), nullptr);
+    }
+}
+
+void socket_channel::close()
+{
+    sink_ = nullptr;
+    if (fd_ < 0) {
+        return;
+    }
+    // The events go before the descriptor, whose number the system may use again.
+    read_event_.reset();
+    write_event_.reset();
+    ::close(fd_);
+    fd_ = -1;
+}
+
+void socket_channel::close_when_drained()
+{
+    if (fd_ < 0) {
+        return;
+    }
+    is_closing_ = true;
+    if (pending_bytes() == 0) {
+        ::shutdown(fd_, SHUT_WR);
+    }
+}
+
+void socket_channel::handle_read(evutil_socket_t /*fd*/, short /*what*/, void* self)
+{
+    const auto that = static_cast<socket_channel*>(self)->shared_from_this();
+    that->read_bytes();
+}
+
+void socket_channel::handle_write(evutil_socket_t /*fd*/, short what, void* self)
+{
+    const auto that = static_cast<socket_channel*>(self)->shared_from_this();
+    if (that->is_connected_) {
+        that->write_bytes();
+    }
+    else {
+        that->finish_connecting((what & EV_TIMEOUT) != 0);
+    }
+}
+
+void socket_channel::read_bytes()
+{
+    static std::array<char, read_size> buf;
+    const auto n = ::recv(fd_, buf.data(), buf.size(), 0);
+    if (n > 0) {
+        if (!is_closing_ && sink_ != nullptr) {
+            sink_->on_bytes({buf.data(), static_cast<std::size_t>(n)});
+        }
+        return;
+    }
+    if (n == 0) {
+        return end(channel_end::orderly);
+    }
+    if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+        end(channel_end::broken);
+    }
+}
+
+void socket_channel::wait_for_connection(std::chrono::milliseconds limit)
+{
+    timeval tv{};
+    tv.tv_sec = limit.count() / 1000;
+    tv.tv_usec = limit.count() % 1000 * 1000;
+    is_write_awaited_ = true;
+    event_add(write_event_.get(), &tv);
+}
+
+void socket_channel::finish_connecting(bool is_timeout)
+{
+    is_write_awaited_ = false;
+    int error = 0;
+    socklen_t length = sizeof error;
+    if (is_timeout || getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &length) != 0 || error != 0) {
+        return end(channel_end::not_connected);
+    }
+    is_connected_ = true;
+    event_add(read_event_.get(), nullptr);
+    write_bytes();
+}
+
+void socket_channel::write_bytes()
+{
+    is_write_awaited_ = false;
+    while (pending_bytes() > 0) {
+        const auto n = ::send(fd_, pending_.data() + pending_begin_, pending_bytes(), MSG_NOSIGNAL);
+        if (n < 0) {
+            if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) {
+                is_write_awaited_ = true;
+                event_add(write_event_.get(), nullptr);
+                return;
+            }
+            return end(channel_end::broken);
+        }
+        pending_begin_ += static_cast<std::size_t>(n);
+    }
+    pending_.clear();
+    pending_.shrink_to_fit();
+    pending_begin_ = 0;
+    if (is_closing_) {
+        ::shutdown(fd_, SHUT_WR);
+    }
+    else if (sink_ != nullptr) {
+        sink_->on_drained();
+    }
+}
+
+void socket_channel::end(channel_end reason)
+{
+    auto* sink = sink_;
+    close();
+    if (sink != nullptr) {
+        sink->on_end(reason);
+    }
+}
+
+} // namespace hemlocknotch::daemon
--- a/packages/daemon/src/process_runtime.cpp
+++ b/packages/daemon/src/process_runtime.cpp
@@ -1,7 +1,7 @@
 #include "process_runtime.hpp"
 
-#include <hemlocknotch/platform/configuration_document.hpp>
-#include <hemlocknotch/platform/http_platform.hpp>
+#include <hemlocknotch/coordination/configuration_document.hpp>
+#include <hemlocknotch/coordination/http_platform.hpp>
 
 #include "jitter.hpp"
 #include "process_usage.hpp"
--- a/packages/daemon/src/process_runtime.hpp
+++ b/packages/daemon/src/process_runtime.hpp
@@ -2,8 +2,8 @@
 
 #include <hemlocknotch/core/configuration.hpp>
 #include <hemlocknotch/core/entry_effect.hpp>
-#include <hemlocknotch/platform/instance_list.hpp>
-#include <hemlocknotch/platform/key_value_service.hpp>
+#include <hemlocknotch/coordination/instance_list.hpp>
+#include <hemlocknotch/coordination/key_value_service.hpp>
 
 #include "configuration_watcher.hpp"
 #include "entropy_source.hpp"
--- a/packages/daemon/src/settings_reading.cpp
+++ b/packages/daemon/src/settings_reading.cpp
@@ -1,7 +1,7 @@
 #include "settings_reading.hpp"
 
-#include <hemlocknotch/platform/json_document.hpp>
-#include <hemlocknotch/platform/object_reader.hpp>
+#include <hemlocknotch/coordination/json_document.hpp>
+#include <hemlocknotch/coordination/object_reader.hpp>
 
 #include "setting_description.hpp"
 
--- a/packages/daemon/src/settings_reading.hpp
+++ b/packages/daemon/src/settings_reading.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/core/process_identity.hpp>
-#include <hemlocknotch/platform/configuration_document.hpp>
+#include <hemlocknotch/coordination/configuration_document.hpp>
 
 #include "settings.hpp"
 
--- /dev/null
+++ b/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <hemlocknotch/gateway/placement_policy.hpp>
+
+#include <cstddef>
+
+namespace hemlocknotch::gateway {
+
+/// Settings of `affinity_placement`.
+struct affinity_options {
+    /// Endpoints among which one shared part is spread. Two choices even out most of the load (Mitzenmacher,
+    /// "The Power of Two Choices in Randomized Load Balancing", 2001); each further one reads each part again.
+    std::size_t fanout = 2;
+    /// Prompt tokens that may be ahead of a request at its endpoint; more are held by the gateway, where they
+    /// can still be ordered, refused and placed elsewhere.
+    double window_tokens = 24'000.0;
+};
+
+/// Takes the less loaded of the few endpoints that rendezvous hashing gives to the longest shared part of the
+/// prompt, so that all gateways agree on where it is kept without talking. Immutable.
+class affinity_placement final : public placement_policy {
+public:
+    explicit affinity_placement(const affinity_options& options) : options_{options} {}
+
+    [[nodiscard]] placement choose(const placement_request& request,
+                                   std::span<const endpoint_load> endpoints) const override;
+
+private:
+    affinity_options options_;
+};
+
+} // namespace hemlocknotch::gateway
--- /dev/null
+++ b/packages/gateway/include/hemlocknotch/gateway/cold_gate.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <hemlocknotch/core/time.hpp>
+
+#include <cstddef>
+
+namespace hemlocknotch::gateway {
+
+/// One gateway's part of the requests that a cold endpoint bears: a token bucket. Used by one thread at a time.
+class cold_gate {
+public:
+    /// Part of the stated rate that is used; the rest covers requests that are on their way together.
+    static constexpr double rate_share = 0.8;
+
+    /// Admits `requests_per_second` / `gateways` with single requests at a time. Preconditions: the rate is
+    /// above zero, `gateways` at least 1.
+    cold_gate(double requests_per_second, std::size_t gateways, instant now);
+
+    /// Changes the number of gateways that share the rate.
+    void set_gateways(std::size_t gateways);
+
+    /// Returns whether a request may go now.
+    [[nodiscard]] bool is_open(instant now) const;
+
+    /// Counts a request that goes.
+    void on_send(instant now);
+
+    /// Returns when the next request may go.
+    [[nodiscard]] instant opens_at() const { return opens_at_; }
+
+private:
+    double requests_per_second_;
+    duration interval_{};
+    instant opens_at_;
+};
+
+} // namespace hemlocknotch::gateway
--- /dev/null
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <hemlocknotch/gateway/cold_gate.hpp>
+#include <hemlocknotch/gateway/endpoint_load.hpp>
+#include <hemlocknotch/gateway/endpoint_record.hpp>
+#include <hemlocknotch/gateway/request_fields.hpp>
+#include <hemlocknotch/gateway/routing_configuration.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace hemlocknotch::gateway {
+
+/// Load of one endpoint that another gateway causes.
+struct peer_load {
+    double pending_tokens = 0.0;
+    unsigned running = 0;
+};
+
+/// What the gateway knows of one endpoint.
+struct endpoint_state {
+    explicit endpoint_state(endpoint_record value) : record{std::move(value)} {}
+
+    endpoint_record record;
+    double pending_tokens = 0.0;
+    unsigned running = 0;
+    /// By the name of the gateway that causes it.
+    std::map<std::string, peer_load, std::less<>> peers;
+    /// Moving share of calls that failed.
+    double failure_rate = 0.0;
+    unsigned failures_in_row = 0;
+    /// No request goes here until then, unless all others are suspected too.
+    instant suspected_until{};
+    instant cold_until{};
+    /// Shared parts of prompts that were sent here, with the time of the last one.
+    std::unordered_map<std::uint64_t, instant> kept_parts;
+    std::optional<cold_gate> gate;
+};
+
+/// The endpoints of all services, with their load and health. Used by one thread at a time.
+class endpoint_table {
+public:
+    /// Weight of the newest call in the failure rate; the last five calls make up two thirds of it.
+    static constexpr double failure_weight = 0.2;
+    /// Failure rate from which an endpoint is suspected, above what the others of its service show.
+    static constexpr double suspicious_rate = 0.3;
+    /// Shortest and longest suspicion; it doubles with each failure in a row.
+    static constexpr duration min_suspicion = std::chrono::milliseconds{250};
+    static constexpr duration max_suspicion = std::chrono::seconds{2};
+
+    /// Replaces the endpoints. Those that stay keep load and health, unless they have been started again.
+    void set_endpoints(std::span<const endpoint_record> records, const routing_configuration& configuration,
+                       std::size_t gateways, instant now);
+
+    /// Replaces the failure domains that take no new work.
+    void set_out_of_service(std::set<std::string, std::less<>> failure_domains);
+
+    /// Changes the number of gateways that share the limits of cold endpoints.
+    void set_gateways(std::size_t gateways);
+
+    /// Replaces what `gateway` says of its load. An empty list forgets it.
+    void set_peer_load(std::string_view gateway, const std::map<std::string, peer_load, std::less<>>& loads);
+
+    /// Returns the endpoints of `service`, valid until the next change; `states` receives their states in the
+    /// same order.
+    std::vector<endpoint_load> loads_of(std::string_view service, instant now,
+                                        std::span<const std::string> excluded,
+                                        std::vector<endpoint_state*>& states);
+
+    /// Returns the state of `instance`; null where it is not known.
+    endpoint_state* find(std::string_view instance);
+
+    /// Counts how a call to `instance` ended.
+    void note_success(endpoint_state& endpoint);
+    void note_failure(endpoint_state& endpoint, instant now);
+
+    /// Keeps requests from `endpoint` until `until`.
+    static void suspect(endpoint_state& endpoint, instant until);
+
+    /// Returns when the next cold endpoint takes a request, or a suspicion ends; `instant::max()` where
+    /// nothing is held back.
+    [[nodiscard]] instant next_opening(instant now) const;
+
+    [[nodiscard]] const std::map<std::string, std::unique_ptr<endpoint_state>, std::less<>>& all() const
+    {
+        return endpoints_;
+    }
+
+private:
+    [[nodiscard]] bool may_take(const endpoint_state& endpoint, instant now) const;
+    [[nodiscard]] double mean_failure_rate(std::string_view service, const endpoint_state& except) const;
+
+    std::map<std::string, std::unique_ptr<endpoint_state>, std::less<>> endpoints_;
+    std::map<std::string, std::vector<endpoint_state*>, std::less<>> by_service_;
+    std::set<std::string, std::less<>> out_of_service_;
+};
+
+} // namespace hemlocknotch::gateway
--- /dev/null
+++ b/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <hemlocknotch/gateway/endpoint_load.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace hemlocknotch::gateway {
+
+/// What a placement policy knows of a request.
+struct placement_request {
+    /// Key of the longest part of the prompt that other requests share; nothing where there is none.
+    std::optional<std::uint64_t> shared_part;
+    /// Tokens of the prompt, shared parts included.
+    double prompt_tokens = 0.0;
+    /// Of these, tokens that are kept where requests with the same shared part have run.
+    double shared_tokens = 0.0;
+};
+
+/// What a placement policy decides.
+struct placement {
+    /// Position of the endpoint to send to; nothing where the request has to wait.
+    std::optional<std::size_t> endpoint;
+    /// Some endpoint could take the request later. False: there is none at all.
+    bool has_candidates = false;
+};
+
+/// Policy: which endpoint of a service runs a request. Implementations are immutable; safe to share between
+/// threads.
+class placement_policy {
+public:
+    virtual ~placement_policy() = default;
+
+    /// Chooses among `endpoints`, all of one service.
+    [[nodiscard]] virtual placement choose(const placement_request& request,
+                                           std::span<const endpoint_load> endpoints) const = 0;
+};
+
+} // namespace hemlocknotch::gateway
--- /dev/null
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <hemlocknotch/gateway/registry_feed.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace hemlocknotch::gateway {
+
+/// What changed with the last call.
+struct registry_difference {
+    bool has_configuration = false;
+    bool has_endpoints = false;
+    bool has_out_of_service = false;
+    bool has_members = false;
+};
+
+/// The registry as this gateway believes it to be, merged from reads, watches and other gateways' tellings.
+/// Never goes back to an older revision of a key. Used by one thread at a time.
+class registry_view {
+public:
+    /// Endpoints whose registrations lapsed while the registry was away have registered again after this time.
+    static constexpr duration lapse_grace = std::chrono::milliseconds{2200};
+
+    /// Takes every key that exists; what is missing has been removed.
+    registry_difference replace(std::span<const registry_change> changes, std::uint64_t revision, instant now);
+
+    /// Takes changes in any order, also repeated ones.
+    registry_difference apply(std::span<const registry_change> changes, std::uint64_t revision, instant now);
+
+    /// The registry answers again after an outage: removals of endpoints that were ready are held back for the
+    /// grace from now on.
+    void on_registry_back(instant now);
+
+    /// Makes removals final whose grace is over. `next_time` says when.
+    registry_difference on_time(instant now);
+    [[nodiscard]] instant next_time() const;
+
+    /// Returns the newest revision taken. 0: none.
+    [[nodiscard]] std::uint64_t revision() const { return revision_; }
+
+    [[nodiscard]] std::shared_ptr<const routing_configuration> configuration() const;
+    [[nodiscard]] std::vector<endpoint_record> endpoints() const;
+    [[nodiscard]] std::set<std::string, std::less<>> out_of_service() const;
+    [[nodiscard]] std::vector<member_item> members() const;
+
+private:
+    struct entry {
+        std::uint64_t revision = 0;
+        registry_item item;
+        /// Removed, but its endpoint is still used until then.
+        instant gone_at = instant::max();
+    };
+
+    void take(const registry_change& change, instant now, registry_difference& difference);
+    void remove(std::map<std::string, entry>::iterator it, instant now, registry_difference& difference);
+    static void note(const registry_item& item, registry_difference& difference);
+
+    std::map<std::string, entry> entries_;
+    /// Revisions at which keys were removed, so that older tellings do not bring them back.
+    std::map<std::string, std::uint64_t> removed_;
+    std::shared_ptr<const routing_configuration> configuration_;
+    std::uint64_t revision_ = 0;
+    instant grace_until_{};
+};
+
+} // namespace hemlocknotch::gateway
--- /dev/null
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <hemlocknotch/gateway/endpoint_table.hpp>
+#include <hemlocknotch/gateway/event_splitter.hpp>
+#include <hemlocknotch/gateway/placement_policy.hpp>
+#include <hemlocknotch/gateway/retry_allowance.hpp>
+#include <hemlocknotch/gateway/router_port.hpp>
+#include <hemlocknotch/gateway/routing_configuration.hpp>
+#include <hemlocknotch/gateway/waiting_line.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace hemlocknotch::gateway {
+
+/// Settings of the router.
+struct router_options {
+    retry_bound retries;
+    /// Part of a route's objective for which a request may wait for an endpoint; what waits longer would be
+    /// late after its first token has been computed.
+    double wait_share = 0.6;
+    /// Tokens that one generated token counts for against a prompt token, as the operators count them.
+    double output_weight = 2.0;
+    /// Part of the most tokens that a request may generate which it is taken to generate.
+    double expected_output_share = 0.8;
+    /// Prompt tokens that an endpoint reads in a millisecond, until its service has been measured.
+    double prompt_tokens_per_ms = 45.0;
+    /// Waiting requests that are offered to endpoints in one turn; bounds the time of a turn.
+    std::size_t offers_per_turn = 64;
+    /// Most requests in the gateway; bounds its memory.
+    std::size_t max_exchanges = 2000;
+};
+
+/// Totals for the metrics page.
+struct router_counters {
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t sends = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t resumed_streams = 0;
+};
+
+/// Decides everything about requests: what is allowed, where it runs, what waits, what is refused, what is
+/// sent again, and what the caller is told. No I/O and no clock; used by one thread at a time.
+class router {
+public:
+    /// All references must outlive the router.
+    router(const router_options& options, const placement_policy& model_placement,
+           const placement_policy& plain_placement, router_port& port);
+    ~router();
+    router(const router&) = delete;
+    router(router&&) = delete;
+    router& operator=(const router&) = delete;
+    router& operator=(router&&) = delete;
+
+    /// Takes a newer configuration. Requests under way keep the one that they began with.
+    void set_configuration(std::shared_ptr<const routing_configuration> configuration, instant now);
+    void set_endpoints(std::span<const endpoint_record> records, instant now);
+    void set_out_of_service(std::set<std::string, std::less<>> failure_domains);
+    /// Tells how many gateways share the limits of the fleet. Precondition: at least 1.
+    void set_gateways(std::size_t gateways);
+
+    /// Takes a caller's request. Precondition: `exchange` is not in use.
+    void on_request(exchange_id exchange, std::shared_ptr<const caller_request> request, instant now);
+    /// The caller has gone. Ignored where the exchange has ended.
+    void on_caller_gone(exchange_id exchange, instant now);
+
+    /// What endpoints answer. Ignored where the call has ended.
+    void on_head(call_id call, answer_head head, const answer_fields& fields, instant now);
+    void on_part(call_id call, std::string_view bytes, instant now);
+    void on_end(call_id call, call_outcome outcome, instant now);
+
+    /// Does what is due at `now`.
+    void on_time(instant now);
+    /// Returns when `on_time` is to be called next.
+    [[nodiscard]] instant next_time(instant now) const;
+
+    [[nodiscard]] bool has_configuration() const { return configuration_ != nullptr; }
+
+    [[nodiscard]] std::size_t exchange_count() const { return exchanges_.size(); }
+
+    [[nodiscard]] const router_counters& counters() const { return counters_; }
+
+    [[nodiscard]] endpoint_table& endpoints() { return endpoints_; }
+
+private:
+    struct exchange;
+    struct service_state;
+
+    service_state& service_of(std::string_view name, instant now);
+    void admit(exchange& it, instant now);
+    bool try_send(exchange& it, instant now);
+    void offer_waiting(instant now);
+    void send(exchange& it, endpoint_state& endpoint, instant now);
+    void finish_call(exchange& it, instant now);
+    void take_prompt_read(exchange& it, instant now);
+    void wait_or_refuse(exchange& it, instant now);
+    void handle_failure(exchange& it, call_outcome outcome, instant now);
+    bool may_send_again(const exchange& it, bool was_executed) const;
+    bool try_again(exchange& it, bool was_executed, instant now);
+    void pass_stream(exchange& it, std::string_view bytes);
+    void finish_stream(exchange& it, instant now);
+    void refuse(exchange& it, int status, std::string_view reason, duration retry_after);
+    void reply_own(exchange& it, int status, std::string_view reason, duration retry_after);
+    void expire(exchange& it, instant now);
+    void log_end(const exchange& it, int status, std::string_view reason, log_level level);
+    void erase(exchange_id id);
+    exchange* find_by_call(call_id call);
+    [[nodiscard]] duration estimated_wait(service_state& service, const exchange& it, instant now) const;
+
+    router_options options_;
+    const placement_policy& model_placement_;
+    const placement_policy& plain_placement_;
+    router_port& port_;
+    std::shared_ptr<const routing_configuration> configuration_;
+    std::vector<endpoint_record> records_;
+    endpoint_table endpoints_;
+    std::size_t gateways_ = 1;
+    std::unordered_map<exchange_id, std::unique_ptr<exchange>> exchanges_;
+    std::unordered_map<call_id, exchange_id> calls_;
+    std::map<std::string, std::unique_ptr<service_state>, std::less<>> services_;
+    std::set<std::pair<instant, exchange_id>> deadlines_;
+    call_id last_call_ = 0;
+    router_counters counters_;
+};
+
+} // namespace hemlocknotch::gateway
--- /dev/null
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -0,0 +1,178 @@
+#include <hemlocknotch/gateway/endpoint_table.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace hemlocknotch::gateway {
+namespace {
+
+constexpr unsigned default_slots = 64;
+constexpr unsigned max_doublings = 6;
+
+} // namespace
+
+void endpoint_table::set_endpoints(std::span<const endpoint_record> records,
+                                   const routing_configuration& configuration, std::size_t gateways,
+                                   instant now)
+{
+    std::map<std::string, std::unique_ptr<endpoint_state>, std::less<>> next;
+    for (const auto& record : records) {
+        const auto known = endpoints_.find(record.instance);
+        const auto is_same =
+            known != endpoints_.end() && known->second->record.started_at_ms == record.started_at_ms &&
+            known->second->record.address == record.address;
+        auto state = is_same ? std::move(known->second) : std::make_unique<endpoint_state>(record);
+        const auto was_told_cold = is_same && state->record.cold_remaining == record.cold_remaining;
+        if (!was_told_cold && record.cold_remaining > duration::zero()) {
+            state->cold_until = std::max(state->cold_until, now + record.cold_remaining);
+        }
+        state->record = record;
+        const auto* service = configuration.find_service(record.service);
+        const auto rate = service == nullptr ? 0.0 : service->cold_requests_per_second;
+        if (rate > 0.0 && !state->gate) {
+            state->gate.emplace(rate, gateways, now);
+        }
+        next.emplace(record.instance, std::move(state));
+    }
+    endpoints_ = std::move(next);
+    by_service_.clear();
+    for (const auto& [name, it] : endpoints_) {
+        by_service_[it->record.service].push_back(it.get());
+    }
+}
+
+void endpoint_table::set_out_of_service(std::set<std::string, std::less<>> failure_domains)
+{
+    out_of_service_ = std::move(failure_domains);
+}
+
+void endpoint_table::set_gateways(std::size_t gateways)
+{
+    for (auto& [name, it] : endpoints_) {
+        if (it->gate) {
+            it->gate->set_gateways(gateways);
+        }
+    }
+}
+
+void endpoint_table::set_peer_load(std::string_view gateway,
+                                   const std::map<std::string, peer_load, std::less<>>& loads)
+{
+    for (auto& [name, it] : endpoints_) {
+        const auto told = loads.find(name);
+        const auto known = it->peers.find(gateway);
+        if (told != loads.end()) {
+            it->peers.insert_or_assign(std::string{gateway}, told->second);
+        }
+        else if (known != it->peers.end()) {
+            it->peers.erase(known);
+        }
+    }
+}
+
+std::vector<endpoint_load> endpoint_table::loads_of(std::string_view service, instant now,
+                                                    std::span<const std::string> excluded,
+                                                    std::vector<endpoint_state*>& states)
+{
+    states.clear();
+    std::vector<endpoint_load> out;
+    const auto found = by_service_.find(service);
+    if (found == by_service_.end()) {
+        return out;
+    }
+    out.reserve(found->second.size());
+    std::size_t usable = 0;
+    std::size_t takers = 0;
+    for (auto* it : found->second) {
+        endpoint_load load{it->record.instance,
+                           it->record.failure_domain,
+                           false,
+                           it->pending_tokens,
+                           it->running,
+                           it->record.slots > 0 ? it->record.slots : default_slots};
+        for (const auto& [name, peer] : it->peers) {
+            load.pending_tokens += peer.pending_tokens;
+            load.running += peer.running;
+        }
+        const auto is_taker = may_take(*it, now) && std::ranges::find(excluded, it->record.instance) == excluded.end();
+        load.is_usable = is_taker && it->suspected_until <= now;
+        takers += is_taker ? 1 : 0;
+        usable += load.is_usable ? 1 : 0;
+        out.push_back(load);
+        states.push_back(it);
+    }
+    // Where most are suspected, the cause is more likely here or on the way than at each of them.
+    if (usable * 2 < takers) {
+        for (std::size_t n = 0; n < out.size(); ++n) {
+            out[n].is_usable = may_take(*states[n], now) && states[n]->failures_in_row <= 1 &&
+                               std::ranges::find(excluded, states[n]->record.instance) == excluded.end();
+        }
+    }
+    return out;
+}
+
+endpoint_state* endpoint_table::find(std::string_view instance)
+{
+    const auto it = endpoints_.find(instance);
+    return it == endpoints_.end() ? nullptr : it->second.get();
+}
+
+void endpoint_table::note_success(endpoint_state& endpoint)
+{
+    endpoint.failures_in_row = 0;
+    endpoint.failure_rate *= 1.0 - failure_weight;
+}
+
+void endpoint_table::note_failure(endpoint_state& endpoint, instant now)
+{
+    ++endpoint.failures_in_row;
+    endpoint.failure_rate += failure_weight * (1.0 - endpoint.failure_rate);
+    const auto others = mean_failure_rate(endpoint.record.service, endpoint);
+    if (endpoint.failures_in_row < 2 && endpoint.failure_rate < suspicious_rate + 2.0 * others) {
+        return;
+    }
+    const auto doublings = std::min(endpoint.failures_in_row, max_doublings);
+    suspect(endpoint, now + std::min<duration>(max_suspicion, min_suspicion * (1LL << doublings)));
+}
+
+void endpoint_table::suspect(endpoint_state& endpoint, instant until)
+{
+    endpoint.suspected_until = std::max(endpoint.suspected_until, until);
+}
+
+instant endpoint_table::next_opening(instant now) const
+{
+    auto out = instant::max();
+    for (const auto& [name, it] : endpoints_) {
+        if (it->cold_until > now && it->gate && it->gate->opens_at() > now) {
+            out = std::min(out, it->gate->opens_at());
+        }
+        if (it->suspected_until > now) {
+            out = std::min(out, it->suspected_until);
+        }
+    }
+    return out;
+}
+
+bool endpoint_table::may_take(const endpoint_state& endpoint, instant now) const
+{
+    if (endpoint.record.is_draining || out_of_service_.contains(endpoint.record.failure_domain)) {
+        return false;
+    }
+    return endpoint.cold_until <= now || !endpoint.gate || endpoint.gate->is_open(now);
+}
+
+double endpoint_table::mean_failure_rate(std::string_view service, const endpoint_state& except) const
+{
+    const auto found = by_service_.find(service);
+    if (found == by_service_.end() || found->second.size() < 2) {
+        return 0.0;
+    }
+    double sum = 0.0;
+    for (const auto* it : found->second) {
+        sum += it == &except ? 0.0 : it->failure_rate;
+    }
+    return sum / static_cast<double>(found->second.size() - 1);
+}
+
+} // namespace hemlocknotch::gateway
--- /dev/null
+++ b/packages/gateway/src/registry_view.cpp
@@ -0,0 +1,183 @@
+#include <hemlocknotch/gateway/registry_view.hpp>
+
+#include <algorithm>
+
+namespace hemlocknotch::gateway {
+namespace {
+
+/// Removals that are remembered; old ones matter only while other gateways may still tell of the key.
+constexpr std::size_t max_removals = 4096;
+
+bool is_ready_endpoint(const registry_item& item)
+{
+    const auto* endpoint = std::get_if<endpoint_item>(&item);
+    return endpoint != nullptr && !endpoint->record.is_draining;
+}
+
+/// Returns whether nothing but the registration's age differs.
+bool is_same(const registry_item& a, const registry_item& b)
+{
+    const auto* before = std::get_if<endpoint_item>(&a);
+    const auto* after = std::get_if<endpoint_item>(&b);
+    return before != nullptr && after != nullptr && before->record == after->record;
+}
+
+} // namespace
+
+registry_difference registry_view::replace(std::span<const registry_change> changes, std::uint64_t revision,
+                                           instant now)
+{
+    registry_difference difference;
+    std::set<std::string_view> present;
+    for (const auto& it : changes) {
+        present.insert(it.key);
+        take(it, now, difference);
+    }
+    for (auto it = entries_.begin(); it != entries_.end();) {
+        const auto next = std::next(it);
+        if (!present.contains(it->first) && it->second.revision <= revision) {
+            removed_[it->first] = std::max(removed_[it->first], revision);
+            remove(it, now, difference);
+        }
+        it = next;
+    }
+    revision_ = std::max(revision_, revision);
+    return difference;
+}
+
+registry_difference registry_view::apply(std::span<const registry_change> changes, std::uint64_t revision,
+                                         instant now)
+{
+    registry_difference difference;
+    for (const auto& it : changes) {
+        take(it, now, difference);
+    }
+    revision_ = std::max(revision_, revision);
+    return difference;
+}
+
+void registry_view::take(const registry_change& change, instant now, registry_difference& difference)
+{
+    const auto known = entries_.find(change.key);
+    const auto removed = removed_.find(change.key);
+    const auto newest = std::max(known == entries_.end() ? 0 : known->second.revision,
+                                 removed == removed_.end() ? 0 : removed->second);
+    if (change.revision <= newest) {
+        return;
+    }
+    if (change.is_removed) {
+        if (removed_.size() >= max_removals) {
+            removed_.clear();
+        }
+        removed_[change.key] = change.revision;
+        if (known != entries_.end()) {
+            remove(known, now, difference);
+        }
+        return;
+    }
+    if (const auto* configuration = std::get_if<configuration_item>(&change.item)) {
+        if (configuration_ && configuration->configuration->version() <= configuration_->version()) {
+            return;
+        }
+        configuration_ = configuration->configuration;
+        difference.has_configuration = true;
+    }
+    if (known == entries_.end()) {
+        entries_.emplace(change.key, entry{change.revision, change.item, instant::max()});
+        note(change.item, difference);
+        return;
+    }
+    auto& it = known->second;
+    if (!is_same(it.item, change.item) || it.gone_at != instant::max()) {
+        note(it.item, difference);
+        note(change.item, difference);
+    }
+    it = {change.revision, change.item, instant::max()};
+}
+
+void registry_view::remove(std::map<std::string, entry>::iterator it, instant now,
+                           registry_difference& difference)
+{
+    auto& [key, value] = *it;
+    if (now < grace_until_ && is_ready_endpoint(value.item)) {
+        value.gone_at = std::min(value.gone_at, grace_until_);
+        return;
+    }
+    note(value.item, difference);
+    entries_.erase(it);
+}
+
+void registry_view::on_registry_back(instant now)
+{
+    grace_until_ = now + lapse_grace;
+}
+
+registry_difference registry_view::on_time(instant now)
+{
+    registry_difference difference;
+    std::erase_if(entries_, [&](const auto& it) {
+        if (it.second.gone_at > now) {
+            return false;
+        }
+        note(it.second.item, difference);
+        return true;
+    });
+    return difference;
+}
+
+instant registry_view::next_time() const
+{
+    auto out = instant::max();
+    for (const auto& [key, it] : entries_) {
+        out = std::min(out, it.gone_at);
+    }
+    return out;
+}
+
+std::shared_ptr<const routing_configuration> registry_view::configuration() const
+{
+    return configuration_;
+}
+
+std::vector<endpoint_record> registry_view::endpoints() const
+{
+    std::vector<endpoint_record> out;
+    for (const auto& [key, it] : entries_) {
+        if (const auto* endpoint = std::get_if<endpoint_item>(&it.item)) {
+            out.push_back(endpoint->record);
+        }
+    }
+    return out;
+}
+
+std::set<std::string, std::less<>> registry_view::out_of_service() const
+{
+    std::set<std::string, std::less<>> out;
+    for (const auto& [key, it] : entries_) {
+        if (const auto* domain = std::get_if<out_of_service_item>(&it.item)) {
+            out.insert(domain->failure_domain);
+        }
+    }
+    return out;
+}
+
+std::vector<member_item> registry_view::members() const
+{
+    std::vector<member_item> out;
+    for (const auto& [key, it] : entries_) {
+        if (const auto* member = std::get_if<member_item>(&it.item)) {
+            out.push_back(*member);
+        }
+    }
+    return out;
+}
+
+void registry_view::note(const registry_item& item, registry_difference& difference)
+{
+    difference.has_endpoints = difference.has_endpoints || std::holds_alternative<endpoint_item>(item);
+    difference.has_out_of_service =
+        difference.has_out_of_service || std::holds_alternative<out_of_service_item>(item);
+    difference.has_members = difference.has_members || std::holds_alternative<member_item>(item);
+}
+
+} // namespace hemlocknotch::gateway
--- /dev/null
+++ b/packages/gateway/src/waiting_line.cpp
@@ -0,0 +1,151 @@
+#include <hemlocknotch/gateway/waiting_line.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace hemlocknotch::gateway {
+namespace {
+
+/// Exponent up to which weights may grow before usage is scaled back: e^50 leaves a double all its digits.
+constexpr double max_growth = 50.0;
+/// Accounts with less usage, in tokens, and nothing waiting are forgotten.
+constexpr double negligible_usage = 1.0;
+
+} // namespace
+
+void waiting_line::add(std::string_view account, const waiting_request& request)
+{
+    auto& it = line_of(account);
+    // The most urgent first; requests of one rank keep their order.
+    const auto place = std::ranges::find_if(
+        it.requests, [&](const waiting_request& other) { return other.priority > request.priority; });
+    it.requests.insert(place, request);
+    it.waiting_cost += request.cost;
+    ++size_;
+}
+
+bool waiting_line::remove(exchange_id exchange)
+{
+    for (auto& [name, it] : lines_) {
+        const auto place = std::ranges::find(it.requests, exchange, &waiting_request::exchange);
+        if (place != it.requests.end()) {
+            it.waiting_cost -= place->cost;
+            it.requests.erase(place);
+            --size_;
+            return true;
+        }
+    }
+    return false;
+}
+
+void waiting_line::charge(std::string_view account, double cost, instant now)
+{
+    const auto weight = weight_at(now);
+    line_of(account).weighted_usage += cost * weight;
+}
+
+void waiting_line::offer(std::size_t limit, const std::function<bool(const waiting_request&)>& try_send)
+{
+    std::vector<line*> order;
+    for (auto& [name, it] : lines_) {
+        if (!it.requests.empty()) {
+            order.push_back(&it);
+        }
+    }
+    while (!order.empty() && limit > 0) {
+        const auto least = std::ranges::min_element(order, {}, &line::weighted_usage);
+        auto& it = **least;
+        bool was_sent = false;
+        for (auto request = it.requests.begin(); request != it.requests.end() && limit > 0; ++request) {
+            --limit;
+            if (try_send(*request)) {
+                it.waiting_cost -= request->cost;
+                it.requests.erase(request);
+                --size_;
+                was_sent = true;
+                break;
+            }
+        }
+        if (!was_sent || it.requests.empty()) {
+            order.erase(least);
+        }
+    }
+}
+
+std::vector<exchange_id> waiting_line::take_expired(instant now)
+{
+    std::vector<exchange_id> out;
+    for (auto& [name, it] : lines_) {
+        std::erase_if(it.requests, [&, &line = it](const waiting_request& request) {
+            if (request.send_by > now) {
+                return false;
+            }
+            out.push_back(request.exchange);
+            line.waiting_cost -= request.cost;
+            --size_;
+            return true;
+        });
+    }
+    return out;
+}
+
+instant waiting_line::next_expiry() const
+{
+    auto out = instant::max();
+    for (const auto& [name, it] : lines_) {
+        for (const auto& request : it.requests) {
+            out = std::min(out, request.send_by);
+        }
+    }
+    return out;
+}
+
+double waiting_line::tokens_ahead(std::string_view account, double cost, instant now) const
+{
+    const auto own = lines_.find(account);
+    const auto own_waiting = own == lines_.end() ? 0.0 : own->second.waiting_cost;
+    const auto finish = recent_usage(account, now) + own_waiting + cost;
+    auto out = own_waiting;
+    for (const auto& [name, it] : lines_) {
+        if (name != account && !it.requests.empty()) {
+            out += std::clamp(finish - recent_usage(name, now), 0.0, it.waiting_cost);
+        }
+    }
+    return out;
+}
+
+double waiting_line::recent_usage(std::string_view account, instant now) const
+{
+    const auto it = lines_.find(account);
+    if (it == lines_.end()) {
+        return 0.0;
+    }
+    return it->second.weighted_usage * std::exp(-std::chrono::duration<double>(now - epoch_) /
+                                                std::chrono::duration<double>(usage_memory));
+}
+
+waiting_line::line& waiting_line::line_of(std::string_view account)
+{
+    const auto it = lines_.find(account);
+    return it != lines_.end() ? it->second : lines_.emplace(std::string{account}, line{}).first->second;
+}
+
+double waiting_line::weight_at(instant now)
+{
+    const auto growth = std::chrono::duration<double>(now - epoch_) / std::chrono::duration<double>(usage_memory);
+    if (growth <= max_growth) {
+        return std::exp(growth);
+    }
+    const auto shrink = std::exp(-growth);
+    for (auto& [name, it] : lines_) {
+        it.weighted_usage *= shrink;
+    }
+    epoch_ = now;
+    std::erase_if(lines_, [](const auto& entry) {
+        return entry.second.requests.empty() && entry.second.weighted_usage < negligible_usage;
+    });
+    return 1.0;
+}
+
+} // namespace hemlocknotch::gateway
