--- a/packages/daemon/src/gateway/gateway_settings.cpp
+++ b/packages/daemon/src/gateway/gateway_settings.cpp
@@ -127,6 +127,12 @@
     out.configuration_bound = from_seconds(reader.number("/bounds/configuration_ms", 2000.0, 100.0) / 1000.0);
     out.retry_ratio = reader.number("/bounds/retry_ratio", out.retry_ratio, 0.0);
     out.retry_reserve = reader.number("/bounds/retry_reserve", out.retry_reserve, 0.0);
+    auto& placement = out.placement;
+    placement.fanout =
+        static_cast<std::size_t>(reader.number("/placement/fanout", static_cast<double>(placement.fanout), 1.0));
+    placement.window_tokens = reader.number("/placement/window_tokens", placement.window_tokens, 0.0);
+    placement.tokens_per_second = reader.number("/placement/tokens_per_second", placement.tokens_per_second, 1.0);
+    out.wait_share = reader.number("/placement/wait_share", out.wait_share, 0.0);
     auto errors = reader.take_errors();
     if (!errors.empty()) {
         return {std::nullopt, std::move(errors)};
--- a/packages/daemon/src/gateway/gateway_settings.hpp
+++ b/packages/daemon/src/gateway/gateway_settings.hpp
@@ -2,6 +2,7 @@
 
 #include <hemlocknotch/core/endpoint_address.hpp>
 #include <hemlocknotch/core/time.hpp>
+#include <hemlocknotch/gateway/affinity_placement.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -38,6 +39,10 @@
     /// Bound on retries over the whole fleet.
     double retry_ratio = 0.2;
     double retry_reserve = 50.0;
+    /// Where model requests go, and how much an endpoint is sent.
+    gateway::affinity_options placement;
+    /// Part of a route's objective for which a model request may wait.
+    double wait_share = 0.6;
 };
 
 /// What reading a settings file gave.
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -17,12 +17,19 @@
 constexpr duration stop_margin = std::chrono::milliseconds{300};
 /// Part of the descriptors that callers' connections may take; the rest is for endpoints and the registry.
 constexpr std::size_t caller_descriptor_share = 2;
+/// Time between two reports to others: a tenth of the objectives of a second.
+constexpr duration report_interval = std::chrono::milliseconds{100};
+/// With more others the interval grows, so that a gateway's datagrams stay at some 80 a second.
+constexpr std::size_t others_per_interval = 4;
+/// What a gateway has told counts for so long after its last report.
+constexpr duration report_life = std::chrono::seconds{2};
 constexpr std::string_view metrics_path = "/metrics";
 
 gateway::router_options router_options_of(const gateway_settings& settings)
 {
     gateway::router_options out;
     out.retries = {settings.retry_ratio, settings.retry_reserve};
+    out.wait_share = settings.wait_share;
     return out;
 }
 
@@ -50,7 +57,7 @@
       settings_{settings},
       dialect_{dialect},
       log_{STDOUT_FILENO, settings.instance, [this] { return clock_.now(); }},
-      model_placement_{gateway::affinity_options{}},
+      model_placement_{settings.placement},
       router_{router_options_of(settings), model_placement_, plain_placement_, *this},
       follower_{base,
                 feed,
@@ -64,6 +71,8 @@
       pool_{base, dialect, *this, [this] { return clock_.now(); }},
       readiness_pages_{base, [this](std::string_view path) { return readiness(path); }},
       metrics_pages_{base, [this](std::string_view path) { return metrics(path); }},
+      reports_{base, [this](const gateway::fleet_report& it) { take_report(it); }},
+      report_timer_{base, [this] { tell_others(); }},
       due_{base,
            [this] {
                router_.on_time(clock_.now());
@@ -85,6 +94,10 @@
     if (settings_.metrics) {
         BOOST_LEAF_CHECK(metrics_pages_.listen(*settings_.metrics, "metrics"));
     }
+    if (settings_.members) {
+        BOOST_LEAF_CHECK(reports_.listen(*settings_.members));
+        report_timer_.start(report_interval);
+    }
     follower_.start();
     return {};
 }
@@ -131,6 +144,12 @@
         const auto members = view_.members();
         log({log_level::info, "members-changed", {{"count", std::to_string(members.size())}}});
         router_.set_gateways(std::max<std::size_t>(1, members.size()));
+        others_.clear();
+        for (const auto& it : members) {
+            if (it.name != settings_.instance) {
+                others_.push_back(it.address);
+            }
+        }
     }
     if (difference.has_configuration) {
         const auto configuration = view_.configuration();
@@ -151,6 +170,33 @@
     arm();
 }
 
+void gateway_shell::tell_others()
+{
+    const auto now = clock_.now();
+    std::erase_if(heard_at_, [&](const auto& it) {
+        if (now - it.second < report_life) {
+            return false;
+        }
+        router_.forget_gateway(it.first);
+        return true;
+    });
+    auto report = router_.make_report(now);
+    report.gateway = settings_.instance;
+    report.incarnation = incarnation_;
+    report.sequence = ++report_sequence_;
+    reports_.send(report, others_);
+    const auto rounds = std::max<std::size_t>(1, others_.size() / others_per_interval);
+    report_timer_.start(report_interval * static_cast<int>(rounds));
+}
+
+void gateway_shell::take_report(const gateway::fleet_report& report)
+{
+    const auto now = clock_.now();
+    heard_at_.insert_or_assign(report.gateway, now);
+    router_.take_report(report, now);
+    arm();
+}
+
 void gateway_shell::arm()
 {
     const auto now = clock_.now();
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -7,6 +7,7 @@
 #include <hemlocknotch/gateway/request_fields.hpp>
 #include <hemlocknotch/gateway/router.hpp>
 
+#include "../entropy_source.hpp"
 #include "../libevent_handles.hpp"
 #include "../process_clock.hpp"
 #include "../timer.hpp"
@@ -16,11 +17,14 @@
 #include "line_log.hpp"
 #include "page_server.hpp"
 #include "registry_follower.hpp"
+#include "report_exchange.hpp"
 
 #include <boost/leaf/result.hpp>
 
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace hemlocknotch::daemon {
 
@@ -70,6 +74,8 @@
     void take_registry(const gateway::registry_difference& difference);
     void arm();
     void check_stop();
+    void tell_others();
+    void take_report(const gateway::fleet_report& report);
     void log(const log_effect& record);
     [[nodiscard]] page readiness(std::string_view path) const;
     [[nodiscard]] page metrics(std::string_view path) const;
@@ -89,6 +95,13 @@
     endpoint_pool pool_;
     page_server readiness_pages_;
     page_server metrics_pages_;
+    report_exchange reports_;
+    std::vector<endpoint_address> others_;
+    /// When each other gateway was last heard.
+    std::map<std::string, instant, std::less<>> heard_at_;
+    std::uint64_t incarnation_ = entropy_source{}.next();
+    std::uint64_t report_sequence_ = 0;
+    timer report_timer_;
     timer due_;
     timer stop_timer_;
     instant stop_since_ = instant::max();
--- /dev/null
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -0,0 +1,146 @@
+#include "report_exchange.hpp"
+
+#include "../start_error.hpp"
+
+#include <arpa/inet.h>
+#include <boost/leaf/error.hpp>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cassert>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace hemlocknotch::daemon {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t max_datagram = 65'507;
+/// Datagrams read in one turn, so that a flood leaves time for requests.
+constexpr int max_reads = 64;
+
+bool to_sockaddr(const endpoint_address& address, sockaddr_in& out)
+{
+    out = {};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(address.port());
+    return inet_pton(AF_INET, address.host().c_str(), &out.sin_addr) == 1;
+}
+
+/// Rounds to whole tokens, which take less space.
+std::uint64_t whole(double value)
+{
+    return value <= 0.0 ? 0 : static_cast<std::uint64_t>(value + 0.5);
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encode_report(const gateway::fleet_report& report)
+{
+    auto endpoints = json::array();
+    for (const auto& it : report.endpoints) {
+        endpoints.push_back({it.instance, whole(it.pending_tokens), it.running, whole(it.tokens_per_second)});
+    }
+    auto accounts = json::array();
+    for (const auto& it : report.accounts) {
+        accounts.push_back({it.service, it.account, whole(it.recent_tokens)});
+    }
+    return json::to_cbor(json{report.gateway, report.incarnation, report.sequence, std::move(endpoints), std::move(accounts)});
+}
+
+std::optional<gateway::fleet_report> decode_report(std::span<const std::uint8_t> bytes)
+{
+    try {
+        const auto value = json::from_cbor(bytes.begin(), bytes.end());
+        gateway::fleet_report out;
+        out.gateway = value.at(0).get<std::string>();
+        out.incarnation = value.at(1).get<std::uint64_t>();
+        out.sequence = value.at(2).get<std::uint64_t>();
+        for (const auto& it : value.at(3)) {
+            out.endpoints.push_back({it.at(0).get<std::string>(), it.at(1).get<double>(), it.at(2).get<unsigned>(),
+                                     it.at(3).get<double>()});
+        }
+        for (const auto& it : value.at(4)) {
+            out.accounts.push_back(
+                {it.at(0).get<std::string>(), it.at(1).get<std::string>(), it.at(2).get<double>()});
+        }
+        return out;
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+report_exchange::report_exchange(event_base* base, report_callback received)
+    : base_{base}, received_{std::move(received)}
+{
+    assert(received_);
+}
+
+report_exchange::~report_exchange()
+{
+    event_.reset();
+    if (fd_ >= 0) {
+        ::close(fd_);
+    }
+}
+
+boost::leaf::result<void> report_exchange::listen(const endpoint_address& address)
+{
+    sockaddr_in at{};
+    fd_ = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd_ < 0 || !to_sockaddr(address, at) ||
+        ::bind(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) {
+        return boost::leaf::new_error(
+            start_error{"cannot listen on " + address.to_string() + " for other gateways: " + std::strerror(errno),
+                        "Choose an address of this instance and a free port."});
+    }
+    event_.reset(event_new(base_, fd_, EV_READ | EV_PERSIST, handle_read, this));
+    event_add(event_.get(), nullptr);
+    return {};
+}
+
+void report_exchange::send(const gateway::fleet_report& report, std::span<const endpoint_address> addresses) const
+{
+    const auto bytes = encode_report(report);
+    for (const auto& it : addresses) {
+        sockaddr_in to{};
+        if (to_sockaddr(it, to)) {
+            // A report that is not taken is made up for by the next one.
+            static_cast<void>(::sendto(fd_, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&to),
+                                       sizeof to));
+        }
+    }
+}
+
+void report_exchange::handle_read(evutil_socket_t /*fd*/, short /*what*/, void* self)
+{
+    static_cast<report_exchange*>(self)->read();
+}
+
+void report_exchange::read()
+{
+    static std::array<std::uint8_t, max_datagram> buf;
+    for (int n = 0; n < max_reads; ++n) {
+        const auto size = ::recv(fd_, buf.data(), buf.size(), 0);
+        if (size <= 0) {
+            return;
+        }
+        const auto report = decode_report({buf.data(), static_cast<std::size_t>(size)});
+        if (!report) {
+            continue;
+        }
+        auto& newest = newest_[report->gateway];
+        if (report->incarnation != newest.incarnation || report->sequence > newest.sequence) {
+            newest = {report->incarnation, report->sequence};
+            received_(*report);
+        }
+    }
+}
+
+} // namespace hemlocknotch::daemon
--- a/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
@@ -14,6 +14,9 @@
     /// Prompt tokens that may be ahead of a request at its endpoint; more are held by the gateway, where they
     /// can still be ordered, refused and placed elsewhere.
     double window_tokens = 24'000.0;
+    /// Prompt tokens in a second above which an endpoint gets no more. Prompts are read between the tokens of
+    /// running requests; an endpoint that reads all the time generates too slowly for streams to end in time.
+    double tokens_per_second = 26'000.0;
 };
 
 /// Takes the less loaded of the few endpoints that rendezvous hashing gives to the longest shared part of the
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_load.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_load.hpp
@@ -15,6 +15,8 @@
     double pending_tokens = 0.0;
     /// Requests sent and not ended, as far as known, of all gateways.
     unsigned running = 0;
+    /// Prompt tokens that it was sent in a second, of late, by all gateways.
+    double tokens_per_second = 0.0;
     /// Requests that it executes at once.
     unsigned slots = 1;
 };
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/gateway/cold_gate.hpp>
+#include <hemlocknotch/gateway/decaying_sum.hpp>
 #include <hemlocknotch/gateway/endpoint_load.hpp>
 #include <hemlocknotch/gateway/endpoint_record.hpp>
 #include <hemlocknotch/gateway/request_fields.hpp>
@@ -27,15 +28,21 @@
 struct peer_load {
     double pending_tokens = 0.0;
     unsigned running = 0;
+    double tokens_per_second = 0.0;
 };
 
 /// What the gateway knows of one endpoint.
 struct endpoint_state {
+    /// Time over which rates are averaged: some prompts of the largest kind.
+    static constexpr duration rate_memory = std::chrono::milliseconds{700};
+
     explicit endpoint_state(endpoint_record value) : record{std::move(value)} {}
 
     endpoint_record record;
     double pending_tokens = 0.0;
     unsigned running = 0;
+    /// Prompt tokens sent of late.
+    decaying_sum sent_tokens{rate_memory};
     /// By the name of the gateway that causes it.
     std::map<std::string, peer_load, std::less<>> peers;
     /// Moving share of calls that failed.
--- /dev/null
+++ b/packages/gateway/include/hemlocknotch/gateway/fleet_report.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hemlocknotch::gateway {
+
+/// What one gateway has at one endpoint.
+struct endpoint_report {
+    std::string instance;
+    /// Prompt tokens sent and not yet read.
+    double pending_tokens = 0.0;
+    /// Requests sent and not ended.
+    unsigned running = 0;
+    /// Prompt tokens sent in a second, of late.
+    double tokens_per_second = 0.0;
+};
+
+/// What one gateway has given to one client account.
+struct account_report {
+    std::string service;
+    std::string account;
+    /// Tokens given of late.
+    double recent_tokens = 0.0;
+};
+
+/// What a gateway tells the others at short intervals. Each report stands for itself, so that lost ones do no
+/// harm.
+struct fleet_report {
+    /// Name of the gateway.
+    std::string gateway;
+    /// Drawn anew at each start of the process.
+    std::uint64_t incarnation = 0;
+    /// Grows with each report of one incarnation; older ones are ignored.
+    std::uint64_t sequence = 0;
+    std::vector<endpoint_report> endpoints;
+    std::vector<account_report> accounts;
+};
+
+} // namespace hemlocknotch::gateway
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -2,6 +2,7 @@
 
 #include <hemlocknotch/gateway/endpoint_table.hpp>
 #include <hemlocknotch/gateway/event_splitter.hpp>
+#include <hemlocknotch/gateway/fleet_report.hpp>
 #include <hemlocknotch/gateway/placement_policy.hpp>
 #include <hemlocknotch/gateway/retry_allowance.hpp>
 #include <hemlocknotch/gateway/router_port.hpp>
@@ -30,8 +31,6 @@
     double output_weight = 2.0;
     /// Part of the most tokens that a request may generate which it is taken to generate.
     double expected_output_share = 0.8;
-    /// Prompt tokens that an endpoint reads in a millisecond, until its service has been measured.
-    double prompt_tokens_per_ms = 45.0;
     /// Waiting requests that are offered to endpoints in one turn; bounds the time of a turn.
     std::size_t offers_per_turn = 64;
     /// Most requests in the gateway; bounds its memory.
@@ -80,6 +79,13 @@
     void on_part(call_id call, std::string_view bytes, instant now);
     void on_end(call_id call, call_outcome outcome, instant now);
 
+    /// Returns what this gateway tells the others; name and sequence are left to the sender.
+    [[nodiscard]] fleet_report make_report(instant now) const;
+    /// Takes what another gateway tells.
+    void take_report(const fleet_report& report, instant now);
+    /// Forgets the load that `gateway` has told; it has gone or cannot be heard.
+    void forget_gateway(std::string_view gateway);
+
     /// Does what is due at `now`.
     void on_time(instant now);
     /// Returns when `on_time` is to be called next.
@@ -97,7 +103,7 @@
     struct exchange;
     struct service_state;
 
-    service_state& service_of(std::string_view name, instant now);
+    service_state& service_of(std::string_view name);
     void admit(exchange& it, instant now);
     bool try_send(exchange& it, instant now);
     void offer_waiting(instant now);
--- a/packages/gateway/include/hemlocknotch/gateway/waiting_line.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/waiting_line.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/core/time.hpp>
+#include <hemlocknotch/gateway/decaying_sum.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -47,7 +48,7 @@
 
     /// Offers waiting requests in fair order, the most urgent first within an account, until `limit` have been
     /// offered. `try_send` returns whether the request went, and has charged its account then; it is removed.
-    void offer(std::size_t limit, const std::function<bool(const waiting_request&)>& try_send);
+    void offer(instant now, std::size_t limit, const std::function<bool(const waiting_request&)>& try_send);
 
     /// Returns the requests whose time to be sent is over at `now`, and removes them.
     std::vector<exchange_id> take_expired(instant now);
@@ -58,7 +59,13 @@
     /// Returns the tokens that would be given before a request of `account` with `cost`, if it came now.
     [[nodiscard]] double tokens_ahead(std::string_view account, double cost, instant now) const;
 
-    /// Returns the tokens that `account` has been given of late.
+    /// Replaces what `gateway` has given to `account`.
+    void set_told_usage(std::string_view gateway, std::string_view account, double tokens, instant now);
+
+    /// Calls `take` for each account that has been given tokens here of late.
+    void for_each_usage(instant now, const std::function<void(std::string_view account, double tokens)>& take) const;
+
+    /// Returns the tokens that `account` has been given of late, by all gateways.
     [[nodiscard]] double recent_usage(std::string_view account, instant now) const;
 
     [[nodiscard]] bool is_empty() const { return size_ == 0; }
@@ -67,19 +74,18 @@
 
 private:
     struct line {
-        /// Tokens given, each weighted with the growth factor of its time.
-        double weighted_usage = 0.0;
+        /// Tokens given here.
+        decaying_sum own{usage_memory};
+        /// Tokens given by other gateways.
+        std::map<std::string, decaying_sum, std::less<>> told;
         double waiting_cost = 0.0;
         std::list<waiting_request> requests;
     };
 
     line& line_of(std::string_view account);
-    /// Returns the weight of a token given at `now`, relative to one given at `epoch_`.
-    double weight_at(instant now);
+    static double usage_of(const line& it, instant now);
 
     std::map<std::string, line, std::less<>> lines_;
-    /// Weights grow from here on. Moved before they get too large for a double.
-    instant epoch_{};
     std::size_t size_ = 0;
 };
 
--- a/packages/gateway/src/affinity_placement.cpp
+++ b/packages/gateway/src/affinity_placement.cpp
@@ -42,7 +42,8 @@
     double least = 0.0;
     for (std::size_t n = 0; n < std::min(fanout, ranked.size()); ++n) {
         const auto& it = endpoints[ranked[n].second];
-        const auto has_room = it.pending_tokens <= options_.window_tokens && it.running < it.slots;
+        const auto has_room = it.pending_tokens <= options_.window_tokens && it.running < it.slots &&
+                              it.tokens_per_second <= options_.tokens_per_second;
         if (has_room && (!out.endpoint || it.pending_tokens < least)) {
             out.endpoint = ranked[n].second;
             least = it.pending_tokens;
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -89,10 +89,12 @@
                            false,
                            it->pending_tokens,
                            it->running,
+                           it->sent_tokens.per_second(now),
                            it->record.slots > 0 ? it->record.slots : default_slots};
         for (const auto& [name, peer] : it->peers) {
             load.pending_tokens += peer.pending_tokens;
             load.running += peer.running;
+            load.tokens_per_second += peer.tokens_per_second;
         }
         const auto is_taker = may_take(*it, now) && std::ranges::find(excluded, it->record.instance) == excluded.end();
         load.is_usable = is_taker && it->suspected_until <= now;
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -48,7 +48,7 @@
 /// Largest answer that is held until it is whole; bounds memory.
 constexpr std::size_t max_held_answer = std::size_t{8} << 20U;
 /// Time over which the rate of sending is averaged.
-constexpr double rate_memory_s = 1.0;
+constexpr duration rate_memory = std::chrono::seconds{1};
 
 std::uint64_t hash_of(std::string_view text)
 {
@@ -148,21 +148,8 @@
 
     waiting_line line;
     retry_allowance retries;
-    /// Decaying sum of the costs sent, and when it was brought up to date.
-    double recent_cost = 0.0;
-    instant recent_at{};
-
-    void note_sent(double cost, instant now)
-    {
-        recent_cost = decayed(now) + cost;
-        recent_at = now;
-    }
-
-    [[nodiscard]] double decayed(instant now) const
-    {
-        const std::chrono::duration<double> age = now - recent_at;
-        return recent_cost * std::max(0.0, 1.0 - age.count() / rate_memory_s);
-    }
+    /// Costs sent here of late.
+    decaying_sum sent{rate_memory};
 };
 
 router::router(const router_options& options, const placement_policy& model_placement,
@@ -211,15 +198,14 @@
     }
 }
 
-router::service_state& router::service_of(std::string_view name, instant now)
+router::service_state& router::service_of(std::string_view name)
 {
     const auto it = services_.find(name);
     if (it != services_.end()) {
         return *it->second;
     }
-    auto made = std::make_unique<service_state>(options_.retries, gateways_);
-    made->recent_at = now;
-    return *services_.emplace(std::string{name}, std::move(made)).first->second;
+    return *services_.emplace(std::string{name}, std::make_unique<service_state>(options_.retries, gateways_))
+                .first->second;
 }
 
 void router::on_request(exchange_id id, std::shared_ptr<const caller_request> request, instant now)
@@ -264,14 +250,14 @@
                                 options_.output_weight * options_.expected_output_share *
                                     static_cast<double>(fields.max_output_tokens)
                           : 1.0;
-    service_of(it.service, now).retries.on_request();
+    service_of(it.service).retries.on_request();
     deadlines_.emplace(it.ends_at, id);
     admit(it, now);
 }
 
 void router::admit(exchange& it, instant now)
 {
-    auto& service = service_of(it.service, now);
+    auto& service = service_of(it.service);
     if (service.line.is_empty() && try_send(it, now)) {
         return;
     }
@@ -288,7 +274,7 @@
 duration router::estimated_wait(service_state& service, const exchange& it, instant now) const
 {
     const auto ahead = service.line.tokens_ahead(it.account, it.cost, now);
-    const auto rate = service.decayed(now) / (rate_memory_s / 2.0);
+    const auto rate = service.sent.per_second(now);
     if (ahead <= 0.0 || rate <= 0.0) {
         return duration::zero();
     }
@@ -297,7 +283,7 @@
 
 void router::wait_or_refuse(exchange& it, instant now)
 {
-    auto& service = service_of(it.service, now);
+    auto& service = service_of(it.service);
     const auto whole = it.ends_at - it.arrived;
     const auto longest = it.is_model
                              ? std::chrono::duration_cast<duration>(it.objective() * options_.wait_share)
@@ -348,13 +334,14 @@
         }
         it.pending = unread;
         endpoint.pending_tokens += unread;
+        endpoint.sent_tokens.add(unread, now);
     }
     if (endpoint.gate && endpoint.cold_until > now) {
         endpoint.gate->on_send(now);
     }
-    auto& service = service_of(it.service, now);
+    auto& service = service_of(it.service);
     service.line.charge(it.account, it.cost, now);
-    service.note_sent(it.cost, now);
+    service.sent.add(it.cost, now);
     if (it.matched->kind == request_kind::safe && it.executions + 1 < it.matched->max_attempts) {
         it.silent_at =
             now + std::chrono::duration_cast<duration>(it.objective() * silent_objectives);
@@ -408,7 +395,7 @@
 void router::offer_waiting(instant now)
 {
     for (auto& [name, service] : services_) {
-        service->line.offer(options_.offers_per_turn, [&](const waiting_request& waiting) {
+        service->line.offer(now, options_.offers_per_turn, [&](const waiting_request& waiting) {
             const auto found = exchanges_.find(waiting.exchange);
             assert(found != exchanges_.end());
             return try_send(*found->second, now);
@@ -605,7 +592,7 @@
         return false;
     }
     it.executions += was_executed ? 1U : 0U;
-    if (!service_of(it.service, now).retries.try_spend()) {
+    if (!service_of(it.service).retries.try_spend()) {
         return false;
     }
     ++counters_.retries;
@@ -615,10 +602,45 @@
         return true;
     }
     it.is_waiting = true;
-    service_of(it.service, now).line.add(it.account, {it.id, it.cost, 0, it.ends_at - min_remaining});
+    service_of(it.service).line.add(it.account, {it.id, it.cost, 0, it.ends_at - min_remaining});
     return true;
 }
 
+fleet_report router::make_report(instant now) const
+{
+    fleet_report out;
+    for (const auto& [name, it] : endpoints_.all()) {
+        const auto rate = it->sent_tokens.per_second(now);
+        if (it->running > 0 || rate >= 1.0) {
+            out.endpoints.push_back({name, it->pending_tokens, it->running, rate});
+        }
+    }
+    for (const auto& [name, service] : services_) {
+        service->line.for_each_usage(now, [&, &name = name](std::string_view account, double tokens) {
+            out.accounts.push_back({name, std::string{account}, tokens});
+        });
+    }
+    return out;
+}
+
+void router::take_report(const fleet_report& report, instant now)
+{
+    std::map<std::string, peer_load, std::less<>> loads;
+    for (const auto& it : report.endpoints) {
+        loads.insert_or_assign(it.instance, peer_load{it.pending_tokens, it.running, it.tokens_per_second});
+    }
+    endpoints_.set_peer_load(report.gateway, loads);
+    for (const auto& it : report.accounts) {
+        service_of(it.service).line.set_told_usage(report.gateway, it.account, it.recent_tokens, now);
+    }
+    offer_waiting(now);
+}
+
+void router::forget_gateway(std::string_view gateway)
+{
+    endpoints_.set_peer_load(gateway, {});
+}
+
 void router::on_time(instant now)
 {
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
@@ -658,7 +680,7 @@
         if (it.call == 0 || now < it.silent_at || it.head || !may_send_again(it, true)) {
             return;
         }
-        auto& retries = service_of(it.service, now).retries;
+        auto& retries = service_of(it.service).retries;
         if (retries.left() < 1.0) {
             return;
         }
@@ -751,7 +773,7 @@
     assert(found != exchanges_.end());
     auto& it = *found->second;
     if (it.is_waiting) {
-        service_of(it.service, it.arrived).line.remove(id);
+        service_of(it.service).line.remove(id);
     }
     assert(it.call == 0);
     deadlines_.erase({it.ends_at, id});
--- a/packages/gateway/src/waiting_line.cpp
+++ b/packages/gateway/src/waiting_line.cpp
@@ -2,14 +2,11 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 
 namespace hemlocknotch::gateway {
 namespace {
 
-/// Exponent up to which weights may grow before usage is scaled back: e^50 leaves a double all its digits.
-constexpr double max_growth = 50.0;
-/// Accounts with less usage, in tokens, and nothing waiting are forgotten.
+/// Usage, in tokens, that is not worth telling.
 constexpr double negligible_usage = 1.0;
 
 } // namespace
@@ -41,11 +38,11 @@
 
 void waiting_line::charge(std::string_view account, double cost, instant now)
 {
-    const auto weight = weight_at(now);
-    line_of(account).weighted_usage += cost * weight;
+    line_of(account).own.add(cost, now);
 }
 
-void waiting_line::offer(std::size_t limit, const std::function<bool(const waiting_request&)>& try_send)
+void waiting_line::offer(instant now, std::size_t limit,
+                         const std::function<bool(const waiting_request&)>& try_send)
 {
     std::vector<line*> order;
     for (auto& [name, it] : lines_) {
@@ -54,7 +51,7 @@
         }
     }
     while (!order.empty() && limit > 0) {
-        const auto least = std::ranges::min_element(order, {}, &line::weighted_usage);
+        const auto least = std::ranges::min_element(order, {}, [&](const line* it) { return usage_of(*it, now); });
         auto& it = **least;
         bool was_sent = false;
         for (auto request = it.requests.begin(); request != it.requests.end() && limit > 0; ++request) {
@@ -118,11 +115,27 @@
 double waiting_line::recent_usage(std::string_view account, instant now) const
 {
     const auto it = lines_.find(account);
-    if (it == lines_.end()) {
-        return 0.0;
+    return it == lines_.end() ? 0.0 : usage_of(it->second, now);
+}
+
+void waiting_line::set_told_usage(std::string_view gateway, std::string_view account, double tokens, instant now)
+{
+    auto& told = line_of(account).told;
+    auto it = told.find(gateway);
+    if (it == told.end()) {
+        it = told.emplace(std::string{gateway}, decaying_sum{usage_memory}).first;
+    }
+    it->second.set(tokens, now);
+}
+
+void waiting_line::for_each_usage(
+    instant now, const std::function<void(std::string_view account, double tokens)>& take) const
+{
+    for (const auto& [name, it] : lines_) {
+        if (const auto tokens = it.own.value(now); tokens >= negligible_usage) {
+            take(name, tokens);
+        }
     }
-    return it->second.weighted_usage * std::exp(-std::chrono::duration<double>(now - epoch_) /
-                                                std::chrono::duration<double>(usage_memory));
 }
 
 waiting_line::line& waiting_line::line_of(std::string_view account)
@@ -131,21 +144,13 @@
     return it != lines_.end() ? it->second : lines_.emplace(std::string{account}, line{}).first->second;
 }
 
-double waiting_line::weight_at(instant now)
+double waiting_line::usage_of(const line& it, instant now)
 {
-    const auto growth = std::chrono::duration<double>(now - epoch_) / std::chrono::duration<double>(usage_memory);
-    if (growth <= max_growth) {
-        return std::exp(growth);
+    auto out = it.own.value(now);
+    for (const auto& [gateway, told] : it.told) {
+        out += told.value(now);
     }
-    const auto shrink = std::exp(-growth);
-    for (auto& [name, it] : lines_) {
-        it.weighted_usage *= shrink;
-    }
-    epoch_ = now;
-    std::erase_if(lines_, [](const auto& entry) {
-        return entry.second.requests.empty() && entry.second.weighted_usage < negligible_usage;
-    });
-    return 1.0;
+    return out;
 }
 
 } // namespace hemlocknotch::gateway
