--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -14,7 +14,7 @@
 constexpr duration balancer_delay = std::chrono::milliseconds{2600};
 constexpr duration stop_check_interval = std::chrono::milliseconds{200};
 /// Left before the end by force.
-constexpr duration stop_margin = std::chrono::milliseconds{300};
+constexpr duration stop_margin = std::chrono::milliseconds{700};
 /// Part of the descriptors that callers' connections may take; the rest is for endpoints and the registry.
 constexpr std::size_t caller_descriptor_share = 2;
 /// Time between two reports to others: a tenth of the objectives of a second.
--- a/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
@@ -17,6 +17,8 @@
     double prompt_tokens = 0.0;
     /// Of these, tokens that are kept where requests with the same shared part have run.
     double shared_tokens = 0.0;
+    /// Tokens that are expected to be generated.
+    double output_tokens = 0.0;
 };
 
 /// What a placement policy decides.
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -9,6 +9,7 @@
 #include <hemlocknotch/gateway/routing_configuration.hpp>
 #include <hemlocknotch/gateway/waiting_line.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -29,8 +30,11 @@
     double wait_share = 0.6;
     /// Tokens that one generated token counts for against a prompt token, as the operators count them.
     double output_weight = 2.0;
-    /// Part of the most tokens that a request may generate which it is taken to generate.
-    double expected_output_share = 0.8;
+    /// Part of the most tokens that a request may generate which it is taken to generate where it gives no hint.
+    double expected_output_share = 0.5;
+    /// How long requests must have been waiting without pause before their rate of leaving tells how long a new one
+    /// waits; before, it only tells how many came.
+    duration backlog_time = std::chrono::milliseconds{300};
     /// Waiting requests that are offered to endpoints in one turn; bounds the time of a turn.
     std::size_t offers_per_turn = 64;
     /// Most requests in the gateway; bounds its memory.
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -148,6 +148,8 @@
 
     waiting_line line;
     retry_allowance retries;
+    /// Since when requests have been waiting without pause.
+    instant backlogged_since = instant::max();
     /// Costs sent here of late.
     decaying_sum sent{rate_memory};
 };
@@ -246,10 +248,10 @@
     it.is_model = service != nullptr && service->is_model_service;
     const auto& fields = it.request->fields;
     it.place = placement_of(fields);
-    it.cost = it.is_model ? it.place.prompt_tokens - it.place.shared_tokens +
-                                options_.output_weight * options_.expected_output_share *
-                                    static_cast<double>(fields.max_output_tokens)
-                          : 1.0;
+    const auto most = static_cast<double>(fields.max_output_tokens);
+    it.place.output_tokens = fields.output_hint > 0 ? std::min(most, static_cast<double>(fields.output_hint))
+                                                    : options_.expected_output_share * most;
+    it.cost = it.is_model ? it.place.prompt_tokens + options_.output_weight * it.place.output_tokens : 1.0;
     service_of(it.service).retries.on_request();
     deadlines_.emplace(it.ends_at, id);
     admit(it, now);
@@ -273,6 +275,9 @@
 
 duration router::estimated_wait(service_state& service, const exchange& it, instant now) const
 {
+    if (service.line.is_empty() || now - service.backlogged_since < options_.backlog_time) {
+        return duration::zero();
+    }
     const auto ahead = service.line.tokens_ahead(it.account, it.cost, now);
     const auto rate = service.sent.per_second(now);
     if (ahead <= 0.0 || rate <= 0.0) {
@@ -294,6 +299,9 @@
         return refuse(it, status_unavailable, "overloaded", std::max(wait, min_retry_after));
     }
     it.is_waiting = true;
+    if (service.line.is_empty()) {
+        service.backlogged_since = now;
+    }
     service.line.add(it.account, {it.id, it.cost, it.priority, send_by});
 }
 
@@ -334,7 +342,7 @@
         }
         it.pending = unread;
         endpoint.pending_tokens += unread;
-        endpoint.sent_tokens.add(unread, now);
+        endpoint.sent_tokens.add(unread + options_.output_weight * it.place.output_tokens, now);
     }
     if (endpoint.gate && endpoint.cold_until > now) {
         endpoint.gate->on_send(now);
