Keep part of each endpoint for accounts within their max-min fair share

Now gateways tell each other what accounts ask and are given; above the max-min level an account's requests go only to endpoints with little to do, and are refused at once otherwise.

--- a/packages/daemon/src/gateway/gateway_settings.cpp
+++ b/packages/daemon/src/gateway/gateway_settings.cpp
@@ -132,6 +132,12 @@
         static_cast<std::size_t>(reader.number("/placement/fanout", static_cast<double>(placement.fanout), 1.0));
     placement.window_tokens = reader.number("/placement/window_tokens", placement.window_tokens, 0.0);
     placement.tokens_per_second = reader.number("/placement/tokens_per_second", placement.tokens_per_second, 1.0);
+    placement.excess_window_tokens =
+        reader.number("/placement/excess_window_tokens", placement.excess_window_tokens, 0.0);
+    placement.excess_tokens_per_second =
+        reader.number("/placement/excess_tokens_per_second", placement.excess_tokens_per_second, 1.0);
+    out.excess_wait_share = reader.number("/placement/excess_wait_share", out.excess_wait_share, 0.0);
+    out.share_capacity = reader.number("/placement/share_capacity", out.share_capacity, 0.01);
     out.wait_share = reader.number("/placement/wait_share", out.wait_share, 0.0);
     auto errors = reader.take_errors();
     if (!errors.empty()) {
--- a/packages/daemon/src/gateway/gateway_settings.hpp
+++ b/packages/daemon/src/gateway/gateway_settings.hpp
@@ -41,8 +41,11 @@
     double retry_reserve = 50.0;
     /// Where model requests go, and how much an endpoint is sent.
     gateway::affinity_options placement;
-    /// Part of a route's objective for which a model request may wait.
+    /// Part of a route's objective for which a model request may wait, within its account's fair share and beyond.
     double wait_share = 0.6;
+    double excess_wait_share = 0.0;
+    /// Part of the tokens that the operators state up to which accounts get their fair shares.
+    double share_capacity = 1.0;
 };
 
 /// What reading a settings file gave.
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -30,6 +30,8 @@
     gateway::router_options out;
     out.retries = {settings.retry_ratio, settings.retry_reserve};
     out.wait_share = settings.wait_share;
+    out.excess_wait_share = settings.excess_wait_share;
+    out.share_capacity = settings.share_capacity;
     return out;
 }
 
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -48,7 +48,7 @@
     }
     auto accounts = json::array();
     for (const auto& it : report.accounts) {
-        accounts.push_back({it.service, it.account, whole(it.recent_tokens)});
+        accounts.push_back({it.service, it.account, whole(it.rates.asked), whole(it.rates.given)});
     }
     return json::to_cbor(json{report.gateway, report.incarnation, report.sequence, std::move(endpoints), std::move(accounts)});
 }
@@ -67,7 +67,8 @@
         }
         for (const auto& it : value.at(4)) {
             out.accounts.push_back(
-                {it.at(0).get<std::string>(), it.at(1).get<std::string>(), it.at(2).get<double>()});
+                {it.at(0).get<std::string>(), it.at(1).get<std::string>(),
+                 {it.at(2).get<double>(), it.at(3).get<double>()}});
         }
         return out;
     }
--- a/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
@@ -16,7 +16,11 @@
     double window_tokens = 24'000.0;
     /// Prompt tokens in a second above which an endpoint gets no more. Prompts are read between the tokens of
     /// running requests; an endpoint that reads all the time generates too slowly for streams to end in time.
-    double tokens_per_second = 26'000.0;
+    double tokens_per_second = 35'000.0;
+    /// The same bounds for requests beyond their accounts' fair shares. What lies between is kept for accounts
+    /// within theirs, which would wait behind the others at the endpoint, where nothing can be ordered any more.
+    double excess_window_tokens = 4'000.0;
+    double excess_tokens_per_second = 22'000.0;
 };
 
 /// Takes the less loaded of the few endpoints that rendezvous hashing gives to the longest shared part of the
--- a/packages/gateway/include/hemlocknotch/gateway/fleet_report.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/fleet_report.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <hemlocknotch/gateway/share_meter.hpp>
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -17,12 +19,11 @@
     double tokens_per_second = 0.0;
 };
 
-/// What one gateway has given to one client account.
+/// What one client account has asked of one gateway, and been given by it.
 struct account_report {
     std::string service;
     std::string account;
-    /// Tokens given of late.
-    double recent_tokens = 0.0;
+    account_rates rates;
 };
 
 /// What a gateway tells the others at short intervals. Each report stands for itself, so that lost ones do no
--- a/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
@@ -17,6 +17,8 @@
     double prompt_tokens = 0.0;
     /// Of these, tokens that are kept where requests with the same shared part have run.
     double shared_tokens = 0.0;
+    /// Its account has been given its fair share already; it may only take what nobody else needs.
+    bool is_over_share = false;
     /// Tokens that are expected to be generated.
     double output_tokens = 0.0;
 };
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -37,6 +37,10 @@
     duration backlog_time = std::chrono::milliseconds{300};
     /// Waiting requests that are offered to endpoints in one turn; bounds the time of a turn.
     std::size_t offers_per_turn = 64;
+    /// Part of a route's objective for which a request beyond its account's fair share may wait.
+    double excess_wait_share = 0.0;
+    /// Part of the tokens that the operators state for all endpoints up to which accounts get their fair shares.
+    double share_capacity = 1.0;
     /// Most requests in the gateway; bounds its memory.
     std::size_t max_exchanges = 2000;
 };
@@ -127,6 +131,7 @@
     void erase(exchange_id id);
     exchange* find_by_call(call_id call);
     [[nodiscard]] duration estimated_wait(service_state& service, const exchange& it, instant now) const;
+    [[nodiscard]] bool is_over_share(service_state& service, const exchange& it, instant now) const;
 
     router_options options_;
     const placement_policy& model_placement_;
--- /dev/null
+++ b/packages/gateway/include/hemlocknotch/gateway/share_meter.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <hemlocknotch/core/time.hpp>
+#include <hemlocknotch/gateway/decaying_sum.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace hemlocknotch::gateway {
+
+/// Tokens in a second of one client account.
+struct account_rates {
+    /// Of all its requests, also of those that were refused.
+    double asked = 0.0;
+    /// Of the requests that were sent to endpoints.
+    double given = 0.0;
+};
+
+/// What the client accounts of one service ask for and are given over the whole fleet, and the max-min fair share
+/// that follows ("Data Networks", Bertsekas and Gallager, 1992, section 6.5.2). Used by one thread at a time.
+class share_meter {
+public:
+    /// Time over which rates are averaged: accounts may change their demand many times over within a second.
+    static constexpr duration memory = std::chrono::milliseconds{1500};
+
+    /// Counts a request of `account` that came here.
+    void note_asked(std::string_view account, double tokens, instant now);
+    /// Counts a request of `account` that was sent to an endpoint from here.
+    void note_given(std::string_view account, double tokens, instant now);
+
+    /// Replaces what `gateway` tells of `account`.
+    void set_told(std::string_view gateway, std::string_view account, const account_rates& rates, instant now);
+
+    /// Returns the rates of `account` over all gateways.
+    [[nodiscard]] account_rates rates_of(std::string_view account, instant now) const;
+
+    /// Calls `take` for each account with requests here of late, with the rates here.
+    void for_each_own(instant now, const std::function<void(std::string_view, const account_rates&)>& take) const;
+
+    /// Returns the rate up to which each account may be given tokens where all together get `capacity` tokens in a
+    /// second; the largest number where all that is asked fits.
+    [[nodiscard]] double fair_level(double capacity, instant now) const;
+
+private:
+    struct pair_of_sums {
+        decaying_sum asked{memory};
+        decaying_sum given{memory};
+    };
+
+    struct account {
+        pair_of_sums own;
+        std::map<std::string, pair_of_sums, std::less<>> told;
+    };
+
+    account& find_or_add(std::string_view name);
+    static account_rates rates_of(const account& it, instant now);
+
+    std::map<std::string, account, std::less<>> accounts_;
+};
+
+} // namespace hemlocknotch::gateway
--- a/packages/gateway/include/hemlocknotch/gateway/waiting_line.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/waiting_line.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/core/time.hpp>
-#include <hemlocknotch/gateway/decaying_sum.hpp>
+#include <hemlocknotch/gateway/share_meter.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -29,13 +29,12 @@
     instant send_by;
 };
 
-/// Requests of one service that wait for an endpoint, in fair order of their client accounts: the account that
-/// has been given the fewest tokens of late is next, where a token counts less the longer it is ago (decay
-/// usage scheduling, Hellerstein, 1993). Used by one thread at a time.
+/// Requests of one service that wait for an endpoint, in fair order of their client accounts: the account that has
+/// been given the fewest tokens of late is next. Used by one thread at a time.
 class waiting_line {
 public:
-    /// Time in which the weight of a token falls to 1/e.
-    static constexpr duration usage_memory = std::chrono::seconds{2};
+    /// `meter` knows what accounts have been given; it must outlive the line.
+    explicit waiting_line(const share_meter& meter) : meter_{meter} {}
 
     /// Appends a request of `account`.
     void add(std::string_view account, const waiting_request& request);
@@ -43,11 +42,8 @@
     /// Removes a request wherever it stands. Returns whether it waited.
     bool remove(exchange_id exchange);
 
-    /// Charges `account` for work given to it at `now`, here or by another gateway.
-    void charge(std::string_view account, double cost, instant now);
-
     /// Offers waiting requests in fair order, the most urgent first within an account, until `limit` have been
-    /// offered. `try_send` returns whether the request went, and has charged its account then; it is removed.
+    /// offered. `try_send` returns whether the request went; it is removed then.
     void offer(instant now, std::size_t limit, const std::function<bool(const waiting_request&)>& try_send);
 
     /// Returns the requests whose time to be sent is over at `now`, and removes them.
@@ -59,32 +55,17 @@
     /// Returns the tokens that would be given before a request of `account` with `cost`, if it came now.
     [[nodiscard]] double tokens_ahead(std::string_view account, double cost, instant now) const;
 
-    /// Replaces what `gateway` has given to `account`.
-    void set_told_usage(std::string_view gateway, std::string_view account, double tokens, instant now);
-
-    /// Calls `take` for each account that has been given tokens here of late.
-    void for_each_usage(instant now, const std::function<void(std::string_view account, double tokens)>& take) const;
-
-    /// Returns the tokens that `account` has been given of late, by all gateways.
-    [[nodiscard]] double recent_usage(std::string_view account, instant now) const;
-
     [[nodiscard]] bool is_empty() const { return size_ == 0; }
 
     [[nodiscard]] std::size_t size() const { return size_; }
 
 private:
     struct line {
-        /// Tokens given here.
-        decaying_sum own{usage_memory};
-        /// Tokens given by other gateways.
-        std::map<std::string, decaying_sum, std::less<>> told;
         double waiting_cost = 0.0;
         std::list<waiting_request> requests;
     };
 
-    line& line_of(std::string_view account);
-    static double usage_of(const line& it, instant now);
-
+    const share_meter& meter_;
     std::map<std::string, line, std::less<>> lines_;
     std::size_t size_ = 0;
 };
--- a/packages/gateway/src/affinity_placement.cpp
+++ b/packages/gateway/src/affinity_placement.cpp
@@ -39,11 +39,13 @@
     out.has_candidates = !ranked.empty();
     // Without a shared part no endpoint is better than another.
     const auto fanout = request.shared_part ? options_.fanout : ranked.size();
+    const auto window = request.is_over_share ? options_.excess_window_tokens : options_.window_tokens;
+    const auto rate = request.is_over_share ? options_.excess_tokens_per_second : options_.tokens_per_second;
     double least = 0.0;
     for (std::size_t n = 0; n < std::min(fanout, ranked.size()); ++n) {
         const auto& it = endpoints[ranked[n].second];
-        const auto has_room = it.pending_tokens <= options_.window_tokens && it.running < it.slots &&
-                              it.tokens_per_second <= options_.tokens_per_second;
+        const auto has_room =
+            it.pending_tokens <= window && it.running < it.slots && it.tokens_per_second <= rate;
         if (has_room && (!out.endpoint || it.pending_tokens < least)) {
             out.endpoint = ranked[n].second;
             least = it.pending_tokens;
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -47,6 +47,8 @@
 constexpr duration kept_part_life = std::chrono::seconds{60};
 /// Largest answer that is held until it is whole; bounds memory.
 constexpr std::size_t max_held_answer = std::size_t{8} << 20U;
+/// Time between two computations of the fair level; a fraction of the time in which demand changes.
+constexpr duration level_interval = std::chrono::milliseconds{50};
 /// Time over which the rate of sending is averaged.
 constexpr duration rate_memory = std::chrono::seconds{1};
 
@@ -144,12 +146,16 @@
 };
 
 struct router::service_state {
-    service_state(const retry_bound& bound, std::size_t gateways) : retries{bound, gateways} {}
+    service_state(const retry_bound& bound, std::size_t gateways) : line{meter}, retries{bound, gateways} {}
 
+    share_meter meter;
     waiting_line line;
     retry_allowance retries;
     /// Since when requests have been waiting without pause.
     instant backlogged_since = instant::max();
+    /// Rate up to which each account gets its fair share, and when it was worked out.
+    double fair_level = 0.0;
+    instant level_at{};
     /// Costs sent here of late.
     decaying_sum sent{rate_memory};
 };
@@ -252,7 +258,9 @@
     it.place.output_tokens = fields.output_hint > 0 ? std::min(most, static_cast<double>(fields.output_hint))
                                                     : options_.expected_output_share * most;
     it.cost = it.is_model ? it.place.prompt_tokens + options_.output_weight * it.place.output_tokens : 1.0;
-    service_of(it.service).retries.on_request();
+    auto& state = service_of(it.service);
+    state.retries.on_request();
+    state.meter.note_asked(it.account, it.cost, now);
     deadlines_.emplace(it.ends_at, id);
     admit(it, now);
 }
@@ -273,6 +281,19 @@
     }
 }
 
+bool router::is_over_share(service_state& service, const exchange& it, instant now) const
+{
+    const auto capacity = it.configuration->document().tokens_per_second * options_.share_capacity;
+    if (!it.is_model || capacity <= 0.0) {
+        return false;
+    }
+    if (now - service.level_at >= level_interval) {
+        service.fair_level = service.meter.fair_level(capacity, now);
+        service.level_at = now;
+    }
+    return service.meter.rates_of(it.account, now).given > service.fair_level;
+}
+
 duration router::estimated_wait(service_state& service, const exchange& it, instant now) const
 {
     if (service.line.is_empty() || now - service.backlogged_since < options_.backlog_time) {
@@ -290,9 +311,8 @@
 {
     auto& service = service_of(it.service);
     const auto whole = it.ends_at - it.arrived;
-    const auto longest = it.is_model
-                             ? std::chrono::duration_cast<duration>(it.objective() * options_.wait_share)
-                             : whole / 2;
+    const auto share = is_over_share(service, it, now) ? options_.excess_wait_share : options_.wait_share;
+    const auto longest = it.is_model ? std::chrono::duration_cast<duration>(it.objective() * share) : whole / 2;
     const auto send_by = it.is_begun ? it.ends_at : std::min(it.arrived + longest, it.ends_at);
     const auto wait = estimated_wait(service, it, now);
     if (now >= send_by || (!it.is_begun && now + wait > send_by)) {
@@ -310,6 +330,7 @@
     std::vector<endpoint_state*> states;
     const auto loads = endpoints_.loads_of(it.service, now, it.tried, states);
     const auto& policy = it.is_model ? model_placement_ : plain_placement_;
+    it.place.is_over_share = is_over_share(service_of(it.service), it, now);
     const auto chosen = policy.choose(it.place, loads);
     if (!chosen.endpoint) {
         return false;
@@ -348,7 +369,7 @@
         endpoint.gate->on_send(now);
     }
     auto& service = service_of(it.service);
-    service.line.charge(it.account, it.cost, now);
+    service.meter.note_given(it.account, it.cost, now);
     service.sent.add(it.cost, now);
     if (it.matched->kind == request_kind::safe && it.executions + 1 < it.matched->max_attempts) {
         it.silent_at =
@@ -624,8 +645,8 @@
         }
     }
     for (const auto& [name, service] : services_) {
-        service->line.for_each_usage(now, [&, &name = name](std::string_view account, double tokens) {
-            out.accounts.push_back({name, std::string{account}, tokens});
+        service->meter.for_each_own(now, [&, &name = name](std::string_view account, const account_rates& rates) {
+            out.accounts.push_back({name, std::string{account}, rates});
         });
     }
     return out;
@@ -639,7 +660,7 @@
     }
     endpoints_.set_peer_load(report.gateway, loads);
     for (const auto& it : report.accounts) {
-        service_of(it.service).line.set_told_usage(report.gateway, it.account, it.recent_tokens, now);
+        service_of(it.service).meter.set_told(report.gateway, it.account, it.rates, now);
     }
     offer_waiting(now);
 }
--- /dev/null
+++ b/packages/gateway/src/share_meter.cpp
@@ -0,0 +1,97 @@
+#include <hemlocknotch/gateway/share_meter.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+namespace hemlocknotch::gateway {
+namespace {
+
+/// Rates, in tokens a second, that are not worth telling.
+constexpr double negligible_rate = 1.0;
+/// Accounts that are remembered; more are forgotten together, which costs one memory of fairness.
+constexpr std::size_t max_accounts = 20'000;
+
+} // namespace
+
+void share_meter::note_asked(std::string_view name, double tokens, instant now)
+{
+    find_or_add(name).own.asked.add(tokens, now);
+}
+
+void share_meter::note_given(std::string_view name, double tokens, instant now)
+{
+    find_or_add(name).own.given.add(tokens, now);
+}
+
+void share_meter::set_told(std::string_view gateway, std::string_view name, const account_rates& rates, instant now)
+{
+    auto& told = find_or_add(name).told;
+    auto it = told.find(gateway);
+    if (it == told.end()) {
+        it = told.emplace(std::string{gateway}, pair_of_sums{}).first;
+    }
+    const auto seconds = std::chrono::duration<double>(memory).count();
+    it->second.asked.set(rates.asked * seconds, now);
+    it->second.given.set(rates.given * seconds, now);
+}
+
+account_rates share_meter::rates_of(std::string_view name, instant now) const
+{
+    const auto it = accounts_.find(name);
+    return it == accounts_.end() ? account_rates{} : rates_of(it->second, now);
+}
+
+void share_meter::for_each_own(instant now,
+                               const std::function<void(std::string_view, const account_rates&)>& take) const
+{
+    for (const auto& [name, it] : accounts_) {
+        const account_rates rates{it.own.asked.per_second(now), it.own.given.per_second(now)};
+        if (rates.asked >= negligible_rate || rates.given >= negligible_rate) {
+            take(name, rates);
+        }
+    }
+}
+
+double share_meter::fair_level(double capacity, instant now) const
+{
+    std::vector<double> asked;
+    asked.reserve(accounts_.size());
+    for (const auto& [name, it] : accounts_) {
+        asked.push_back(rates_of(it, now).asked);
+    }
+    std::ranges::sort(asked);
+    auto left = capacity;
+    for (std::size_t n = 0; n < asked.size(); ++n) {
+        const auto share = left / static_cast<double>(asked.size() - n);
+        if (asked[n] > share) {
+            return share;
+        }
+        left -= asked[n];
+    }
+    return std::numeric_limits<double>::max();
+}
+
+share_meter::account& share_meter::find_or_add(std::string_view name)
+{
+    const auto it = accounts_.find(name);
+    if (it != accounts_.end()) {
+        return it->second;
+    }
+    if (accounts_.size() >= max_accounts) {
+        accounts_.clear();
+    }
+    return accounts_.emplace(std::string{name}, account{}).first->second;
+}
+
+account_rates share_meter::rates_of(const account& it, instant now)
+{
+    account_rates out{it.own.asked.per_second(now), it.own.given.per_second(now)};
+    for (const auto& [gateway, told] : it.told) {
+        out.asked += told.asked.per_second(now);
+        out.given += told.given.per_second(now);
+    }
+    return out;
+}
+
+} // namespace hemlocknotch::gateway
