--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -258,6 +258,8 @@
 {
     exchange_ = 0;
     is_head_method_ = false;
+    // The head of a stream may have left before the stop began, and then announced nothing.
+    is_last_ = is_last_ || owner_.is_stopping();
     if (is_last_) {
         channel_->close_when_drained();
         timer_.start(linger);
--- a/packages/daemon/src/gateway/gateway_settings.cpp
+++ b/packages/daemon/src/gateway/gateway_settings.cpp
@@ -136,6 +136,8 @@
         reader.number("/placement/excess_window_tokens", placement.excess_window_tokens, 0.0);
     placement.excess_tokens_per_second =
         reader.number("/placement/excess_tokens_per_second", placement.excess_tokens_per_second, 1.0);
+    placement.beyond_part = reader.number("/placement/beyond_part", placement.beyond_part, 0.0);
+    out.present_headroom = reader.number("/placement/present_headroom", out.present_headroom, 1.0);
     out.excess_wait_share = reader.number("/placement/excess_wait_share", out.excess_wait_share, 0.0);
     out.share_capacity = reader.number("/placement/share_capacity", out.share_capacity, 0.01);
     out.wait_share = reader.number("/placement/wait_share", out.wait_share, 0.0);
--- a/packages/daemon/src/gateway/gateway_settings.hpp
+++ b/packages/daemon/src/gateway/gateway_settings.hpp
@@ -46,6 +46,8 @@
     double excess_wait_share = 0.0;
     /// Part of the tokens that the operators state up to which accounts get their fair shares.
     double share_capacity = 1.0;
+    /// What the endpoints do at present is taken to be so many times what they were given of late.
+    double present_headroom = 1.15;
 };
 
 /// What reading a settings file gave.
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -32,6 +32,7 @@
     out.wait_share = settings.wait_share;
     out.excess_wait_share = settings.excess_wait_share;
     out.share_capacity = settings.share_capacity;
+    out.present_headroom = settings.present_headroom;
     return out;
 }
 
--- a/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
@@ -21,6 +21,9 @@
     /// within theirs, which would wait behind the others at the endpoint, where nothing can be ordered any more.
     double excess_window_tokens = 4'000.0;
     double excess_tokens_per_second = 22'000.0;
+    /// Part of the excess bounds that is open to accounts beyond even their share of what is done at present: an
+    /// endpoint with so little to do is not needed by others.
+    double beyond_part = 0.3;
 };
 
 /// Takes the less loaded of the few endpoints that rendezvous hashing gives to the longest shared part of the
--- a/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
@@ -9,6 +9,16 @@
 
 namespace hemlocknotch::gateway {
 
+/// How what a client account has been given stands to its fair share.
+enum class share_standing : std::uint8_t {
+    /// Within its share of what the operators state that all endpoints do.
+    within,
+    /// Beyond that, within its share of what the endpoints do at present.
+    excess,
+    /// Beyond both: it takes what others ask for.
+    beyond,
+};
+
 /// What a placement policy knows of a request.
 struct placement_request {
     /// Key of the longest part of the prompt that other requests share; nothing where there is none.
@@ -17,8 +27,7 @@
     double prompt_tokens = 0.0;
     /// Of these, tokens that are kept where requests with the same shared part have run.
     double shared_tokens = 0.0;
-    /// Its account has been given its fair share already; it may only take what nobody else needs.
-    bool is_over_share = false;
+    share_standing standing = share_standing::within;
     /// Tokens that are expected to be generated.
     double output_tokens = 0.0;
 };
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -41,6 +41,9 @@
     double excess_wait_share = 0.0;
     /// Part of the tokens that the operators state for all endpoints up to which accounts get their fair shares.
     double share_capacity = 1.0;
+    /// What the endpoints do at present is taken to be so many times what they were given of late, so that the
+    /// accounts' shares of it can grow.
+    double present_headroom = 1.15;
     /// Most requests in the gateway; bounds its memory.
     std::size_t max_exchanges = 2000;
 };
@@ -131,7 +134,7 @@
     void erase(exchange_id id);
     exchange* find_by_call(call_id call);
     [[nodiscard]] duration estimated_wait(service_state& service, const exchange& it, instant now) const;
-    [[nodiscard]] bool is_over_share(service_state& service, const exchange& it, instant now) const;
+    [[nodiscard]] share_standing standing_of(service_state& service, const exchange& it, instant now) const;
 
     router_options options_;
     const placement_policy& model_placement_;
--- a/packages/gateway/include/hemlocknotch/gateway/share_meter.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/share_meter.hpp
@@ -37,6 +37,9 @@
     /// Returns the rates of `account` over all gateways.
     [[nodiscard]] account_rates rates_of(std::string_view account, instant now) const;
 
+    /// Returns what all accounts together are given.
+    [[nodiscard]] double total_given(instant now) const;
+
     /// Calls `take` for each account with requests here of late, with the rates here.
     void for_each_own(instant now, const std::function<void(std::string_view, const account_rates&)>& take) const;
 
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -153,8 +153,10 @@
     retry_allowance retries;
     /// Since when requests have been waiting without pause.
     instant backlogged_since = instant::max();
-    /// Rate up to which each account gets its fair share, and when it was worked out.
+    /// Rates up to which each account gets its fair share, of what the operators state and of what the endpoints do
+    /// at present, and when they were worked out.
     double fair_level = 0.0;
+    double present_level = 0.0;
     instant level_at{};
     /// Costs sent here of late.
     decaying_sum sent{rate_memory};
@@ -281,17 +283,23 @@
     }
 }
 
-bool router::is_over_share(service_state& service, const exchange& it, instant now) const
+share_standing router::standing_of(service_state& service, const exchange& it, instant now) const
 {
     const auto capacity = it.configuration->document().tokens_per_second * options_.share_capacity;
     if (!it.is_model || capacity <= 0.0) {
-        return false;
+        return share_standing::within;
     }
     if (now - service.level_at >= level_interval) {
         service.fair_level = service.meter.fair_level(capacity, now);
+        const auto present = std::max(capacity, service.meter.total_given(now) * options_.present_headroom);
+        service.present_level = service.meter.fair_level(present, now);
         service.level_at = now;
     }
-    return service.meter.rates_of(it.account, now).given > service.fair_level;
+    const auto given = service.meter.rates_of(it.account, now).given;
+    if (given <= service.fair_level) {
+        return share_standing::within;
+    }
+    return given <= service.present_level ? share_standing::excess : share_standing::beyond;
 }
 
 duration router::estimated_wait(service_state& service, const exchange& it, instant now) const
@@ -311,7 +319,8 @@
 {
     auto& service = service_of(it.service);
     const auto whole = it.ends_at - it.arrived;
-    const auto share = is_over_share(service, it, now) ? options_.excess_wait_share : options_.wait_share;
+    const auto is_within = standing_of(service, it, now) == share_standing::within;
+    const auto share = is_within ? options_.wait_share : options_.excess_wait_share;
     const auto longest = it.is_model ? std::chrono::duration_cast<duration>(it.objective() * share) : whole / 2;
     const auto send_by = it.is_begun ? it.ends_at : std::min(it.arrived + longest, it.ends_at);
     const auto wait = estimated_wait(service, it, now);
@@ -330,7 +339,7 @@
     std::vector<endpoint_state*> states;
     const auto loads = endpoints_.loads_of(it.service, now, it.tried, states);
     const auto& policy = it.is_model ? model_placement_ : plain_placement_;
-    it.place.is_over_share = is_over_share(service_of(it.service), it, now);
+    it.place.standing = standing_of(service_of(it.service), it, now);
     const auto chosen = policy.choose(it.place, loads);
     if (!chosen.endpoint) {
         return false;
--- a/packages/gateway/src/share_meter.cpp
+++ b/packages/gateway/src/share_meter.cpp
@@ -42,6 +42,15 @@
     return it == accounts_.end() ? account_rates{} : rates_of(it->second, now);
 }
 
+double share_meter::total_given(instant now) const
+{
+    double out = 0.0;
+    for (const auto& [name, it] : accounts_) {
+        out += rates_of(it, now).given;
+    }
+    return out;
+}
+
 void share_meter::for_each_own(instant now,
                                const std::function<void(std::string_view, const account_rates&)>& take) const
 {
