--- a/packages/coordination/include/hemlocknotch/coordination/fencing_holder.hpp
+++ b/packages/coordination/include/hemlocknotch/coordination/fencing_holder.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <hemlocknotch/coordination/key_value_service.hpp>
 #include <hemlocknotch/core/fencing.hpp>
 #include <hemlocknotch/core/process_identity.hpp>
-#include <hemlocknotch/coordination/key_value_service.hpp>
 
 #include <cstdint>
 #include <functional>
--- a/packages/coordination/include/hemlocknotch/coordination/http_platform.hpp
+++ b/packages/coordination/include/hemlocknotch/coordination/http_platform.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <hemlocknotch/core/endpoint_address.hpp>
-#include <hemlocknotch/core/time.hpp>
 #include <hemlocknotch/coordination/instance_list.hpp>
 #include <hemlocknotch/coordination/key_value_service.hpp>
+#include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/core/time.hpp>
 
 #include <memory>
 
--- a/packages/ctl/include/hemlocknotch/ctl/edit_result.hpp
+++ b/packages/ctl/include/hemlocknotch/ctl/edit_result.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <hemlocknotch/ctl/configuration_difference.hpp>
 #include <hemlocknotch/coordination/configuration_document.hpp>
 #include <hemlocknotch/coordination/configuration_envelope.hpp>
+#include <hemlocknotch/ctl/configuration_difference.hpp>
 
 #include <cstdint>
 #include <optional>
--- a/packages/ctl/src/command_context.hpp
+++ b/packages/ctl/src/command_context.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <hemlocknotch/core/endpoint_address.hpp>
-#include <hemlocknotch/ctl/edit_environment.hpp>
 #include <hemlocknotch/coordination/http_client.hpp>
 #include <hemlocknotch/coordination/key_value_service.hpp>
+#include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/ctl/edit_environment.hpp>
 
 #include "command_options.hpp"
 
--- a/packages/ctl/src/envelope_writer.hpp
+++ b/packages/ctl/src/envelope_writer.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <hemlocknotch/ctl/config_editor.hpp>
-#include <hemlocknotch/ctl/edit_environment.hpp>
 #include <hemlocknotch/coordination/configuration_envelope.hpp>
 #include <hemlocknotch/coordination/key_value_service.hpp>
+#include <hemlocknotch/ctl/config_editor.hpp>
+#include <hemlocknotch/ctl/edit_environment.hpp>
 
 #include <cstdint>
 #include <functional>
--- a/packages/ctl/src/span_tree.cpp
+++ b/packages/ctl/src/span_tree.cpp
@@ -1,5 +1,5 @@
-#include <hemlocknotch/ctl/span_tree.hpp>
 #include <hemlocknotch/coordination/json_fields.hpp>
+#include <hemlocknotch/ctl/span_tree.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/packages/ctl/src/store_reader.hpp
+++ b/packages/ctl/src/store_reader.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <hemlocknotch/coordination/key_value_service.hpp>
 #include <hemlocknotch/ctl/config_editor.hpp>
 #include <hemlocknotch/ctl/edit_environment.hpp>
-#include <hemlocknotch/coordination/key_value_service.hpp>
 
 #include <cstdint>
 #include <string>
--- a/packages/daemon/src/claim_keeper.hpp
+++ b/packages/daemon/src/claim_keeper.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <hemlocknotch/coordination/key_value_service.hpp>
 #include <hemlocknotch/core/entry_effect.hpp>
 #include <hemlocknotch/core/entry_event.hpp>
 #include <hemlocknotch/core/time.hpp>
-#include <hemlocknotch/coordination/key_value_service.hpp>
 
 #include "timer.hpp"
 
--- a/packages/daemon/src/command_line.cpp
+++ b/packages/daemon/src/command_line.cpp
@@ -1,5 +1,7 @@
 #include "command_line.hpp"
 
+#include <hemlocknotch/platform/settings_path.hpp>
+
 #include "agent_shell.hpp"
 #include "entry_shell.hpp"
 #include "gateway/gateway_command.hpp"
@@ -7,8 +9,6 @@
 #include "settings_reference.hpp"
 #include "start_error.hpp"
 
-#include <hemlocknotch/platform/settings_path.hpp>
-
 #include <CLI/CLI.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
@@ -152,7 +152,8 @@
     app.add_flag("--print-settings", is_print_settings, "Print the settings of both daemons, and exit");
     auto* entry = add_role(app, "entry", "Take callers' requests and pass them to agents", given);
     auto* agent = add_role(app, "agent", "Stand beside one endpoint and decide what runs there", given);
-    auto* direct = app.add_subcommand("gateway", "Take callers' requests and call endpoints on the users' platform");
+    auto* direct =
+        app.add_subcommand("gateway", "Take callers' requests and call endpoints on the users' platform");
     direct->add_option("--settings", given.settings_path, "Settings file (JSON with comments)")
         ->type_name("FILE")
         ->envname(platform::settings_path_variable);
--- a/packages/daemon/src/configuration_watcher.hpp
+++ b/packages/daemon/src/configuration_watcher.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <hemlocknotch/core/time.hpp>
 #include <hemlocknotch/coordination/configuration_envelope.hpp>
 #include <hemlocknotch/coordination/key_value_service.hpp>
+#include <hemlocknotch/core/time.hpp>
 
 #include "entropy_source.hpp"
 #include "timer.hpp"
--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -180,7 +180,8 @@
 
 void caller_connection::append_head(std::string& out, const gateway::answer_head& head)
 {
-    const auto reason = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(head.status));
+    const auto reason =
+        boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(head.status));
     out += "HTTP/1.1 " + std::to_string(head.status) + " ";
     out.append(reason.data(), reason.size());
     out += "\r\n";
--- a/packages/daemon/src/gateway/caller_connection.hpp
+++ b/packages/daemon/src/gateway/caller_connection.hpp
@@ -23,7 +23,8 @@
     virtual ~caller_connection_owner() = default;
 
     /// Takes a whole request. The connection reads no other one until it is answered.
-    virtual void on_request(caller_connection& connection, std::shared_ptr<const gateway::caller_request> request) = 0;
+    virtual void on_request(caller_connection& connection,
+                            std::shared_ptr<const gateway::caller_request> request) = 0;
     /// The caller left before the answer to `exchange` was complete.
     virtual void on_gone(gateway::exchange_id exchange) = 0;
     /// The connection is closed; the owner destroys it later, not from within this call.
@@ -66,6 +67,7 @@
 
     void on_bytes(std::string_view bytes) override;
     void on_end(channel_end end) override;
+
     void on_drained() override {}
 
 private:
@@ -91,7 +93,8 @@
     bool has_sent_continue_ = false;
     bool is_closed_ = false;
     bool is_reading_ = false;
-    /// Bytes of a further request are to be read on the next turn of the loop, outside of the owner's functions.
+    /// Bytes of a further request are to be read on the next turn of the loop, outside of the owner's
+    /// functions.
     bool is_resuming_ = false;
     /// The caller takes its answer too slowly; it is given up on the next turn.
     bool is_overrun_ = false;
--- a/packages/daemon/src/gateway/caller_server.cpp
+++ b/packages/daemon/src/gateway/caller_server.cpp
@@ -21,8 +21,8 @@
 
 } // namespace
 
-caller_server::caller_server(event_base* base, const gateway::message_dialect& dialect, std::size_t max_connections,
-                             caller_request_sink& sink)
+caller_server::caller_server(event_base* base, const gateway::message_dialect& dialect,
+                             std::size_t max_connections, caller_request_sink& sink)
     : base_{base},
       dialect_{dialect},
       max_connections_{max_connections},
@@ -40,7 +40,8 @@
     at.sin_family = AF_INET;
     at.sin_port = htons(address.port());
     if (inet_pton(AF_INET, address.host().c_str(), &at.sin_addr) != 1) {
-        return boost::leaf::new_error(start_error{"cannot listen on " + address.to_string(), "Name an IPv4 address."});
+        return boost::leaf::new_error(
+            start_error{"cannot listen on " + address.to_string(), "Name an IPv4 address."});
     }
     listener_.reset(evconnlistener_new_bind(base_, handle_accept, this,
                                             LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_CLOSE_ON_FREE,
@@ -80,7 +81,8 @@
     }
 }
 
-void caller_server::on_request(caller_connection& connection, std::shared_ptr<const gateway::caller_request> request)
+void caller_server::on_request(caller_connection& connection,
+                               std::shared_ptr<const gateway::caller_request> request)
 {
     const auto exchange = ++last_exchange_;
     serving_.emplace(exchange, &connection);
@@ -116,7 +118,8 @@
     return out;
 }
 
-void caller_server::reply(gateway::exchange_id exchange, const gateway::answer_head& head, std::string_view body)
+void caller_server::reply(gateway::exchange_id exchange, const gateway::answer_head& head,
+                          std::string_view body)
 {
     if (auto* it = take(exchange)) {
         it->reply(head, body);
--- a/packages/daemon/src/gateway/caller_server.hpp
+++ b/packages/daemon/src/gateway/caller_server.hpp
@@ -27,13 +27,14 @@
 public:
     virtual ~caller_request_sink() = default;
 
-    virtual void on_request(gateway::exchange_id exchange, std::shared_ptr<const gateway::caller_request> request) = 0;
+    virtual void on_request(gateway::exchange_id exchange,
+                            std::shared_ptr<const gateway::caller_request> request) = 0;
     virtual void on_caller_gone(gateway::exchange_id exchange) = 0;
     virtual void on_malformed(int status, std::string_view reason) = 0;
 };
 
-/// Accepts callers' connections and passes requests and answers between them and their sink. Used on the event
-/// loop's thread only.
+/// Accepts callers' connections and passes requests and answers between them and their sink. Used on the
+/// event loop's thread only.
 class caller_server final : public caller_connection_owner {
 public:
     /// All must outlive the server. `max_connections` is at least 1.
@@ -53,6 +54,7 @@
 
     /// From now on each answer is the last of its connection.
     void begin_stop() { is_stopping_ = true; }
+
     /// Accepts no more connections and closes those without a request.
     void close_idle();
 
@@ -63,14 +65,20 @@
     void abort(gateway::exchange_id exchange);
 
     [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
+
     [[nodiscard]] std::size_t serving_count() const { return serving_.size(); }
 
-    void on_request(caller_connection& connection, std::shared_ptr<const gateway::caller_request> request) override;
+    void on_request(caller_connection& connection,
+                    std::shared_ptr<const gateway::caller_request> request) override;
     void on_gone(gateway::exchange_id exchange) override;
     void on_closed(caller_connection& connection) override;
+
     void on_malformed(int status, std::string_view reason) override { sink_.on_malformed(status, reason); }
+
     [[nodiscard]] const gateway::caller_limits& limits() const override { return limits_; }
+
     [[nodiscard]] const gateway::message_dialect& dialect() const override { return dialect_; }
+
     [[nodiscard]] bool is_stopping() const override { return is_stopping_; }
 
 private:
--- a/packages/daemon/src/gateway/endpoint_connection.hpp
+++ b/packages/daemon/src/gateway/endpoint_connection.hpp
@@ -18,7 +18,8 @@
 public:
     virtual ~endpoint_answer_sink() = default;
 
-    virtual void on_head(gateway::call_id call, gateway::answer_head head, const gateway::answer_fields& fields) = 0;
+    virtual void on_head(gateway::call_id call, gateway::answer_head head,
+                         const gateway::answer_fields& fields) = 0;
     virtual void on_part(gateway::call_id call, std::string_view bytes) = 0;
     virtual void on_end(gateway::call_id call, gateway::call_outcome outcome) = 0;
 };
@@ -35,14 +36,15 @@
     [[nodiscard]] virtual instant now() const = 0;
 };
 
-/// One connection to an endpoint, which serves one call at a time. An answer that names another request is read
-/// and dropped; a connection that has carried bytes belonging to no request is not used again. Used on the event
-/// loop's thread only.
+/// One connection to an endpoint, which serves one call at a time. An answer that names another request is
+/// read and dropped; a connection that has carried bytes belonging to no request is not used again. Used on
+/// the event loop's thread only.
 class endpoint_connection final : public channel_sink {
 public:
     /// Starts to connect. `is_open` tells whether the system gave a socket.
-    endpoint_connection(event_base* base, const endpoint_address& address, const gateway::message_dialect& dialect,
-                        endpoint_answer_sink& sink, endpoint_connection_owner& owner);
+    endpoint_connection(event_base* base, const endpoint_address& address,
+                        const gateway::message_dialect& dialect, endpoint_answer_sink& sink,
+                        endpoint_connection_owner& owner);
     ~endpoint_connection() override;
 
     endpoint_connection(const endpoint_connection&) = delete;
@@ -51,9 +53,12 @@
     endpoint_connection& operator=(endpoint_connection&&) = delete;
 
     [[nodiscard]] bool is_open() const { return channel_ != nullptr; }
+
     [[nodiscard]] const endpoint_address& address() const { return address_; }
+
     /// Returns the call sent last, ended or not; 0 before the first.
     [[nodiscard]] gateway::call_id last_call() const { return last_call_; }
+
     /// Returns whether a call may be sent now that must not meet a connection that the endpoint has given up.
     [[nodiscard]] bool is_fresh(instant now, bool is_unrepeatable) const;
 
@@ -65,6 +70,7 @@
 
     void on_bytes(std::string_view bytes) override;
     void on_end(channel_end end) override;
+
     void on_drained() override {}
 
 private:
--- a/packages/daemon/src/gateway/endpoint_pool.hpp
+++ b/packages/daemon/src/gateway/endpoint_pool.hpp
@@ -33,10 +33,12 @@
     void cancel(gateway::call_id call);
 
     [[nodiscard]] std::uint64_t opened_count() const { return opened_; }
+
     [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
 
     void on_call_done(endpoint_connection& connection) override;
     void on_closed(endpoint_connection& connection) override;
+
     [[nodiscard]] instant now() const override { return now_(); }
 
 private:
--- a/packages/daemon/src/gateway/gateway_command.cpp
+++ b/packages/daemon/src/gateway/gateway_command.cpp
@@ -91,12 +91,13 @@
     }
     return boost::leaf::try_handle_all([&] { return run(*settings, path); },
                                        [](const start_error& error) {
-                                           std::cerr << "hemlocknotchd: " << error.what << ". " << error.remedy
-                                                     << "\n";
+                                           std::cerr << "hemlocknotchd: " << error.what << ". "
+                                                     << error.remedy << "\n";
                                            return exit_failed;
                                        },
                                        [] {
-                                           std::cerr << "hemlocknotchd: could not start for an unknown reason.\n";
+                                           std::cerr
+                                               << "hemlocknotchd: could not start for an unknown reason.\n";
                                            return exit_failed;
                                        });
 }
--- a/packages/daemon/src/gateway/gateway_settings.cpp
+++ b/packages/daemon/src/gateway/gateway_settings.cpp
@@ -31,9 +31,11 @@
         if (it == nullptr && !is_required) {
             return std::nullopt;
         }
-        auto out = it != nullptr && it->is_string() ? endpoint_address::parse(it->get<std::string>()) : std::nullopt;
+        auto out =
+            it != nullptr && it->is_string() ? endpoint_address::parse(it->get<std::string>()) : std::nullopt;
         if (!out) {
-            fault(path, "is missing or no address", "Give a numeric IP address with a port, such as 127.0.0.1:8080");
+            fault(path, "is missing or no address",
+                  "Give a numeric IP address with a port, such as 127.0.0.1:8080");
         }
         return out;
     }
@@ -50,7 +52,8 @@
             return out;
         }
         for (const auto& element : *it) {
-            auto read = element.is_string() ? endpoint_address::parse(element.get<std::string>()) : std::nullopt;
+            auto read =
+                element.is_string() ? endpoint_address::parse(element.get<std::string>()) : std::nullopt;
             if (!read) {
                 fault(path, "has an element that is no address", "Give numeric IP addresses with ports");
                 return out;
@@ -128,14 +131,14 @@
     out.retry_ratio = reader.number("/bounds/retry_ratio", out.retry_ratio, 0.0);
     out.retry_reserve = reader.number("/bounds/retry_reserve", out.retry_reserve, 0.0);
     auto& placement = out.placement;
-    placement.fanout =
-        static_cast<std::size_t>(reader.number("/placement/fanout", static_cast<double>(placement.fanout), 1.0));
-    placement.window_tokens = reader.number("/placement/window_tokens", placement.window_tokens, 0.0);
-    placement.tokens_per_second = reader.number("/placement/tokens_per_second", placement.tokens_per_second, 1.0);
-    placement.excess_window_tokens =
-        reader.number("/placement/excess_window_tokens", placement.excess_window_tokens, 0.0);
-    placement.excess_tokens_per_second =
-        reader.number("/placement/excess_tokens_per_second", placement.excess_tokens_per_second, 1.0);
+    placement.fanout = static_cast<std::size_t>(
+        reader.number("/placement/fanout", static_cast<double>(placement.fanout), 1.0));
+    placement.window_seconds = reader.number("/placement/window_seconds", placement.window_seconds, 0.0);
+    placement.rate_factor = reader.number("/placement/rate_factor", placement.rate_factor, 0.0);
+    placement.excess_window_seconds =
+        reader.number("/placement/excess_window_seconds", placement.excess_window_seconds, 0.0);
+    placement.excess_rate_factor =
+        reader.number("/placement/excess_rate_factor", placement.excess_rate_factor, 0.0);
     placement.beyond_part = reader.number("/placement/beyond_part", placement.beyond_part, 0.0);
     out.present_headroom = reader.number("/placement/present_headroom", out.present_headroom, 1.0);
     out.excess_wait_share = reader.number("/placement/excess_wait_share", out.excess_wait_share, 0.0);
--- a/packages/daemon/src/gateway/gateway_settings.hpp
+++ b/packages/daemon/src/gateway/gateway_settings.hpp
@@ -41,11 +41,12 @@
     double retry_reserve = 50.0;
     /// Where model requests go, and how much an endpoint is sent.
     gateway::affinity_options placement;
-    /// Part of a route's objective for which a model request may wait, within its account's fair share and beyond.
-    double wait_share = 0.6;
+    /// Part of a route's objective for which a model request may wait, within its account's fair share and
+    /// beyond.
+    double wait_share = 0.5;
     double excess_wait_share = 0.0;
     /// Part of the tokens that the operators state up to which accounts get their fair shares.
-    double share_capacity = 1.0;
+    double share_capacity = 1.25;
     /// What the endpoints do at present is taken to be so many times what they were given of late.
     double present_headroom = 1.15;
 };
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -25,10 +25,11 @@
 constexpr duration report_life = std::chrono::seconds{2};
 constexpr std::string_view metrics_path = "/metrics";
 
-gateway::router_options router_options_of(const gateway_settings& settings)
+gateway::router_options router_options_of(const gateway_settings& settings, std::uint64_t seed)
 {
     gateway::router_options out;
     out.retries = {settings.retry_ratio, settings.retry_reserve};
+    out.seed = seed;
     out.wait_share = settings.wait_share;
     out.excess_wait_share = settings.excess_wait_share;
     out.share_capacity = settings.share_capacity;
@@ -61,7 +62,7 @@
       dialect_{dialect},
       log_{STDOUT_FILENO, settings.instance, [this] { return clock_.now(); }},
       model_placement_{settings.placement},
-      router_{router_options_of(settings), model_placement_, plain_placement_, *this},
+      router_{router_options_of(settings, incarnation_), model_placement_, plain_placement_, *this},
       follower_{base,
                 feed,
                 view_,
@@ -222,7 +223,8 @@
     pool_.cancel(call);
 }
 
-void gateway_shell::reply(gateway::exchange_id exchange, const gateway::answer_head& head, std::string_view body)
+void gateway_shell::reply(gateway::exchange_id exchange, const gateway::answer_head& head,
+                          std::string_view body)
 {
     callers_.reply(exchange, head, body);
 }
@@ -287,7 +289,8 @@
     }
 }
 
-void gateway_shell::on_head(gateway::call_id call, gateway::answer_head head, const gateway::answer_fields& fields)
+void gateway_shell::on_head(gateway::call_id call, gateway::answer_head head,
+                            const gateway::answer_fields& fields)
 {
     router_.on_head(call, std::move(head), fields, clock_.now());
 }
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -55,7 +55,8 @@
 private:
     void start_call(const gateway::call_start& start) override;
     void cancel_call(gateway::call_id call) override;
-    void reply(gateway::exchange_id exchange, const gateway::answer_head& head, std::string_view body) override;
+    void reply(gateway::exchange_id exchange, const gateway::answer_head& head,
+               std::string_view body) override;
     void begin_stream(gateway::exchange_id exchange, const gateway::answer_head& head) override;
     void send_part(gateway::exchange_id exchange, std::string_view bytes) override;
     void end_stream(gateway::exchange_id exchange) override;
@@ -63,11 +64,13 @@
     bool wants_log(log_level level) override;
     void write_log(const log_effect& record) override;
 
-    void on_request(gateway::exchange_id exchange, std::shared_ptr<const gateway::caller_request> request) override;
+    void on_request(gateway::exchange_id exchange,
+                    std::shared_ptr<const gateway::caller_request> request) override;
     void on_caller_gone(gateway::exchange_id exchange) override;
     void on_malformed(int status, std::string_view reason) override;
 
-    void on_head(gateway::call_id call, gateway::answer_head head, const gateway::answer_fields& fields) override;
+    void on_head(gateway::call_id call, gateway::answer_head head,
+                 const gateway::answer_fields& fields) override;
     void on_part(gateway::call_id call, std::string_view bytes) override;
     void on_end(gateway::call_id call, gateway::call_outcome outcome) override;
 
@@ -84,6 +87,7 @@
     gateway_settings settings_;
     const gateway::message_dialect& dialect_;
     process_clock clock_;
+    std::uint64_t incarnation_ = entropy_source{}.next();
     line_log log_;
     gateway::affinity_placement model_placement_;
     gateway::least_loaded_placement plain_placement_;
@@ -99,7 +103,6 @@
     std::vector<endpoint_address> others_;
     /// When each other gateway was last heard.
     std::map<std::string, instant, std::less<>> heard_at_;
-    std::uint64_t incarnation_ = entropy_source{}.next();
     std::uint64_t report_sequence_ = 0;
     timer report_timer_;
     timer due_;
--- a/packages/daemon/src/gateway/line_log.cpp
+++ b/packages/daemon/src/gateway/line_log.cpp
@@ -32,7 +32,8 @@
     const auto now = now_();
     const std::chrono::duration<double> passed = now - it.refilled_at;
     it.refilled_at = now;
-    it.lines = std::min(lines_per_second.at(n) * burst_seconds, it.lines + passed.count() * lines_per_second.at(n));
+    it.lines =
+        std::min(lines_per_second.at(n) * burst_seconds, it.lines + passed.count() * lines_per_second.at(n));
     if (it.lines < 1.0) {
         ++left_out_;
         return false;
--- a/packages/daemon/src/gateway/line_log.hpp
+++ b/packages/daemon/src/gateway/line_log.hpp
@@ -12,9 +12,9 @@
 
 namespace hemlocknotch::daemon {
 
-/// Structured log on a file descriptor, one JSON object a line, that never blocks: what the reader does not take
-/// is held up to a limit and then left out, and each level has a budget of lines. What is left out is counted.
-/// Used by one thread at a time.
+/// Structured log on a file descriptor, one JSON object a line, that never blocks: what the reader does not
+/// take is held up to a limit and then left out, and each level has a budget of lines. What is left out is
+/// counted. Used by one thread at a time.
 class line_log {
 public:
     /// Most lines of one level in a second, from debug to error: successes are sampled, failures kept.
--- a/packages/daemon/src/gateway/message_parser.cpp
+++ b/packages/daemon/src/gateway/message_parser.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> connection_headers{
-    "connection", "keep-alive", "proxy-connection",    "proxy-authenticate", "proxy-authorization",
-    "te",         "trailer",    "transfer-encoding", "upgrade"};
+    "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+    "trailer",    "transfer-encoding", "upgrade"};
 
 std::string_view trimmed(std::string_view text)
 {
@@ -45,7 +45,8 @@
 
 bool is_connection_header(std::string_view name, const std::vector<std::string>& connection_values)
 {
-    return std::ranges::any_of(connection_headers, [&](std::string_view it) { return is_same_name(it, name); }) ||
+    return std::ranges::any_of(connection_headers,
+                               [&](std::string_view it) { return is_same_name(it, name); }) ||
            has_token(connection_values, name);
 }
 
--- a/packages/daemon/src/gateway/message_parser.hpp
+++ b/packages/daemon/src/gateway/message_parser.hpp
@@ -24,8 +24,8 @@
 /// Returns whether a comma-separated list in `values` has `token`, in any case.
 bool has_token(const std::vector<std::string>& values, std::string_view token);
 
-/// Parses one HTTP/1.1 message with Boost.Beast, strictly: ambiguous framing is an error. Collects head and body;
-/// the owner takes the body whenever it likes. Used by one thread at a time.
+/// Parses one HTTP/1.1 message with Boost.Beast, strictly: ambiguous framing is an error. Collects head and
+/// body; the owner takes the body whenever it likes. Used by one thread at a time.
 template <bool is_request>
 class message_parser final : public boost::beast::http::basic_parser<is_request> {
     using base = boost::beast::http::basic_parser<is_request>;
@@ -51,24 +51,33 @@
     }
 
     [[nodiscard]] const std::string& method() const { return method_; }
+
     [[nodiscard]] const std::string& target() const { return target_; }
+
     [[nodiscard]] int status() const { return status_; }
+
     [[nodiscard]] int version() const { return version_; }
+
     [[nodiscard]] std::vector<gateway::header_field>& fields() { return fields_; }
+
     [[nodiscard]] std::string& body() { return body_; }
+
     /// Values of Connection and Transfer-Encoding headers, and the number of Host headers.
     [[nodiscard]] const std::vector<std::string>& connection_values() const { return connection_values_; }
+
     [[nodiscard]] const std::vector<std::string>& coding_values() const { return coding_values_; }
+
     /// The framing cannot be trusted: two lengths, a length beside chunks, or a coding other than chunked.
     [[nodiscard]] bool is_ambiguous() const
     {
-        return length_count_ > 1 || (length_count_ > 0 && !coding_values_.empty()) || coding_values_.size() > 1 ||
+        return length_count_ > 1 || (length_count_ > 0 && !coding_values_.empty()) ||
+               coding_values_.size() > 1 ||
                (coding_values_.size() == 1 && !is_same_name(coding_values_.front(), "chunked"));
     }
 
 private:
-    void on_request_impl(boost::beast::http::verb /*method*/, beast_view method, beast_view target, int version,
-                         error_code& ec) override
+    void on_request_impl(boost::beast::http::verb /*method*/, beast_view method, beast_view target,
+                         int version, error_code& ec) override
     {
         method_.assign(method.data(), method.size());
         target_.assign(target.data(), target.size());
@@ -83,7 +92,8 @@
         ec = {};
     }
 
-    void on_field_impl(boost::beast::http::field name, beast_view text, beast_view value, error_code& ec) override
+    void on_field_impl(boost::beast::http::field name, beast_view text, beast_view value,
+                       error_code& ec) override
     {
         ec = {};
         if (has_head_) {
@@ -106,10 +116,14 @@
     void on_header_impl(error_code& ec) override
     {
         has_head_ = true;
-        ec = is_ambiguous() ? make_error_code(boost::beast::http::error::bad_transfer_encoding) : error_code{};
+        ec =
+            is_ambiguous() ? make_error_code(boost::beast::http::error::bad_transfer_encoding) : error_code{};
     }
 
-    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& ec) override { ec = {}; }
+    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& ec) override
+    {
+        ec = {};
+    }
 
     std::size_t on_body_impl(beast_view bytes, error_code& ec) override
     {
--- a/packages/daemon/src/gateway/page_server.cpp
+++ b/packages/daemon/src/gateway/page_server.cpp
@@ -11,7 +11,8 @@
     evhttp_set_gencb(server_.handle(), handle_request, this);
 }
 
-boost::leaf::result<endpoint_address> page_server::listen(const endpoint_address& address, std::string_view purpose)
+boost::leaf::result<endpoint_address> page_server::listen(const endpoint_address& address,
+                                                          std::string_view purpose)
 {
     return server_.listen(address, purpose);
 }
@@ -23,7 +24,8 @@
     const auto it = that.source_(target.substr(0, target.find('?')));
     const evbuffer_ptr buf{evbuffer_new()};
     evbuffer_add(buf.get(), it.body.data(), it.body.size());
-    evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type", "text/plain; version=0.0.4");
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type",
+                      "text/plain; version=0.0.4");
     evhttp_send_reply(request, it.status, nullptr, buf.get());
 }
 
--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -11,11 +11,13 @@
 
 /// Longest wait of one watch.
 constexpr duration watch_wait = std::chrono::milliseconds{700};
-/// Pause after a failed call; short against the bounds of a few seconds, long against the store's usual answer.
+/// Pause after a failed call; short against the bounds of a few seconds, long against the store's usual
+/// answer.
 constexpr duration retry_pause = std::chrono::milliseconds{250};
 /// Failures for so long are an outage, after which registrations may have lapsed.
 constexpr duration outage_after = std::chrono::milliseconds{500};
-/// Life of the registration without renewal, and the time between renewals, which leaves room for two failures.
+/// Life of the registration without renewal, and the time between renewals, which leaves room for two
+/// failures.
 constexpr duration lease_time = std::chrono::seconds{10};
 constexpr duration lease_interval = std::chrono::seconds{3};
 
@@ -38,9 +40,9 @@
 
 } // namespace
 
-registry_follower::registry_follower(event_base* base, gateway::registry_feed& feed, gateway::registry_view& view,
-                                     const follower_options& options, std::function<instant()> now,
-                                     changed_callback changed, log_callback log)
+registry_follower::registry_follower(event_base* base, gateway::registry_feed& feed,
+                                     gateway::registry_view& view, const follower_options& options,
+                                     std::function<instant()> now, changed_callback changed, log_callback log)
     : feed_{feed},
       view_{view},
       options_{options},
@@ -68,8 +70,8 @@
     }
 }
 
-void registry_follower::take_told(const std::vector<gateway::registry_change>& changes, std::uint64_t revision,
-                                  instant as_of)
+void registry_follower::take_told(const std::vector<gateway::registry_change>& changes,
+                                  std::uint64_t revision, instant as_of)
 {
     report(view_.apply(changes, revision, now_()));
     if (!needs_whole_ && as_of > current_as_of_) {
@@ -154,7 +156,9 @@
     feed_.keep(lease_number_, [this](const registry_answer& answer) {
         const auto is_lost = answer.status == registry_status::lease_lost;
         lease_number_ = is_lost ? 0 : lease_number_;
-        lease_.start(is_lost ? duration::zero() : answer.status == registry_status::ok ? lease_interval : retry_pause * 2);
+        lease_.start(is_lost                                ? duration::zero()
+                     : answer.status == registry_status::ok ? lease_interval
+                                                            : retry_pause * 2);
     });
 }
 
--- a/packages/daemon/src/gateway/registry_follower.hpp
+++ b/packages/daemon/src/gateway/registry_follower.hpp
@@ -16,13 +16,13 @@
 struct follower_options {
     std::string instance;
     endpoint_address members;
-    /// Age at which the view is renewed. Endpoints write about once a second, so that a watch that is opened again
-    /// at once would return many times a second.
+    /// Age at which the view is renewed. Endpoints write about once a second, so that a watch that is opened
+    /// again at once would return many times a second.
     duration max_age = std::chrono::milliseconds{800};
 };
 
-/// Keeps a view of the registry up to date, and this gateway registered in it. Used on the event loop's thread
-/// only.
+/// Keeps a view of the registry up to date, and this gateway registered in it. Used on the event loop's
+/// thread only.
 class registry_follower {
 public:
     using changed_callback = std::function<void(const gateway::registry_difference&)>;
@@ -39,10 +39,12 @@
     void leave();
 
     /// Tells what other gateways know: changes up to `revision`, current as of `as_of`.
-    void take_told(const std::vector<gateway::registry_change>& changes, std::uint64_t revision, instant as_of);
+    void take_told(const std::vector<gateway::registry_change>& changes, std::uint64_t revision,
+                   instant as_of);
 
     /// Returns the moment as of which the view is known to be current.
     [[nodiscard]] instant current_as_of() const { return current_as_of_; }
+
     [[nodiscard]] bool is_reachable() const { return failed_since_ == instant::max(); }
 
 private:
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -50,7 +50,8 @@
     for (const auto& it : report.accounts) {
         accounts.push_back({it.service, it.account, whole(it.rates.asked), whole(it.rates.given)});
     }
-    return json::to_cbor(json{report.gateway, report.incarnation, report.sequence, std::move(endpoints), std::move(accounts)});
+    return json::to_cbor(
+        json{report.gateway, report.incarnation, report.sequence, std::move(endpoints), std::move(accounts)});
 }
 
 std::optional<gateway::fleet_report> decode_report(std::span<const std::uint8_t> bytes)
@@ -62,13 +63,13 @@
         out.incarnation = value.at(1).get<std::uint64_t>();
         out.sequence = value.at(2).get<std::uint64_t>();
         for (const auto& it : value.at(3)) {
-            out.endpoints.push_back({it.at(0).get<std::string>(), it.at(1).get<double>(), it.at(2).get<unsigned>(),
-                                     it.at(3).get<double>()});
+            out.endpoints.push_back({it.at(0).get<std::string>(), it.at(1).get<double>(),
+                                     it.at(2).get<unsigned>(), it.at(3).get<double>()});
         }
         for (const auto& it : value.at(4)) {
-            out.accounts.push_back(
-                {it.at(0).get<std::string>(), it.at(1).get<std::string>(),
-                 {it.at(2).get<double>(), it.at(3).get<double>()}});
+            out.accounts.push_back({it.at(0).get<std::string>(),
+                                    it.at(1).get<std::string>(),
+                                    {it.at(2).get<double>(), it.at(3).get<double>()}});
         }
         return out;
     }
@@ -97,24 +98,25 @@
     fd_ = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd_ < 0 || !to_sockaddr(address, at) ||
         ::bind(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) {
-        return boost::leaf::new_error(
-            start_error{"cannot listen on " + address.to_string() + " for other gateways: " + std::strerror(errno),
-                        "Choose an address of this instance and a free port."});
+        return boost::leaf::new_error(start_error{"cannot listen on " + address.to_string() +
+                                                      " for other gateways: " + std::strerror(errno),
+                                                  "Choose an address of this instance and a free port."});
     }
     event_.reset(event_new(base_, fd_, EV_READ | EV_PERSIST, handle_read, this));
     event_add(event_.get(), nullptr);
     return {};
 }
 
-void report_exchange::send(const gateway::fleet_report& report, std::span<const endpoint_address> addresses) const
+void report_exchange::send(const gateway::fleet_report& report,
+                           std::span<const endpoint_address> addresses) const
 {
     const auto bytes = encode_report(report);
     for (const auto& it : addresses) {
         sockaddr_in to{};
         if (to_sockaddr(it, to)) {
             // A report that is not taken is made up for by the next one.
-            static_cast<void>(::sendto(fd_, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&to),
-                                       sizeof to));
+            static_cast<void>(::sendto(fd_, bytes.data(), bytes.size(), 0,
+                                       reinterpret_cast<const sockaddr*>(&to), sizeof to));
         }
     }
 }
--- a/packages/daemon/src/gateway/report_exchange.hpp
+++ b/packages/daemon/src/gateway/report_exchange.hpp
@@ -24,8 +24,8 @@
 /// Decodes a report; nothing where the bytes are none. Thread-safe.
 std::optional<gateway::fleet_report> decode_report(std::span<const std::uint8_t> bytes);
 
-/// Sends and receives reports as datagrams: each stands for itself, so that a lost one need not be sent again, and
-/// no connection can go silent. Used on the event loop's thread only.
+/// Sends and receives reports as datagrams: each stands for itself, so that a lost one need not be sent
+/// again, and no connection can go silent. Used on the event loop's thread only.
 class report_exchange {
 public:
     using report_callback = std::function<void(const gateway::fleet_report&)>;
@@ -53,6 +53,7 @@
     report_callback received_;
     int fd_ = -1;
     event_ptr event_;
+
     struct newest_report {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
--- a/packages/daemon/src/gateway/socket_channel.hpp
+++ b/packages/daemon/src/gateway/socket_channel.hpp
@@ -23,7 +23,8 @@
     not_connected,
 };
 
-/// Takes what happens on a channel. Calls come from the event loop, never from within the channel's functions.
+/// Takes what happens on a channel. Calls come from the event loop, never from within the channel's
+/// functions.
 class channel_sink {
 public:
     virtual ~channel_sink() = default;
@@ -34,15 +35,15 @@
     virtual void on_drained() = 0;
 };
 
-/// A non-blocking TCP connection. Sends at once what the system takes and keeps the rest, so that a small message
-/// costs one system call. Used on the event loop's thread only.
+/// A non-blocking TCP connection. Sends at once what the system takes and keeps the rest, so that a small
+/// message costs one system call. Used on the event loop's thread only.
 class socket_channel : public std::enable_shared_from_this<socket_channel> {
 public:
     /// Takes over an accepted socket.
     static std::shared_ptr<socket_channel> adopt(event_base* base, int fd, channel_sink& sink);
 
-    /// Starts to connect to `address`; bytes sent meanwhile are kept. Returns null where the system has no socket
-    /// to give or refuses at once.
+    /// Starts to connect to `address`; bytes sent meanwhile are kept. Returns null where the system has no
+    /// socket to give or refuses at once.
     static std::shared_ptr<socket_channel> connect(event_base* base, const endpoint_address& address,
                                                    std::chrono::milliseconds limit, channel_sink& sink);
 
@@ -64,7 +65,8 @@
     void pause_reading();
     void resume_reading();
 
-    /// Closes at once. Unread bytes of the other end make the system reset the connection. Nothing more is told.
+    /// Closes at once. Unread bytes of the other end make the system reset the connection. Nothing more is
+    /// told.
     void close();
 
     /// Closes once all bytes are taken; reads and drops what still comes.
--- a/packages/daemon/src/process_runtime.hpp
+++ b/packages/daemon/src/process_runtime.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <hemlocknotch/core/configuration.hpp>
-#include <hemlocknotch/core/entry_effect.hpp>
 #include <hemlocknotch/coordination/instance_list.hpp>
 #include <hemlocknotch/coordination/key_value_service.hpp>
+#include <hemlocknotch/core/configuration.hpp>
+#include <hemlocknotch/core/entry_effect.hpp>
 
 #include "configuration_watcher.hpp"
 #include "entropy_source.hpp"
--- a/packages/daemon/src/settings_reading.hpp
+++ b/packages/daemon/src/settings_reading.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <hemlocknotch/core/process_identity.hpp>
 #include <hemlocknotch/coordination/configuration_document.hpp>
+#include <hemlocknotch/core/process_identity.hpp>
 
 #include "settings.hpp"
 
--- a/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
@@ -6,23 +6,28 @@
 
 namespace hemlocknotch::gateway {
 
-/// Settings of `affinity_placement`.
+/// Settings of `affinity_placement`. Bounds are relative to the tokens that the operators state for one
+/// endpoint in a second, so that they fit endpoints of any speed; the figures come from paired runs
+/// (docs/MEASUREMENTS.md).
 struct affinity_options {
     /// Endpoints among which one shared part is spread. Two choices even out most of the load (Mitzenmacher,
-    /// "The Power of Two Choices in Randomized Load Balancing", 2001); each further one reads each part again.
+    /// "The Power of Two Choices in Randomized Load Balancing", 2001); each further one reads each part
+    /// again.
     std::size_t fanout = 2;
-    /// Prompt tokens that may be ahead of a request at its endpoint; more are held by the gateway, where they
-    /// can still be ordered, refused and placed elsewhere.
-    double window_tokens = 24'000.0;
-    /// Prompt tokens in a second above which an endpoint gets no more. Prompts are read between the tokens of
-    /// running requests; an endpoint that reads all the time generates too slowly for streams to end in time.
-    double tokens_per_second = 35'000.0;
-    /// The same bounds for requests beyond their accounts' fair shares. What lies between is kept for accounts
-    /// within theirs, which would wait behind the others at the endpoint, where nothing can be ordered any more.
-    double excess_window_tokens = 4'000.0;
-    double excess_tokens_per_second = 22'000.0;
-    /// Part of the excess bounds that is open to accounts beyond even their share of what is done at present: an
-    /// endpoint with so little to do is not needed by others.
+    /// Prompt tokens that may be ahead of a request at its endpoint, as time at the stated rate; more are
+    /// held by the gateway, where they can still be ordered, refused and placed elsewhere.
+    double window_seconds = 0.7;
+    /// Multiple of the stated rate above which an endpoint gets no more. Prompts are read between the tokens
+    /// of running requests; an endpoint that reads all the time generates too slowly for streams to end in
+    /// time.
+    double rate_factor = 1.8;
+    /// The same bounds for requests beyond their accounts' fair shares. What lies between is kept for
+    /// accounts within theirs, which would wait behind the others at the endpoint, where nothing can be
+    /// ordered any more.
+    double excess_window_seconds = 0.22;
+    double excess_rate_factor = 1.25;
+    /// Part of the excess bounds that is open to accounts beyond even their share of what is done at present:
+    /// an endpoint with so little to do is not needed by others.
     double beyond_part = 0.3;
 };
 
--- a/packages/gateway/include/hemlocknotch/gateway/cold_gate.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/cold_gate.hpp
@@ -6,15 +6,20 @@
 
 namespace hemlocknotch::gateway {
 
-/// One gateway's part of the requests that a cold endpoint bears: a token bucket. Used by one thread at a time.
+/// One gateway's part of the requests that a cold endpoint bears: a token bucket. Used by one thread at a
+/// time.
 class cold_gate {
 public:
     /// Part of the stated rate that is used; the rest covers requests that are on their way together.
     static constexpr double rate_share = 0.8;
 
-    /// Admits `requests_per_second` / `gateways` with single requests at a time. Preconditions: the rate is
-    /// above zero, `gateways` at least 1.
-    cold_gate(double requests_per_second, std::size_t gateways, instant now);
+    /// Admits `requests_per_second` / `gateways`, single requests at a time. `phase`, in [0, 1), is this
+    /// gateway's place in the first interval; drawn by each gateway for itself, it keeps their first requests
+    /// apart. Preconditions: the rate is above zero, `gateways` at least 1.
+    cold_gate(double requests_per_second, std::size_t gateways, double phase);
+
+    /// The endpoint turned cold at `now`: the first interval begins.
+    void restart(instant now);
 
     /// Changes the number of gateways that share the rate.
     void set_gateways(std::size_t gateways);
@@ -30,8 +35,9 @@
 
 private:
     double requests_per_second_;
+    double phase_;
     duration interval_{};
-    instant opens_at_;
+    instant opens_at_{};
 };
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -48,6 +48,7 @@
     /// Moving share of calls that failed.
     double failure_rate = 0.0;
     unsigned failures_in_row = 0;
+    unsigned unreachable_in_row = 0;
     /// No request goes here until then, unless all others are suspected too.
     instant suspected_until{};
     instant cold_until{};
@@ -67,6 +68,9 @@
     static constexpr duration min_suspicion = std::chrono::milliseconds{250};
     static constexpr duration max_suspicion = std::chrono::seconds{2};
 
+    /// `seed` is drawn by each gateway for itself.
+    explicit endpoint_table(std::uint64_t seed) : seed_{seed} {}
+
     /// Replaces the endpoints. Those that stay keep load and health, unless they have been started again.
     void set_endpoints(std::span<const endpoint_record> records, const routing_configuration& configuration,
                        std::size_t gateways, instant now);
@@ -77,6 +81,9 @@
     /// Changes the number of gateways that share the limits of cold endpoints.
     void set_gateways(std::size_t gateways);
 
+    /// Returns whether every endpoint of `service` that may take requests at all is named in `tried`.
+    [[nodiscard]] bool are_all_tried(std::string_view service, std::span<const std::string> tried) const;
+
     /// Replaces what `gateway` says of its load. An empty list forgets it.
     void set_peer_load(std::string_view gateway, const std::map<std::string, peer_load, std::less<>>& loads);
 
@@ -91,7 +98,7 @@
 
     /// Counts how a call to `instance` ended.
     void note_success(endpoint_state& endpoint);
-    void note_failure(endpoint_state& endpoint, instant now);
+    void note_failure(endpoint_state& endpoint, bool was_reached, instant now);
 
     /// Keeps requests from `endpoint` until `until`.
     static void suspect(endpoint_state& endpoint, instant until);
@@ -106,9 +113,15 @@
     }
 
 private:
+    static void trust_where_most_are_suspected(const std::vector<bool>& takes,
+                                               std::span<endpoint_state* const> states,
+                                               std::span<endpoint_load> loads);
     [[nodiscard]] bool may_take(const endpoint_state& endpoint, instant now) const;
     [[nodiscard]] double mean_failure_rate(std::string_view service, const endpoint_state& except) const;
 
+    [[nodiscard]] double phase_of(std::string_view instance) const;
+
+    std::uint64_t seed_;
     std::map<std::string, std::unique_ptr<endpoint_state>, std::less<>> endpoints_;
     std::map<std::string, std::vector<endpoint_state*>, std::less<>> by_service_;
     std::set<std::string, std::less<>> out_of_service_;
--- a/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
@@ -28,6 +28,9 @@
     /// Of these, tokens that are kept where requests with the same shared part have run.
     double shared_tokens = 0.0;
     share_standing standing = share_standing::within;
+    /// Tokens that one endpoint processes in a second by the operators' statement, generated ones counted
+    /// twice.
+    double endpoint_tokens_per_second = 0.0;
     /// Tokens that are expected to be generated.
     double output_tokens = 0.0;
 };
--- a/packages/gateway/include/hemlocknotch/gateway/registry_feed.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_feed.hpp
@@ -81,8 +81,8 @@
 
     virtual ~registry_feed() = default;
 
-    /// Reads everything, current as of some moment after the call; `revision` is one from which a watch misses
-    /// nothing.
+    /// Reads everything, current as of some moment after the call; `revision` is one from which a watch
+    /// misses nothing.
     virtual void read(callback done) = 0;
 
     /// Returns the changes after `revision`, at once where there are any, else after `wait`.
--- a/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
@@ -24,17 +24,19 @@
 /// Never goes back to an older revision of a key. Used by one thread at a time.
 class registry_view {
 public:
-    /// Endpoints whose registrations lapsed while the registry was away have registered again after this time.
+    /// Endpoints whose registrations lapsed while the registry was away have registered again after this
+    /// time.
     static constexpr duration lapse_grace = std::chrono::milliseconds{2200};
 
     /// Takes every key that exists; what is missing has been removed.
-    registry_difference replace(std::span<const registry_change> changes, std::uint64_t revision, instant now);
+    registry_difference replace(std::span<const registry_change> changes, std::uint64_t revision,
+                                instant now);
 
     /// Takes changes in any order, also repeated ones.
     registry_difference apply(std::span<const registry_change> changes, std::uint64_t revision, instant now);
 
-    /// The registry answers again after an outage: removals of endpoints that were ready are held back for the
-    /// grace from now on.
+    /// The registry answers again after an outage: removals of endpoints that were ready are held back for
+    /// the grace from now on.
     void on_registry_back(instant now);
 
     /// Makes removals final whose grace is over. `next_time` says when.
--- a/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
@@ -33,7 +33,8 @@
     /// Tokens of the prompt, and the most that may be generated. Zero: not stated.
     std::uint64_t prompt_tokens = 0;
     std::uint64_t max_output_tokens = 0;
-    /// The caller's own estimate of what is generated; right in the middle and often far off. Zero: not stated.
+    /// The caller's own estimate of what is generated; right in the middle and often far off. Zero: not
+    /// stated.
     std::uint64_t output_hint = 0;
     /// In order. The last one is the request's or its session's own.
     std::vector<prompt_part> prompt;
--- a/packages/gateway/include/hemlocknotch/gateway/retry_allowance.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/retry_allowance.hpp
@@ -13,9 +13,9 @@
     double reserve = 50.0;
 };
 
-/// One gateway's part of the fleet's bound on retries: a token bucket that requests fill and that starts full.
-/// In any window all gateways together spend at most their capacities plus what requests put in. Used by one
-/// thread at a time.
+/// One gateway's part of the fleet's bound on retries: a token bucket that requests fill and that starts
+/// full. In any window all gateways together spend at most their capacities plus what requests put in. Used
+/// by one thread at a time.
 class retry_allowance {
 public:
     /// Part of the reserve that is handed out; the rest covers gateways that are not known yet.
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -25,24 +25,30 @@
 /// Settings of the router.
 struct router_options {
     retry_bound retries;
+    /// Drawn by each gateway for itself, so that gateways do not act in step.
+    std::uint64_t seed = 0;
     /// Part of a route's objective for which a request may wait for an endpoint; what waits longer would be
     /// late after its first token has been computed.
-    double wait_share = 0.6;
+    double wait_share = 0.5;
     /// Tokens that one generated token counts for against a prompt token, as the operators count them.
     double output_weight = 2.0;
-    /// Part of the most tokens that a request may generate which it is taken to generate where it gives no hint.
+    /// Part of the most tokens that a request may generate which it is taken to generate where it gives no
+    /// hint.
     double expected_output_share = 0.5;
-    /// How long requests must have been waiting without pause before their rate of leaving tells how long a new one
-    /// waits; before, it only tells how many came.
+    /// How long requests must have been waiting without pause before their rate of leaving tells how long a
+    /// new one waits; before, it only tells how many came.
     duration backlog_time = std::chrono::milliseconds{300};
     /// Waiting requests that are offered to endpoints in one turn; bounds the time of a turn.
     std::size_t offers_per_turn = 64;
     /// Part of a route's objective for which a request beyond its account's fair share may wait.
     double excess_wait_share = 0.0;
-    /// Part of the tokens that the operators state for all endpoints up to which accounts get their fair shares.
-    double share_capacity = 1.0;
-    /// What the endpoints do at present is taken to be so many times what they were given of late, so that the
-    /// accounts' shares of it can grow.
+    /// Part of the tokens that the operators state for all endpoints up to which accounts get their fair
+    /// shares.
+    double share_capacity = 1.25;
+    /// Tokens that one model endpoint processes in a second where the operators state nothing.
+    double default_endpoint_rate = 18'000.0;
+    /// What the endpoints do at present is taken to be so many times what they were given of late, so that
+    /// the accounts' shares of it can grow.
     double present_headroom = 1.15;
     /// Most requests in the gateway; bounds its memory.
     std::size_t max_exchanges = 2000;
--- a/packages/gateway/include/hemlocknotch/gateway/share_meter.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/share_meter.hpp
@@ -19,8 +19,9 @@
     double given = 0.0;
 };
 
-/// What the client accounts of one service ask for and are given over the whole fleet, and the max-min fair share
-/// that follows ("Data Networks", Bertsekas and Gallager, 1992, section 6.5.2). Used by one thread at a time.
+/// What the client accounts of one service ask for and are given over the whole fleet, and the max-min fair
+/// share that follows ("Data Networks", Bertsekas and Gallager, 1992, section 6.5.2). Used by one thread at a
+/// time.
 class share_meter {
 public:
     /// Time over which rates are averaged: accounts may change their demand many times over within a second.
@@ -32,7 +33,8 @@
     void note_given(std::string_view account, double tokens, instant now);
 
     /// Replaces what `gateway` tells of `account`.
-    void set_told(std::string_view gateway, std::string_view account, const account_rates& rates, instant now);
+    void set_told(std::string_view gateway, std::string_view account, const account_rates& rates,
+                  instant now);
 
     /// Returns the rates of `account` over all gateways.
     [[nodiscard]] account_rates rates_of(std::string_view account, instant now) const;
@@ -41,10 +43,11 @@
     [[nodiscard]] double total_given(instant now) const;
 
     /// Calls `take` for each account with requests here of late, with the rates here.
-    void for_each_own(instant now, const std::function<void(std::string_view, const account_rates&)>& take) const;
+    void for_each_own(instant now,
+                      const std::function<void(std::string_view, const account_rates&)>& take) const;
 
-    /// Returns the rate up to which each account may be given tokens where all together get `capacity` tokens in a
-    /// second; the largest number where all that is asked fits.
+    /// Returns the rate up to which each account may be given tokens where all together get `capacity` tokens
+    /// in a second; the largest number where all that is asked fits.
     [[nodiscard]] double fair_level(double capacity, instant now) const;
 
 private:
--- a/packages/gateway/include/hemlocknotch/gateway/waiting_line.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/waiting_line.hpp
@@ -29,8 +29,8 @@
     instant send_by;
 };
 
-/// Requests of one service that wait for an endpoint, in fair order of their client accounts: the account that has
-/// been given the fewest tokens of late is next. Used by one thread at a time.
+/// Requests of one service that wait for an endpoint, in fair order of their client accounts: the account
+/// that has been given the fewest tokens of late is next. Used by one thread at a time.
 class waiting_line {
 public:
     /// `meter` knows what accounts have been given; it must outlive the line.
@@ -42,8 +42,8 @@
     /// Removes a request wherever it stands. Returns whether it waited.
     bool remove(exchange_id exchange);
 
-    /// Offers waiting requests in fair order, the most urgent first within an account, until `limit` have been
-    /// offered. `try_send` returns whether the request went; it is removed then.
+    /// Offers waiting requests in fair order, the most urgent first within an account, until `limit` have
+    /// been offered. `try_send` returns whether the request went; it is removed then.
     void offer(instant now, std::size_t limit, const std::function<bool(const waiting_request&)>& try_send);
 
     /// Returns the requests whose time to be sent is over at `now`, and removes them.
--- a/packages/gateway/src/affinity_placement.cpp
+++ b/packages/gateway/src/affinity_placement.cpp
@@ -41,8 +41,10 @@
     const auto fanout = request.shared_part ? options_.fanout : ranked.size();
     const auto is_within = request.standing == share_standing::within;
     const auto part = request.standing == share_standing::beyond ? options_.beyond_part : 1.0;
-    const auto window = is_within ? options_.window_tokens : options_.excess_window_tokens * part;
-    const auto rate = is_within ? options_.tokens_per_second : options_.excess_tokens_per_second * part;
+    const auto stated = request.endpoint_tokens_per_second;
+    const auto window =
+        stated * (is_within ? options_.window_seconds : options_.excess_window_seconds * part);
+    const auto rate = stated * (is_within ? options_.rate_factor : options_.excess_rate_factor * part);
     double least = 0.0;
     for (std::size_t n = 0; n < std::min(fanout, ranked.size()); ++n) {
         const auto& it = endpoints[ranked[n].second];
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -1,5 +1,7 @@
 #include <hemlocknotch/gateway/endpoint_table.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cassert>
 
@@ -18,11 +20,12 @@
     std::map<std::string, std::unique_ptr<endpoint_state>, std::less<>> next;
     for (const auto& record : records) {
         const auto known = endpoints_.find(record.instance);
-        const auto is_same =
-            known != endpoints_.end() && known->second->record.started_at_ms == record.started_at_ms &&
-            known->second->record.address == record.address;
+        const auto is_same = known != endpoints_.end() &&
+                             known->second->record.started_at_ms == record.started_at_ms &&
+                             known->second->record.address == record.address;
         auto state = is_same ? std::move(known->second) : std::make_unique<endpoint_state>(record);
         const auto was_told_cold = is_same && state->record.cold_remaining == record.cold_remaining;
+        const auto was_cold = state->cold_until > now;
         if (!was_told_cold && record.cold_remaining > duration::zero()) {
             state->cold_until = std::max(state->cold_until, now + record.cold_remaining);
         }
@@ -30,7 +33,10 @@
         const auto* service = configuration.find_service(record.service);
         const auto rate = service == nullptr ? 0.0 : service->cold_requests_per_second;
         if (rate > 0.0 && !state->gate) {
-            state->gate.emplace(rate, gateways, now);
+            state->gate.emplace(rate, gateways, phase_of(record.instance));
+        }
+        if (state->gate && !was_cold && state->cold_until > now) {
+            state->gate->restart(now);
         }
         next.emplace(record.instance, std::move(state));
     }
@@ -81,8 +87,7 @@
         return out;
     }
     out.reserve(found->second.size());
-    std::size_t usable = 0;
-    std::size_t takers = 0;
+    std::vector<bool> takes;
     for (auto* it : found->second) {
         endpoint_load load{it->record.instance,
                            it->record.failure_domain,
@@ -96,23 +101,45 @@
             load.running += peer.running;
             load.tokens_per_second += peer.tokens_per_second;
         }
-        const auto is_taker = may_take(*it, now) && std::ranges::find(excluded, it->record.instance) == excluded.end();
-        load.is_usable = is_taker && it->suspected_until <= now;
-        takers += is_taker ? 1 : 0;
-        usable += load.is_usable ? 1 : 0;
+        const auto is_excluded = std::ranges::find(excluded, it->record.instance) != excluded.end();
+        takes.push_back(!is_excluded && may_take(*it, now));
+        load.is_usable = takes.back() && it->suspected_until <= now;
         out.push_back(load);
         states.push_back(it);
     }
-    // Where most are suspected, the cause is more likely here or on the way than at each of them.
-    if (usable * 2 < takers) {
-        for (std::size_t n = 0; n < out.size(); ++n) {
-            out[n].is_usable = may_take(*states[n], now) && states[n]->failures_in_row <= 1 &&
-                               std::ranges::find(excluded, states[n]->record.instance) == excluded.end();
-        }
-    }
+    trust_where_most_are_suspected(takes, states, out);
     return out;
 }
 
+void endpoint_table::trust_where_most_are_suspected(const std::vector<bool>& takes,
+                                                    std::span<endpoint_state* const> states,
+                                                    std::span<endpoint_load> loads)
+{
+    const auto takers = std::ranges::count(takes, true);
+    if (std::ranges::count_if(loads, &endpoint_load::is_usable) * 2 >= takers) {
+        return;
+    }
+    // The cause is more likely here or on the way than at each of them; those that cannot be reached are a
+    // last resort all the same.
+    bool has_usable = false;
+    for (std::size_t n = 0; n < loads.size(); ++n) {
+        loads[n].is_usable = takes[n] && states[n]->unreachable_in_row < 2;
+        has_usable = has_usable || loads[n].is_usable;
+    }
+    for (std::size_t n = 0; n < loads.size() && !has_usable; ++n) {
+        loads[n].is_usable = takes[n];
+    }
+}
+
+bool endpoint_table::are_all_tried(std::string_view service, std::span<const std::string> tried) const
+{
+    const auto found = by_service_.find(service);
+    return found == by_service_.end() || std::ranges::all_of(found->second, [&](const endpoint_state* it) {
+               return it->record.is_draining || out_of_service_.contains(it->record.failure_domain) ||
+                      std::ranges::find(tried, it->record.instance) != tried.end();
+           });
+}
+
 endpoint_state* endpoint_table::find(std::string_view instance)
 {
     const auto it = endpoints_.find(instance);
@@ -122,12 +149,14 @@
 void endpoint_table::note_success(endpoint_state& endpoint)
 {
     endpoint.failures_in_row = 0;
+    endpoint.unreachable_in_row = 0;
     endpoint.failure_rate *= 1.0 - failure_weight;
 }
 
-void endpoint_table::note_failure(endpoint_state& endpoint, instant now)
+void endpoint_table::note_failure(endpoint_state& endpoint, bool was_reached, instant now)
 {
     ++endpoint.failures_in_row;
+    endpoint.unreachable_in_row = was_reached ? 0 : endpoint.unreachable_in_row + 1;
     endpoint.failure_rate += failure_weight * (1.0 - endpoint.failure_rate);
     const auto others = mean_failure_rate(endpoint.record.service, endpoint);
     if (endpoint.failures_in_row < 2 && endpoint.failure_rate < suspicious_rate + 2.0 * others) {
@@ -156,6 +185,12 @@
     return out;
 }
 
+double endpoint_table::phase_of(std::string_view instance) const
+{
+    constexpr double range = 1ULL << 32U;
+    return static_cast<double>(XXH64(instance.data(), instance.size(), seed_) >> 32U) / range;
+}
+
 bool endpoint_table::may_take(const endpoint_state& endpoint, instant now) const
 {
     if (endpoint.record.is_draining || out_of_service_.contains(endpoint.record.failure_domain)) {
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -153,11 +153,14 @@
     retry_allowance retries;
     /// Since when requests have been waiting without pause.
     instant backlogged_since = instant::max();
-    /// Rates up to which each account gets its fair share, of what the operators state and of what the endpoints do
-    /// at present, and when they were worked out.
+    /// Rates up to which each account gets its fair share, of what the operators state and of what the
+    /// endpoints do at present, and when they were worked out.
     double fair_level = 0.0;
     double present_level = 0.0;
     instant level_at{};
+    /// Most endpoints seen at once: those that the operators' statement is about. Lost ones leave the others
+    /// as fast as they were.
+    std::size_t most_endpoints = 0;
     /// Costs sent here of late.
     decaying_sum sent{rate_memory};
 };
@@ -167,7 +170,8 @@
     : options_{options},
       model_placement_{model_placement},
       plain_placement_{plain_placement},
-      port_{port}
+      port_{port},
+      endpoints_{options.seed}
 {
 }
 
@@ -321,7 +325,8 @@
     const auto whole = it.ends_at - it.arrived;
     const auto is_within = standing_of(service, it, now) == share_standing::within;
     const auto share = is_within ? options_.wait_share : options_.excess_wait_share;
-    const auto longest = it.is_model ? std::chrono::duration_cast<duration>(it.objective() * share) : whole / 2;
+    const auto longest =
+        it.is_model ? std::chrono::duration_cast<duration>(it.objective() * share) : whole / 2;
     const auto send_by = it.is_begun ? it.ends_at : std::min(it.arrived + longest, it.ends_at);
     const auto wait = estimated_wait(service, it, now);
     if (now >= send_by || (!it.is_begun && now + wait > send_by)) {
@@ -339,7 +344,13 @@
     std::vector<endpoint_state*> states;
     const auto loads = endpoints_.loads_of(it.service, now, it.tried, states);
     const auto& policy = it.is_model ? model_placement_ : plain_placement_;
-    it.place.standing = standing_of(service_of(it.service), it, now);
+    auto& service = service_of(it.service);
+    service.most_endpoints = std::max(service.most_endpoints, states.size());
+    const auto stated = it.configuration->document().tokens_per_second;
+    it.place.endpoint_tokens_per_second = stated > 0.0 && service.most_endpoints > 0
+                                              ? stated / static_cast<double>(service.most_endpoints)
+                                              : options_.default_endpoint_rate;
+    it.place.standing = standing_of(service, it, now);
     const auto chosen = policy.choose(it.place, loads);
     if (!chosen.endpoint) {
         return false;
@@ -381,24 +392,21 @@
     service.meter.note_given(it.account, it.cost, now);
     service.sent.add(it.cost, now);
     if (it.matched->kind == request_kind::safe && it.executions + 1 < it.matched->max_attempts) {
-        it.silent_at =
-            now + std::chrono::duration_cast<duration>(it.objective() * silent_objectives);
+        it.silent_at = now + std::chrono::duration_cast<duration>(it.objective() * silent_objectives);
         deadlines_.emplace(it.silent_at, it.id);
     }
     const auto* definition = it.configuration->find_service(it.service);
-    call_start start{.call = it.call,
-                     .request = it.request,
-                     .address = endpoint.record.address,
-                     .instance = endpoint.record.instance,
-                     .account = it.account,
-                     .remaining = it.ends_at - now,
-                     .resume_after = it.events.last_id().empty() ? it.request->fields.last_event_id
-                                                               : it.events.last_id(),
-                     .is_unrepeatable = !it.is_repeatable(),
-                     .max_connections =
-                         definition == nullptr
-                             ? 0U
-                             : definition->max_connections / static_cast<unsigned>(gateways_)};
+    call_start start{
+        .call = it.call,
+        .request = it.request,
+        .address = endpoint.record.address,
+        .instance = endpoint.record.instance,
+        .account = it.account,
+        .remaining = it.ends_at - now,
+        .resume_after = it.events.last_id().empty() ? it.request->fields.last_event_id : it.events.last_id(),
+        .is_unrepeatable = !it.is_repeatable(),
+        .max_connections =
+            definition == nullptr ? 0U : definition->max_connections / static_cast<unsigned>(gateways_)};
     port_.start_call(start);
 }
 
@@ -524,7 +532,8 @@
     const auto status = it.head->status;
     if (it.told.is_not_executed || status == status_misdirected) {
         if (endpoint != nullptr) {
-            endpoint_table::suspect(*endpoint, now + (status == status_misdirected ? misdirected_pause : full_pause));
+            endpoint_table::suspect(*endpoint,
+                                    now + (status == status_misdirected ? misdirected_pause : full_pause));
         }
         finish_call(it, now);
         if (!try_again(it, false, now)) {
@@ -542,7 +551,7 @@
     else {
         const auto is_failure = status >= 500;
         if (endpoint != nullptr) {
-            is_failure ? endpoints_.note_failure(*endpoint, now) : endpoints_.note_success(*endpoint);
+            is_failure ? endpoints_.note_failure(*endpoint, true, now) : endpoints_.note_success(*endpoint);
         }
         if (is_failure && may_send_again(it, true)) {
             const auto head = *it.head;
@@ -582,7 +591,7 @@
 void router::handle_failure(exchange& it, call_outcome outcome, instant now)
 {
     if (auto* endpoint = endpoints_.find(it.instance)) {
-        endpoints_.note_failure(*endpoint, now);
+        endpoints_.note_failure(*endpoint, outcome == call_outcome::broken, now);
     }
     const auto was_executed = outcome == call_outcome::broken;
     if (port_.wants_log(log_level::warning)) {
@@ -630,12 +639,12 @@
         return false;
     }
     it.executions += was_executed ? 1U : 0U;
-    if (!service_of(it.service).retries.try_spend()) {
+    it.tried.push_back(it.instance);
+    if (endpoints_.are_all_tried(it.service, it.tried) || !service_of(it.service).retries.try_spend()) {
         return false;
     }
     ++counters_.retries;
     counters_.resumed_streams += it.is_begun ? 1U : 0U;
-    it.tried.push_back(it.instance);
     if (try_send(it, now)) {
         return true;
     }
@@ -654,9 +663,10 @@
         }
     }
     for (const auto& [name, service] : services_) {
-        service->meter.for_each_own(now, [&, &name = name](std::string_view account, const account_rates& rates) {
-            out.accounts.push_back({name, std::string{account}, rates});
-        });
+        service->meter.for_each_own(now,
+                                    [&, &name = name](std::string_view account, const account_rates& rates) {
+                                        out.accounts.push_back({name, std::string{account}, rates});
+                                    });
     }
     return out;
 }
@@ -770,7 +780,8 @@
         const auto spread = static_cast<double>(hash_of(it.id_text()) % 1000) / 2000.0;
         auto wait = std::chrono::duration<double>(std::min(retry_after, max_retry_after)) * (1.0 + spread);
         if (it.request->fields.patience) {
-            const auto heeded = std::chrono::duration<double>(*it.request->fields.patience) / heeded_part * 0.9;
+            const auto heeded =
+                std::chrono::duration<double>(*it.request->fields.patience) / heeded_part * 0.9;
             wait = std::min(wait, heeded);
         }
         head.headers.push_back({"Retry-After", std::to_string(wait.count())});
--- a/packages/gateway/src/share_meter.cpp
+++ b/packages/gateway/src/share_meter.cpp
@@ -24,7 +24,8 @@
     find_or_add(name).own.given.add(tokens, now);
 }
 
-void share_meter::set_told(std::string_view gateway, std::string_view name, const account_rates& rates, instant now)
+void share_meter::set_told(std::string_view gateway, std::string_view name, const account_rates& rates,
+                           instant now)
 {
     auto& told = find_or_add(name).told;
     auto it = told.find(gateway);
--- a/packages/gateway/src/waiting_line.cpp
+++ b/packages/gateway/src/waiting_line.cpp
@@ -8,7 +8,8 @@
 void waiting_line::add(std::string_view account, const waiting_request& request)
 {
     const auto found = lines_.find(account);
-    auto& it = found != lines_.end() ? found->second : lines_.emplace(std::string{account}, line{}).first->second;
+    auto& it =
+        found != lines_.end() ? found->second : lines_.emplace(std::string{account}, line{}).first->second;
     // The most urgent first; requests of one rank keep their order.
     const auto place = std::ranges::find_if(
         it.requests, [&](const waiting_request& other) { return other.priority > request.priority; });
@@ -38,6 +39,7 @@
         double given = 0.0;
         std::map<std::string, line, std::less<>>::iterator account;
     };
+
     std::vector<candidate> order;
     for (auto it = lines_.begin(); it != lines_.end(); ++it) {
         if (!it->second.requests.empty()) {
--- /dev/null
+++ b/packages/gateway/tests/event_splitter_test.cpp
@@ -0,0 +1,41 @@
+#include <hemlocknotch/gateway/event_splitter.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+namespace hemlocknotch::gateway {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(event_splitter_suite)
+
+BOOST_AUTO_TEST_CASE(gives_whole_events_however_they_are_cut)
+{
+    const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweights: 3\nid:4\ndata: c\n\n";
+    for (std::size_t step = 1; step <= text.size(); ++step) {
+        event_splitter it;
+        std::string out;
+        for (std::size_t n = 0; n < text.size(); n += step) {
+            out += it.take(std::string_view{text}.substr(n, step));
+        }
+        BOOST_TEST(out == text);
+        BOOST_TEST(it.last_id() == "4");
+        BOOST_TEST(!it.has_remainder());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(holds_a_torn_event_and_its_id)
+{
+    event_splitter it;
+    BOOST_TEST(it.take("id: 1\n\nid: 2\ndata") == "id: 1\n\n");
+    BOOST_TEST(it.last_id() == "1");
+    BOOST_TEST(it.has_remainder());
+    it.drop_remainder();
+    BOOST_TEST(it.take("id: 2\ndata: x\n\n") == "id: 2\ndata: x\n\n");
+    BOOST_TEST(it.last_id() == "2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace hemlocknotch::gateway
--- /dev/null
+++ b/packages/gateway/tests/recording_port.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <hemlocknotch/gateway/router_port.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hemlocknotch::gateway {
+
+/// An answer as a caller sees it.
+struct seen_answer {
+    int status = 0;
+    std::string body;
+    std::vector<header_field> headers;
+    bool is_ended = false;
+    bool is_aborted = false;
+
+    [[nodiscard]] bool has_header(std::string_view name) const
+    {
+        for (const auto& it : headers) {
+            if (it.name == name) {
+                return true;
+            }
+        }
+        return false;
+    }
+};
+
+/// Keeps what a router does.
+class recording_port final : public router_port {
+public:
+    void start_call(const call_start& start) override { calls.push_back(start); }
+
+    void cancel_call(call_id call) override { cancelled.insert(call); }
+
+    void reply(exchange_id exchange, const answer_head& head, std::string_view body) override
+    {
+        auto& it = answers[exchange];
+        it.status = head.status;
+        it.headers = head.headers;
+        it.body = body;
+        it.is_ended = true;
+    }
+
+    void begin_stream(exchange_id exchange, const answer_head& head) override
+    {
+        answers[exchange].status = head.status;
+    }
+
+    void send_part(exchange_id exchange, std::string_view bytes) override { answers[exchange].body += bytes; }
+
+    void end_stream(exchange_id exchange) override { answers[exchange].is_ended = true; }
+
+    void abort(exchange_id exchange) override { answers[exchange].is_aborted = true; }
+
+    bool wants_log(log_level /*level*/) override { return true; }
+
+    void write_log(const log_effect& record) override { lines.push_back(record); }
+
+    std::vector<call_start> calls;
+    std::set<call_id> cancelled;
+    std::map<exchange_id, seen_answer> answers;
+    std::vector<log_effect> lines;
+};
+
+} // namespace hemlocknotch::gateway
--- /dev/null
+++ b/packages/gateway/tests/share_test.cpp
@@ -0,0 +1,170 @@
+#include <hemlocknotch/gateway/affinity_placement.hpp>
+#include <hemlocknotch/gateway/least_loaded_placement.hpp>
+#include <hemlocknotch/gateway/share_meter.hpp>
+#include <hemlocknotch/gateway/waiting_line.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <limits>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hemlocknotch::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::vector<endpoint_load> make_loads(const std::vector<std::string>& names)
+{
+    std::vector<endpoint_load> out;
+    for (const auto& it : names) {
+        out.push_back({it, "d", true, 0.0, 0, 0.0, 8});
+    }
+    return out;
+}
+
+BOOST_AUTO_TEST_SUITE(share_suite)
+
+BOOST_AUTO_TEST_CASE(fair_level_is_max_min)
+{
+    share_meter it;
+    const instant now{std::chrono::seconds{10}};
+    const auto seconds = std::chrono::duration<double>(share_meter::memory).count();
+    it.note_asked("small", 10.0 * seconds, now);
+    it.note_asked("middle", 50.0 * seconds, now);
+    it.set_told("other", "large", {900.0, 0.0}, now);
+    // 100 are shared by three: the small one takes 10, the others 45 each.
+    BOOST_TEST(it.fair_level(100.0, now) == 45.0, boost::test_tools::tolerance(1e-6));
+    BOOST_TEST(it.fair_level(1000.0, now) == std::numeric_limits<double>::max());
+}
+
+BOOST_AUTO_TEST_CASE(rates_follow_within_their_memory)
+{
+    share_meter it;
+    instant now{std::chrono::seconds{10}};
+    it.note_given("a", 3000.0, now);
+    const auto before = it.rates_of("a", now).given;
+    now += share_meter::memory * 3;
+    BOOST_TEST(it.rates_of("a", now).given < before * 0.06);
+}
+
+BOOST_AUTO_TEST_CASE(the_account_with_least_is_next)
+{
+    share_meter meter;
+    waiting_line line{meter};
+    const instant now{std::chrono::seconds{10}};
+    meter.note_given("big", 1000.0, now);
+    line.add("big", {1, 100.0, 0, instant::max()});
+    line.add("small", {2, 100.0, 0, instant::max()});
+    std::vector<exchange_id> order;
+    line.offer(now, 10, [&](const waiting_request& it) {
+        order.push_back(it.exchange);
+        return true;
+    });
+    BOOST_TEST((order == std::vector<exchange_id>{2, 1}));
+    BOOST_TEST(line.is_empty());
+}
+
+BOOST_AUTO_TEST_CASE(two_backlogged_accounts_are_served_alike_whatever_they_ask)
+{
+    share_meter meter;
+    waiting_line line{meter};
+    instant now{std::chrono::seconds{10}};
+    exchange_id next = 0;
+    double given_a = 0.0;
+    double given_b = 0.0;
+    std::set<exchange_id> of_a;
+    for (int round = 0; round < 400; ++round) {
+        for (int n = 0; n < 5; ++n) {
+            of_a.insert(++next);
+            line.add("a", {next, 100.0, 0, now + milliseconds{500}});
+        }
+        line.add("b", {++next, 100.0, 0, now + milliseconds{500}});
+        line.offer(now, 1, [&](const waiting_request& it) {
+            const auto is_a = of_a.contains(it.exchange);
+            (is_a ? given_a : given_b) += it.cost;
+            meter.note_given(is_a ? "a" : "b", it.cost, now);
+            return true;
+        });
+        now += milliseconds{10};
+        static_cast<void>(line.take_expired(now));
+    }
+    // The gap stays within a few requests, although one asks five times as much.
+    BOOST_TEST(std::abs(given_a - given_b) <= 500.0);
+}
+
+BOOST_AUTO_TEST_CASE(requests_leave_when_their_time_is_over)
+{
+    share_meter meter;
+    waiting_line line{meter};
+    const instant now{std::chrono::seconds{10}};
+    line.add("a", {1, 1.0, 0, now + milliseconds{10}});
+    line.add("a", {2, 1.0, 0, now + milliseconds{30}});
+    BOOST_TEST((line.next_expiry() == now + milliseconds{10}));
+    BOOST_TEST((line.take_expired(now + milliseconds{10}) == std::vector<exchange_id>{1}));
+    BOOST_TEST(line.remove(2));
+    BOOST_TEST(!line.remove(2));
+    BOOST_TEST(line.is_empty());
+}
+
+BOOST_AUTO_TEST_CASE(one_shared_part_goes_to_two_endpoints_and_all_gateways_agree)
+{
+    const affinity_placement it{affinity_options{}};
+    auto loads = make_loads({"a", "b", "c", "d", "e"});
+    placement_request request;
+    request.shared_part = 7;
+    request.endpoint_tokens_per_second = 1000.0;
+    const auto first = it.choose(request, loads);
+    BOOST_REQUIRE(first.endpoint);
+    std::set<std::size_t> used{*first.endpoint};
+    loads[*first.endpoint].pending_tokens = 500.0;
+    const auto second = it.choose(request, loads);
+    BOOST_REQUIRE(second.endpoint);
+    used.insert(*second.endpoint);
+    BOOST_TEST(used.size() == 2U);
+    loads[*second.endpoint].pending_tokens = 10'000.0;
+    BOOST_TEST((it.choose(request, loads).endpoint == first.endpoint));
+    loads[*first.endpoint].pending_tokens = 10'000.0;
+    // Both are full: the request waits rather than have its part read at a third place.
+    BOOST_TEST(!it.choose(request, loads).endpoint.has_value());
+    BOOST_TEST(it.choose(request, loads).has_candidates);
+}
+
+BOOST_AUTO_TEST_CASE(accounts_beyond_their_share_leave_room_for_the_others)
+{
+    const affinity_placement it{affinity_options{}};
+    auto loads = make_loads({"a"});
+    placement_request request;
+    request.endpoint_tokens_per_second = 1000.0;
+    loads[0].pending_tokens = 300.0;
+    request.standing = share_standing::excess;
+    BOOST_TEST(!it.choose(request, loads).endpoint.has_value());
+    request.standing = share_standing::within;
+    BOOST_TEST(it.choose(request, loads).endpoint.has_value());
+    loads[0].pending_tokens = 0.0;
+    request.standing = share_standing::beyond;
+    BOOST_TEST(it.choose(request, loads).endpoint.has_value());
+    loads[0].tokens_per_second = 1000.0;
+    BOOST_TEST(!it.choose(request, loads).endpoint.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(plain_requests_go_where_there_is_least)
+{
+    const least_loaded_placement it;
+    auto loads = make_loads({"a", "b", "c"});
+    loads[0].running = 4;
+    loads[1].is_usable = false;
+    BOOST_TEST((it.choose({}, loads).endpoint == 2U));
+    loads[2].running = 10;
+    BOOST_TEST((it.choose({}, loads).endpoint == 0U));
+    loads[0].running = 10;
+    BOOST_TEST(!it.choose({}, loads).endpoint.has_value());
+    BOOST_TEST(it.choose({}, loads).has_candidates);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace hemlocknotch::gateway
