--- /dev/null
+++ b/packages/gateway/fuzz/fuzz_fleet.cpp
@@ -0,0 +1,466 @@
+#include "fuzz_fleet.hpp"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <utility>
+
+namespace hemlocknotch::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t stream_events = 6;
+constexpr double cold_rate = 8.9;
+/// What a cold endpoint bears in a second, as the platform states it.
+constexpr double cold_bound = cold_rate * 1.5 + 5.0;
+constexpr double retry_ratio = 0.2;
+constexpr double retry_reserve = 52.0;
+/// How late the router may be asked for what is due.
+constexpr duration time_step = milliseconds{20};
+
+route make_route(const std::string& prefix, request_kind kind, bool is_resumable, const std::string& service)
+{
+    route out;
+    out.name = prefix;
+    out.host = "h";
+    out.prefix = prefix;
+    out.kind = kind;
+    out.timeout = std::chrono::seconds{4};
+    out.objective = milliseconds{300};
+    out.services = {{service, 1.0}};
+    out.max_attempts = 2;
+    out.is_resumable = is_resumable;
+    return out;
+}
+
+routing_document make_document(std::uint64_t version)
+{
+    routing_document out;
+    out.version = version;
+    out.routes = {make_route("/unsafe/", request_kind::unsafe, false, "plain"),
+                  make_route("/safe/", request_kind::safe, false, "plain"),
+                  make_route("/stream/", request_kind::streaming, false, "model"),
+                  make_route("/resume/", request_kind::streaming, true, "model")};
+    service_definition plain;
+    plain.name = "plain";
+    service_definition model;
+    model.name = "model";
+    model.is_model_service = true;
+    model.cold_requests_per_second = cold_rate;
+    out.services = {plain, model};
+    out.tokens_per_second = 60'000.0;
+    return out;
+}
+
+std::string event_text(std::uint64_t n)
+{
+    return "id: " + std::to_string(n) + "\ndata: x\n\n";
+}
+
+} // namespace
+
+struct fuzz_fleet::gateway_state {
+    explicit gateway_state(fuzz_fleet& fleet);
+
+    std::string name;
+    std::unique_ptr<port> effects;
+    std::unique_ptr<router> decisions;
+    std::map<exchange_id, request_truth> requests;
+    std::map<call_id, open_call> calls;
+    std::map<std::string, unsigned> sends;
+    std::uint64_t sequence = 0;
+};
+
+/// Carries out what a router decides, and checks it against the truth.
+class fuzz_fleet::port final : public router_port {
+public:
+    port(fuzz_fleet& fleet, gateway_state& owner) : fleet_{fleet}, owner_{owner} {}
+
+    void start_call(const call_start& start) override
+    {
+        auto& request = find(start.request->fields.id);
+        if (request.has_left || request.is_ended) {
+            throw broken_promise{"a request was sent after its end"};
+        }
+        if (request.executions > 0 && request.kind != request_kind::safe && !request.is_resumable) {
+            throw broken_promise{"a request that ran was sent again"};
+        }
+        fleet_.note_arrival(start);
+        if (++owner_.sends[request.id] > 1) {
+            ++fleet_.extra_sends_;
+        }
+        open_call call{start, false, false, 1};
+        if (!start.resume_after.empty()) {
+            call.next_event = std::stoull(start.resume_after) + 1;
+        }
+        owner_.calls.emplace(start.call, std::move(call));
+    }
+
+    void cancel_call(call_id call) override { owner_.calls.erase(call); }
+
+    void reply(exchange_id exchange, const answer_head& head, std::string_view /*body*/) override
+    {
+        auto& it = owner_.requests.at(exchange);
+        end(it);
+        const auto is_own = head.headers.empty() || head.headers.front().name != "From-Endpoint";
+        it.is_said_not_run = is_own && (head.status == 503 || head.status == 429);
+        const auto is_once = it.kind != request_kind::safe && !it.is_resumable;
+        if (it.is_said_not_run && is_once && it.executions > 0) {
+            throw broken_promise{"a request that ran was said not to have run"};
+        }
+    }
+
+    void begin_stream(exchange_id exchange, const answer_head& /*head*/) override
+    {
+        if (owner_.requests.at(exchange).is_ended) {
+            throw broken_promise{"a stream began after its end"};
+        }
+    }
+
+    void send_part(exchange_id exchange, std::string_view bytes) override
+    {
+        auto& it = owner_.requests.at(exchange);
+        while (!bytes.empty()) {
+            const auto expected = event_text(it.next_event);
+            if (!bytes.starts_with(expected)) {
+                throw broken_promise{"an event is torn, missing or doubled"};
+            }
+            bytes.remove_prefix(expected.size());
+            it.is_last_event_seen = it.next_event == stream_events;
+            ++it.next_event;
+        }
+    }
+
+    void end_stream(exchange_id exchange) override
+    {
+        auto& it = owner_.requests.at(exchange);
+        if (!it.is_last_event_seen) {
+            throw broken_promise{"a stream ended as complete before its last event"};
+        }
+        end(it);
+    }
+
+    void abort(exchange_id exchange) override { end(owner_.requests.at(exchange)); }
+
+    bool wants_log(log_level /*level*/) override { return false; }
+
+    void write_log(const log_effect& /*record*/) override {}
+
+private:
+    request_truth& find(const std::string& id)
+    {
+        return owner_.requests.at(static_cast<exchange_id>(std::stoull(id)));
+    }
+
+    void end(request_truth& it)
+    {
+        if (it.is_ended || it.has_left) {
+            throw broken_promise{"a request was answered twice"};
+        }
+        it.is_ended = true;
+        ++fleet_.ended_;
+    }
+
+    fuzz_fleet& fleet_;
+    gateway_state& owner_;
+};
+
+fuzz_fleet::gateway_state::gateway_state(fuzz_fleet& fleet) : effects{std::make_unique<port>(fleet, *this)}
+{
+}
+
+fuzz_fleet::fuzz_fleet(std::uint64_t seed) : random_{seed}
+{
+    configuration_ = std::make_shared<routing_configuration>(make_document(1));
+    for (int n = 0; n < 4; ++n) {
+        for (const auto* service : {"plain", "model"}) {
+            const auto name = std::string{service} + std::to_string(n);
+            endpoints_.emplace(name, endpoint_record{.instance = name,
+                                                     .service = service,
+                                                     .address = *endpoint_address::parse(
+                                                         "127.0.0.1:" + std::to_string(100 + n)),
+                                                     .failure_domain = "d" + std::to_string(n % 2),
+                                                     .slots = 4,
+                                                     .is_draining = false,
+                                                     .cold_remaining = {},
+                                                     .started_at_ms = 1});
+        }
+    }
+    constexpr std::array<std::size_t, 4> sizes{1, 2, 4, 12};
+    const auto count = sizes.at(random_() % sizes.size());
+    for (std::size_t n = 0; n < count; ++n) {
+        auto it = std::make_unique<gateway_state>(*this);
+        it->name = "g" + std::to_string(n);
+        router_options options;
+        options.retries = {retry_ratio, retry_reserve};
+        options.seed = random_();
+        it->decisions = std::make_unique<router>(options, model_placement_, plain_placement_, *it->effects);
+        it->decisions->set_gateways(count);
+        it->decisions->set_configuration(configuration_, now_);
+        it->decisions->set_endpoints(records(), now_);
+        gateways_.push_back(std::move(it));
+    }
+}
+
+fuzz_fleet::~fuzz_fleet() = default;
+
+std::vector<endpoint_record> fuzz_fleet::records() const
+{
+    std::vector<endpoint_record> out;
+    for (const auto& [name, it] : endpoints_) {
+        out.push_back(it);
+    }
+    return out;
+}
+
+void fuzz_fleet::step()
+{
+    auto& it = *gateways_[random_() % gateways_.size()];
+    const auto what = random_() % 100;
+    if (what < 35) {
+        ask(it);
+    }
+    else if (what < 80) {
+        answer(it);
+    }
+    else if (what < 84) {
+        leave(it);
+    }
+    else if (what < 86) {
+        change_endpoints();
+    }
+    else if (what < 88) {
+        exchange_reports();
+    }
+    else {
+        pass_time();
+    }
+    check_ends(it);
+}
+
+void fuzz_fleet::ask(gateway_state& it)
+{
+    constexpr std::array<std::string_view, 4> prefixes{"/unsafe/", "/safe/", "/stream/", "/resume/"};
+    const auto kind = random_() % prefixes.size();
+    const auto exchange = ++last_exchange_;
+    auto request = std::make_shared<caller_request>();
+    request->method = "POST";
+    request->target = std::string{prefixes.at(kind)} + "x";
+    request->host = "h";
+    request->fields.id = std::to_string(exchange);
+    request->fields.patience = milliseconds{500 + random_() % 5000};
+    request->fields.prompt_tokens = random_() % 4000;
+    request->fields.max_output_tokens = random_() % 500;
+    request->fields.prompt = {{random_() % 7, 500}, {exchange, 500}};
+    request_truth truth;
+    truth.id = request->fields.id;
+    truth.kind = kind == 0 ? request_kind::unsafe : kind == 1 ? request_kind::safe : request_kind::streaming;
+    truth.is_resumable = kind == 3;
+    truth.ends_at = now_ + std::min<duration>(*request->fields.patience, std::chrono::seconds{4});
+    it.requests.emplace(exchange, truth);
+    ++requests_;
+    it.decisions->on_request(exchange, std::move(request), now_);
+}
+
+void fuzz_fleet::leave(gateway_state& it)
+{
+    std::vector<exchange_id> open;
+    for (const auto& [id, request] : it.requests) {
+        if (!request.is_ended) {
+            open.push_back(id);
+        }
+    }
+    if (open.empty()) {
+        return;
+    }
+    const auto exchange = open[random_() % open.size()];
+    auto& request = it.requests.at(exchange);
+    request.has_left = true;
+    it.decisions->on_caller_gone(exchange, now_);
+    const auto is_running = std::ranges::any_of(
+        it.calls, [&](const auto& call) { return call.second.start.request->fields.id == request.id; });
+    if (is_running) {
+        throw broken_promise{"an endpoint still works for a caller that left"};
+    }
+    it.requests.erase(exchange);
+}
+
+void fuzz_fleet::execute(gateway_state& it, open_call& call)
+{
+    auto& request = it.requests.at(std::stoull(call.start.request->fields.id));
+    if (std::exchange(call.is_executing, true)) {
+        return;
+    }
+    ++request.executions;
+    if (request.is_said_not_run) {
+        throw broken_promise{"a request ran after it was said that it never will"};
+    }
+    const auto is_once = request.kind == request_kind::unsafe ||
+                         (request.kind == request_kind::streaming && !request.is_resumable);
+    if (request.executions > (is_once ? 1U : 2U)) {
+        throw broken_promise{"a request ran more often than it may"};
+    }
+}
+
+void fuzz_fleet::answer(gateway_state& it)
+{
+    if (it.calls.empty()) {
+        return;
+    }
+    const auto found = std::next(it.calls.begin(), static_cast<std::ptrdiff_t>(random_() % it.calls.size()));
+    const auto id = found->first;
+    auto& call = found->second;
+    const auto finish = [&](call_outcome outcome) {
+        it.calls.erase(id);
+        it.decisions->on_end(id, outcome, now_);
+    };
+    if (!call.is_executing && chance(6)) {
+        return finish(call_outcome::not_connected);
+    }
+    if (!call.is_executing && chance(8)) {
+        answer_fields fields;
+        fields.is_not_executed = true;
+        it.decisions->on_head(id, {503, {}}, fields, now_);
+        return finish(call_outcome::complete);
+    }
+    execute(it, call);
+    if (chance(8)) {
+        return finish(call_outcome::broken);
+    }
+    const auto& target = call.start.request->target;
+    if (target.starts_with("/stream/") || target.starts_with("/resume/")) {
+        return answer_stream(it, call);
+    }
+    answer_fields fields;
+    fields.is_signed = !chance(2);
+    const auto status = chance(10) ? 500 : 200;
+    it.decisions->on_head(id, {status, {{"From-Endpoint", "1"}}}, fields, now_);
+    if (it.calls.contains(id)) {
+        it.decisions->on_part(id, "body", now_);
+        finish(call_outcome::complete);
+    }
+}
+
+void fuzz_fleet::answer_stream(gateway_state& it, open_call& call)
+{
+    const auto id = call.start.call;
+    if (!std::exchange(call.has_head, true)) {
+        answer_fields fields;
+        fields.is_signed = true;
+        fields.is_event_stream = true;
+        it.decisions->on_head(id, {200, {}}, fields, now_);
+    }
+    std::string bytes;
+    for (auto n = random_() % 3; n > 0 && call.next_event <= stream_events; --n) {
+        bytes += event_text(call.next_event++);
+    }
+    const auto is_last = call.next_event > stream_events;
+    if (!is_last && chance(10)) {
+        bytes += event_text(call.next_event).substr(0, 1 + random_() % 10);
+        it.decisions->on_part(id, bytes, now_);
+        it.calls.erase(id);
+        return it.decisions->on_end(id, chance(50) ? call_outcome::broken : call_outcome::complete, now_);
+    }
+    it.decisions->on_part(id, bytes, now_);
+    if (is_last) {
+        it.calls.erase(id);
+        it.decisions->on_end(id, call_outcome::complete, now_);
+    }
+}
+
+void fuzz_fleet::change_endpoints()
+{
+    auto& record =
+        std::next(endpoints_.begin(), static_cast<std::ptrdiff_t>(random_() % endpoints_.size()))->second;
+    switch (random_() % 4) {
+    case 0:
+        record.is_draining = !record.is_draining;
+        break;
+    case 1:
+        ++record.started_at_ms;
+        record.is_draining = false;
+        cold_until_.erase(record.instance);
+        break;
+    case 2:
+        if (record.service != "model") {
+            return; // Its service states no limit.
+        }
+        record.cold_remaining = milliseconds{500 + random_() % 3000};
+        cold_until_[record.instance] = now_ + record.cold_remaining;
+        cold_arrivals_[record.instance].clear();
+        break;
+    default:
+        out_of_service_ = chance(30) ? std::set<std::string, std::less<>>{"d" + std::to_string(random_() % 2)}
+                                     : std::set<std::string, std::less<>>{};
+    }
+    for (auto& it : gateways_) {
+        it->decisions->set_out_of_service(out_of_service_);
+        it->decisions->set_endpoints(records(), now_);
+    }
+    record.cold_remaining = {};
+}
+
+void fuzz_fleet::exchange_reports()
+{
+    for (auto& from : gateways_) {
+        auto report = from->decisions->make_report(now_);
+        report.gateway = from->name;
+        report.sequence = ++from->sequence;
+        for (auto& to : gateways_) {
+            // Some reports are lost, and some gateways cannot hear each other at all.
+            if (to != from && !chance(20)) {
+                to->decisions->take_report(report, now_);
+            }
+        }
+    }
+}
+
+void fuzz_fleet::pass_time()
+{
+    now_ += time_step;
+    for (auto& it : gateways_) {
+        if (it->decisions->next_time(now_) <= now_) {
+            it->decisions->on_time(now_);
+        }
+    }
+}
+
+void fuzz_fleet::check_ends(gateway_state& it)
+{
+    std::erase_if(it.requests, [&](const auto& entry) {
+        const auto& request = entry.second;
+        if (!request.is_ended && now_ > request.ends_at + time_step) {
+            throw broken_promise{"a request was held past its time"};
+        }
+        if (request.is_ended) {
+            it.sends.erase(request.id);
+        }
+        return request.is_ended;
+    });
+    if (static_cast<double>(extra_sends_) > retry_ratio * static_cast<double>(requests_) + retry_reserve) {
+        throw broken_promise{"more was sent again than the fleet may"};
+    }
+}
+
+void fuzz_fleet::note_arrival(const call_start& start)
+{
+    const auto& record = endpoints_.at(start.instance);
+    if (record.is_draining || out_of_service_.contains(record.failure_domain)) {
+        throw broken_promise{"a request went to an endpoint that takes none"};
+    }
+    const auto cold = cold_until_.find(start.instance);
+    if (cold == cold_until_.end() || cold->second <= now_) {
+        return;
+    }
+    auto& arrivals = cold_arrivals_[start.instance];
+    arrivals.push_back(now_);
+    while (now_ - arrivals.front() > std::chrono::seconds{1}) {
+        arrivals.pop_front();
+    }
+    if (static_cast<double>(arrivals.size()) > cold_bound) {
+        throw broken_promise{"a cold endpoint got more than it bears"};
+    }
+}
+
+} // namespace hemlocknotch::gateway
