Start gently, make room for callers, and end the process at once

Stopped processes stayed until the end of the grace time: the exit waited for threads of the log library.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -68,6 +68,7 @@
 
 void caller_connection::start_waiting()
 {
+    owner_.on_idle(*this);
     timer_.start(owner_.limits().idle_timeout + idle_margin);
 }
 
@@ -97,6 +98,7 @@
             const auto& limits = owner_.limits();
             parser_ = std::make_unique<request_parser>(limits.max_header_bytes, limits.max_body_bytes);
             timer_.start(limits.header_timeout);
+            owner_.on_busy(*this);
         }
         const auto had_head = parser_->is_header_done();
         const auto head_end = had_head ? std::string::npos : held_.find("\r\n\r\n");
@@ -117,7 +119,7 @@
         }
         if (parser_->is_header_done() && !had_head) {
             // The caller's own time limit bounds the body; the idle limit its pauses.
-            start_waiting();
+            timer_.start(owner_.limits().idle_timeout);
             const auto expects = std::ranges::any_of(
                 parser_->fields(), [](const auto& it) { return is_same_name(it.name, "Expect"); });
             if (expects && !has_sent_continue_) {
@@ -191,7 +193,7 @@
         out += it.value;
         out += "\r\n";
     }
-    is_last_ = is_last_ || owner_.is_stopping();
+    is_last_ = is_last_ || owner_.is_closing_after_answers();
     if (is_last_) {
         out += "Connection: close\r\n";
     }
@@ -260,7 +262,7 @@
     exchange_ = 0;
     is_head_method_ = false;
     // The head of a stream may have left before the stop began, and then announced nothing.
-    is_last_ = is_last_ || owner_.is_stopping();
+    is_last_ = is_last_ || owner_.is_closing_after_answers();
     if (is_last_) {
         channel_->close_when_drained();
         timer_.start(linger);
--- a/packages/daemon/src/gateway/caller_connection.hpp
+++ b/packages/daemon/src/gateway/caller_connection.hpp
@@ -34,8 +34,11 @@
 
     [[nodiscard]] virtual const gateway::caller_limits& limits() const = 0;
     [[nodiscard]] virtual const gateway::message_dialect& dialect() const = 0;
-    /// No connection is kept after its answer.
-    [[nodiscard]] virtual bool is_stopping() const = 0;
+    /// No connection is kept after its answer, because the process stops or there are too many.
+    [[nodiscard]] virtual bool is_closing_after_answers() const = 0;
+    /// The connection waits for a request, or no longer does.
+    virtual void on_idle(caller_connection& connection) = 0;
+    virtual void on_busy(caller_connection& connection) = 0;
 };
 
 /// One caller's connection: reads one request after another, strictly, and writes their answers. Used on the
--- a/packages/daemon/src/gateway/caller_server.cpp
+++ b/packages/daemon/src/gateway/caller_server.cpp
@@ -64,6 +64,10 @@
                                   int /*length*/, void* self)
 {
     auto& that = *static_cast<caller_server*>(self);
+    if (that.connections_.size() >= that.max_connections_ && !that.idle_.empty()) {
+        // Whoever asks now goes before whoever may ask again.
+        that.idle_.front()->abort();
+    }
     if (that.connections_.size() >= that.max_connections_) {
         ::close(fd);
         that.sink_.on_malformed(0, "too-many-connections");
@@ -102,8 +106,23 @@
     sink_.on_caller_gone(exchange);
 }
 
+void caller_server::on_idle(caller_connection& connection)
+{
+    on_busy(connection);
+    idle_places_.emplace(&connection, idle_.insert(idle_.end(), &connection));
+}
+
+void caller_server::on_busy(caller_connection& connection)
+{
+    if (const auto it = idle_places_.find(&connection); it != idle_places_.end()) {
+        idle_.erase(it->second);
+        idle_places_.erase(it);
+    }
+}
+
 void caller_server::on_closed(caller_connection& connection)
 {
+    on_busy(connection);
     const auto it = connections_.find(&connection);
     assert(it != connections_.end());
     closed_.push_back(std::move(it->second));
--- a/packages/daemon/src/gateway/caller_server.hpp
+++ b/packages/daemon/src/gateway/caller_server.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string_view>
 #include <unordered_map>
@@ -80,7 +81,13 @@
 
     [[nodiscard]] const gateway::message_dialect& dialect() const override { return dialect_; }
 
-    [[nodiscard]] bool is_stopping() const override { return is_stopping_; }
+    [[nodiscard]] bool is_closing_after_answers() const override
+    {
+        return is_stopping_ || connections_.size() > max_connections_ / 2;
+    }
+
+    void on_idle(caller_connection& connection) override;
+    void on_busy(caller_connection& connection) override;
 
 private:
     static void handle_accept(evconnlistener* listener, evutil_socket_t fd, sockaddr* address, int length,
@@ -97,6 +104,9 @@
     std::unique_ptr<evconnlistener, listener_deleter> listener_;
     std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>> connections_;
     std::unordered_map<gateway::exchange_id, caller_connection*> serving_;
+    /// Connections without a request, the longest idle first, and their places.
+    std::list<caller_connection*> idle_;
+    std::unordered_map<caller_connection*, std::list<caller_connection*>::iterator> idle_places_;
     std::vector<std::unique_ptr<caller_connection>> closed_;
     timer reaper_;
     gateway::exchange_id last_exchange_ = 0;
--- a/packages/daemon/src/gateway/gateway_command.cpp
+++ b/packages/daemon/src/gateway/gateway_command.cpp
@@ -11,6 +11,7 @@
 #include <event2/event.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -89,17 +90,19 @@
         std::cout << path << ": the settings are good.\n";
         return exit_ok;
     }
-    return boost::leaf::try_handle_all([&] { return run(*settings, path); },
-                                       [](const start_error& error) {
-                                           std::cerr << "hemlocknotchd: " << error.what << ". "
-                                                     << error.remedy << "\n";
-                                           return exit_failed;
-                                       },
-                                       [] {
-                                           std::cerr
-                                               << "hemlocknotchd: could not start for an unknown reason.\n";
-                                           return exit_failed;
-                                       });
+    const auto code = boost::leaf::try_handle_all(
+        [&] { return run(*settings, path); },
+        [](const start_error& error) {
+            std::cerr << "hemlocknotchd: " << error.what << ". " << error.remedy << "\n";
+            return exit_failed;
+        },
+        [] {
+            std::cerr << "hemlocknotchd: could not start for an unknown reason.\n";
+            return exit_failed;
+        });
+    std::cout.flush();
+    // Static destructors would wait for the worker threads of the log library, which a gateway does not use.
+    std::quick_exit(code);
 }
 
 } // namespace hemlocknotch::daemon
--- a/packages/daemon/src/gateway/gateway_settings.hpp
+++ b/packages/daemon/src/gateway/gateway_settings.hpp
@@ -29,7 +29,7 @@
     std::optional<endpoint_address> store;
     /// Where other gateways may be found while the store is away.
     std::vector<endpoint_address> seeds;
-    /// Descriptors of this process, those kept for files left out.
+    /// Descriptors that this process may have.
     std::size_t descriptors = 1024;
     /// Time between the request to stop and the end by force.
     duration stop_grace = std::chrono::seconds{8};
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -15,8 +15,10 @@
 constexpr duration stop_check_interval = std::chrono::milliseconds{200};
 /// Left before the end by force.
 constexpr duration stop_margin = std::chrono::milliseconds{700};
-/// Part of the descriptors that callers' connections may take; the rest is for endpoints and the registry.
-constexpr std::size_t caller_descriptor_share = 2;
+/// Descriptors that are left to files and to what the process opens for itself.
+constexpr std::size_t reserved_descriptors = 250;
+/// Part of the others that callers' connections may take; the rest is for endpoints.
+constexpr double caller_descriptor_share = 0.6;
 /// Time between two reports to others: a tenth of the objectives of a second.
 constexpr duration report_interval = std::chrono::milliseconds{100};
 /// With more others the interval grows, so that a gateway's datagrams stay at some 80 a second.
@@ -37,6 +39,14 @@
     return out;
 }
 
+std::size_t caller_connections_of(const gateway_settings& settings)
+{
+    const auto left =
+        settings.descriptors > reserved_descriptors ? settings.descriptors - reserved_descriptors : 1;
+    return std::max<std::size_t>(
+        1, static_cast<std::size_t>(static_cast<double>(left) * caller_descriptor_share));
+}
+
 follower_options follower_options_of(const gateway_settings& settings)
 {
     return {settings.instance, settings.members.value_or(*settings.callers)};
@@ -71,7 +81,7 @@
                 [this](const gateway::registry_difference& it) { take_registry(it); },
                 [this](const log_effect& it) { log(it); }},
       feed_{feed},
-      callers_{base, dialect, settings.descriptors / caller_descriptor_share, *this},
+      callers_{base, dialect, caller_connections_of(settings), *this},
       pool_{base, dialect, *this, [this] { return clock_.now(); }},
       readiness_pages_{base, [this](std::string_view path) { return readiness(path); }},
       metrics_pages_{base, [this](std::string_view path) { return metrics(path); }},
--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -18,8 +18,8 @@
 constexpr duration outage_after = std::chrono::milliseconds{500};
 /// Life of the registration without renewal, and the time between renewals, which leaves room for two
 /// failures.
-constexpr duration lease_time = std::chrono::seconds{10};
-constexpr duration lease_interval = std::chrono::seconds{3};
+constexpr duration lease_time = std::chrono::seconds{5};
+constexpr duration lease_interval = std::chrono::milliseconds{1500};
 
 std::string to_text(registry_status status)
 {
--- a/packages/daemon/tests/caller_server_test.cpp
+++ b/packages/daemon/tests/caller_server_test.cpp
@@ -193,6 +193,30 @@
     BOOST_TEST(keeper.requests.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(the_longest_idle_connection_makes_room)
+{
+    caller_server small{loop.base(), dialect, 3, keeper};
+    keeper.server = &small;
+    const auto at = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<unsigned short> {
+            BOOST_LEAF_AUTO(address, small.listen(*endpoint_address::parse("127.0.0.1:0")));
+            return address.port();
+        },
+        [] { return static_cast<unsigned short>(0); });
+    raw_client first{loop.base(), at, ""};
+    BOOST_REQUIRE(loop.run_until([&] { return small.connection_count() == 1; }));
+    raw_client second{loop.base(), at, ""};
+    raw_client third{loop.base(), at, ""};
+    BOOST_REQUIRE(loop.run_until([&] { return small.connection_count() == 3; }));
+    raw_client fourth{loop.base(), at, head + "Content-Length: 1\r\n\r\na"};
+    BOOST_REQUIRE(loop.run_until([&] { return fourth.has("\r\n\r\na"); }));
+    BOOST_TEST(loop.run_until([&] { return first.is_closed(); }));
+    BOOST_TEST(!second.is_closed());
+    // With more than half of the connections taken none is kept after its answer.
+    BOOST_TEST(fourth.has("Connection: close"));
+    keeper.server = nullptr;
+}
+
 BOOST_AUTO_TEST_CASE(reads_the_same_requests_however_they_are_cut)
 {
     keeper.server = &server;
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -84,6 +84,9 @@
     /// Returns whether every endpoint of `service` that may take requests at all is named in `tried`.
     [[nodiscard]] bool are_all_tried(std::string_view service, std::span<const std::string> tried) const;
 
+    /// Tells how many gateways there are whose load is not known; each is taken to cause as much as this one.
+    void set_unheard(std::size_t gateways) { unheard_ = gateways; }
+
     /// Replaces what `gateway` says of its load. An empty list forgets it.
     void set_peer_load(std::string_view gateway, const std::map<std::string, peer_load, std::less<>>& loads);
 
@@ -122,6 +125,7 @@
     [[nodiscard]] double phase_of(std::string_view instance) const;
 
     std::uint64_t seed_;
+    std::size_t unheard_ = 0;
     std::map<std::string, std::unique_ptr<endpoint_state>, std::less<>> endpoints_;
     std::map<std::string, std::vector<endpoint_state*>, std::less<>> by_service_;
     std::set<std::string, std::less<>> out_of_service_;
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -138,6 +138,7 @@
     void expire(exchange& it, instant now);
     void log_end(const exchange& it, int status, std::string_view reason, log_level level);
     void erase(exchange_id id);
+    void count_unheard();
     exchange* find_by_call(call_id call);
     [[nodiscard]] duration estimated_wait(service_state& service, const exchange& it, instant now) const;
     [[nodiscard]] share_standing standing_of(service_state& service, const exchange& it, instant now) const;
@@ -150,6 +151,8 @@
     std::vector<endpoint_record> records_;
     endpoint_table endpoints_;
     std::size_t gateways_ = 1;
+    /// Gateways whose reports are current.
+    std::set<std::string, std::less<>> heard_;
     std::unordered_map<exchange_id, std::unique_ptr<exchange>> exchanges_;
     std::unordered_map<call_id, exchange_id> calls_;
     std::map<std::string, std::unique_ptr<service_state>, std::less<>> services_;
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -89,12 +89,13 @@
     out.reserve(found->second.size());
     std::vector<bool> takes;
     for (auto* it : found->second) {
+        const auto like_this = 1.0 + static_cast<double>(unheard_);
         endpoint_load load{it->record.instance,
                            it->record.failure_domain,
                            false,
-                           it->pending_tokens,
+                           it->pending_tokens * like_this,
                            it->running,
-                           it->sent_tokens.per_second(now),
+                           it->sent_tokens.per_second(now) * like_this,
                            it->record.slots > 0 ? it->record.slots : default_slots};
         for (const auto& [name, peer] : it->peers) {
             load.pending_tokens += peer.pending_tokens;
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -207,6 +207,7 @@
     assert(gateways >= 1);
     gateways_ = gateways;
     endpoints_.set_gateways(gateways);
+    count_unheard();
     for (auto& [name, it] : services_) {
         it->retries.set_gateways(gateways);
     }
@@ -678,6 +679,8 @@
         loads.insert_or_assign(it.instance, peer_load{it.pending_tokens, it.running, it.tokens_per_second});
     }
     endpoints_.set_peer_load(report.gateway, loads);
+    heard_.insert(report.gateway);
+    count_unheard();
     for (const auto& it : report.accounts) {
         service_of(it.service).meter.set_told(report.gateway, it.account, it.rates, now);
     }
@@ -687,6 +690,16 @@
 void router::forget_gateway(std::string_view gateway)
 {
     endpoints_.set_peer_load(gateway, {});
+    if (const auto it = heard_.find(gateway); it != heard_.end()) {
+        heard_.erase(it);
+    }
+    count_unheard();
+}
+
+void router::count_unheard()
+{
+    const auto known = heard_.size() + 1;
+    endpoints_.set_unheard(gateways_ > known ? gateways_ - known : 0);
 }
 
 void router::on_time(instant now)
--- a/packages/gateway/tests/router_fixture.hpp
+++ b/packages/gateway/tests/router_fixture.hpp
@@ -60,7 +60,7 @@
             .service = service,
             .address = *endpoint_address::parse("127.0.0.1:" + std::to_string(++port)),
             .failure_domain = "d1",
-            .slots = 4,
+            .slots = service == "model" ? 64U : 4U,
             .is_draining = false,
             .cold_remaining = {},
             .started_at_ms = 1};
--- a/packages/gateway/tests/router_test.cpp
+++ b/packages/gateway/tests/router_test.cpp
@@ -223,6 +223,29 @@
     BOOST_TEST(sent_again >= 30U);
 }
 
+BOOST_AUTO_TEST_CASE(takes_gateways_that_it_does_not_hear_for_as_busy_as_itself)
+{
+    const auto sent_with = [&](std::size_t gateways, bool is_heard) {
+        recording_port own;
+        router other{router_options{}, model_placement, plain_placement, own};
+        other.set_configuration(std::make_shared<routing_configuration>(make_document()), now);
+        other.set_endpoints(records, now);
+        other.set_gateways(gateways);
+        for (std::size_t n = 1; is_heard && n < gateways; ++n) {
+            fleet_report report;
+            report.gateway = "g" + std::to_string(n);
+            other.take_report(report, now);
+        }
+        for (exchange_id n = 1; n <= 200; ++n) {
+            other.on_request(n, make_request("id-" + std::to_string(n), "/resume/x"), now);
+        }
+        return own.calls.size();
+    };
+    // Right after a start nobody has been heard, and all gateways begin together.
+    BOOST_TEST(sent_with(4, false) * 4 <= sent_with(1, true) * 2);
+    BOOST_TEST(sent_with(4, true) == sent_with(1, true));
+}
+
 BOOST_AUTO_TEST_CASE(never_takes_an_older_configuration)
 {
     auto older = make_document(1);
