Let one gateway read the registry for all

Whoever's turn comes first reads and tells the others what changed; a gateway that hears nothing reads for itself, so that the bounds on drains and configurations hold as before. A gateway that the store refuses learns from the others.

--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -9,8 +9,10 @@
 using gateway::registry_answer;
 using gateway::registry_status;
 
-/// Longest wait of one watch.
-constexpr duration watch_wait = std::chrono::milliseconds{700};
+/// Longest wait of one watch: as good as none, since what has changed is asked for at intervals.
+constexpr duration watch_wait = std::chrono::milliseconds{1};
+/// Time over which the gateways' next reads are spread; tens of times what a read and its telling take.
+constexpr duration read_spread = std::chrono::milliseconds{300};
 /// Pause after a failed call; short against the bounds of a few seconds, long against the store's usual
 /// answer.
 constexpr duration retry_pause = std::chrono::milliseconds{250};
@@ -42,13 +44,15 @@
 
 registry_follower::registry_follower(event_base* base, gateway::registry_feed& feed,
                                      gateway::registry_view& view, const follower_options& options,
-                                     std::function<instant()> now, changed_callback changed, log_callback log)
+                                     std::function<instant()> now, changed_callback changed, log_callback log,
+                                     news_callback tell)
     : feed_{feed},
       view_{view},
       options_{options},
       now_{std::move(now)},
       changed_{std::move(changed)},
       log_{std::move(log)},
+      tell_{std::move(tell)},
       next_{base, [this] { needs_whole_ ? read() : watch(); }},
       lease_{base, [this] { lease_number_ == 0 ? join() : keep(); }},
       grace_{base, [this] { report(view_.on_time(now_())); }}
@@ -70,12 +74,34 @@
     }
 }
 
-void registry_follower::take_told(const std::vector<gateway::registry_change>& changes,
-                                  std::uint64_t revision, instant as_of)
+void registry_follower::take_news(const gateway::registry_news& news)
 {
-    report(view_.apply(changes, revision, now_()));
-    if (!needs_whole_ && as_of > current_as_of_) {
-        current_as_of_ = as_of;
+    const auto now = now_();
+    if (needs_whole_ || news.from_revision > view_.revision()) {
+        // Something in between is not known here; the next read of one's own brings it.
+        return;
+    }
+    if (news.to_revision < view_.revision()) {
+        return;
+    }
+    if (failed_since_ != instant::max() && now - failed_since_ >= outage_after) {
+        view_.on_registry_back(now);
+    }
+    std::vector<gateway::registry_change> changes;
+    changes.reserve(news.changes.size());
+    for (const auto& it : news.changes) {
+        changes.push_back({it.key, it.revision, it.is_removed,
+                           it.is_removed ? gateway::unreadable_item{} : feed_.decode(it.key, it.value), ""});
+    }
+    report(view_.apply(changes, news.is_partial ? 0 : news.to_revision, now));
+    if (news.is_partial) {
+        current_as_of_ = instant{};
+        next_.start(duration::zero());
+        return;
+    }
+    current_as_of_ = std::max(current_as_of_, now - news.age);
+    if (failed_since_ == instant::max()) {
+        schedule();
     }
 }
 
@@ -88,9 +114,6 @@
 void registry_follower::watch()
 {
     const auto asked_at = now_();
-    if (asked_at - current_as_of_ < options_.max_age) {
-        return schedule(current_as_of_);
-    }
     feed_.watch(view_.revision(), watch_wait,
                 [this, asked_at](registry_answer answer) { take(std::move(answer), false, asked_at); });
 }
@@ -108,9 +131,28 @@
     note_answer();
     needs_whole_ = false;
     current_as_of_ = std::max(current_as_of_, asked_at);
-    report(is_whole ? view_.replace(answer.changes, answer.revision, now_())
-                    : view_.apply(answer.changes, answer.revision, now_()));
-    schedule(asked_at);
+    if (!is_whole) {
+        tell(answer, asked_at);
+    }
+    const auto difference = is_whole ? view_.replace(answer.changes, answer.revision, now_())
+                                     : view_.apply(answer.changes, answer.revision, now_());
+    report(difference);
+    schedule();
+}
+
+void registry_follower::tell(const registry_answer& answer, instant asked_at)
+{
+    gateway::registry_news news;
+    news.gateway = options_.instance;
+    news.from_revision = view_.revision();
+    news.to_revision = answer.revision;
+    news.age = now_() - asked_at;
+    for (const auto& it : answer.changes) {
+        if (view_.is_news(it)) {
+            news.changes.push_back({it.key, it.revision, it.is_removed, it.value});
+        }
+    }
+    tell_(std::move(news));
 }
 
 void registry_follower::note_failure(registry_status status)
@@ -138,9 +180,12 @@
     log_({log_level::info, "registry-back", {{"after_ms", std::to_string(ms)}}});
 }
 
-void registry_follower::schedule(instant asked_at)
+void registry_follower::schedule()
 {
-    next_.start(asked_at + options_.max_age - now_());
+    // Whoever comes first reads for all; the others hear of it before their own time.
+    const auto spread =
+        duration{std::uniform_int_distribution<std::int64_t>{0, read_spread.count()}(random_)};
+    next_.start(current_as_of_ + options_.max_age + spread - now_());
 }
 
 void registry_follower::join()
--- a/packages/daemon/src/gateway/registry_follower.hpp
+++ b/packages/daemon/src/gateway/registry_follower.hpp
@@ -2,12 +2,14 @@
 
 #include <hemlocknotch/core/log_record.hpp>
 #include <hemlocknotch/gateway/registry_feed.hpp>
+#include <hemlocknotch/gateway/registry_news.hpp>
 #include <hemlocknotch/gateway/registry_view.hpp>
 
 #include "../timer.hpp"
 
 #include <cstdint>
 #include <functional>
+#include <random>
 #include <string>
 
 namespace hemlocknotch::daemon {
@@ -27,20 +29,21 @@
 public:
     using changed_callback = std::function<void(const gateway::registry_difference&)>;
     using log_callback = std::function<void(const log_effect&)>;
+    /// Tells others what was read.
+    using news_callback = std::function<void(gateway::registry_news)>;
 
     /// All must outlive the follower.
     registry_follower(event_base* base, gateway::registry_feed& feed, gateway::registry_view& view,
                       const follower_options& options, std::function<instant()> now, changed_callback changed,
-                      log_callback log);
+                      log_callback log, news_callback tell);
 
     /// Reads everything and follows it from then on.
     void start();
     /// Ends the registration.
     void leave();
 
-    /// Tells what other gateways know: changes up to `revision`, current as of `as_of`.
-    void take_told(const std::vector<gateway::registry_change>& changes, std::uint64_t revision,
-                   instant as_of);
+    /// Takes what another gateway has read, so that this one need not.
+    void take_news(const gateway::registry_news& news);
 
     /// Returns the moment as of which the view is known to be current.
     [[nodiscard]] instant current_as_of() const { return current_as_of_; }
@@ -53,7 +56,8 @@
     void take(gateway::registry_answer answer, bool is_whole, instant asked_at);
     void note_failure(gateway::registry_status status);
     void note_answer();
-    void schedule(instant asked_at);
+    void schedule();
+    void tell(const gateway::registry_answer& answer, instant asked_at);
     void join();
     void keep();
     void report(const gateway::registry_difference& difference);
@@ -64,6 +68,8 @@
     std::function<instant()> now_;
     changed_callback changed_;
     log_callback log_;
+    news_callback tell_;
+    std::minstd_rand random_{std::random_device{}()};
     timer next_;
     timer lease_;
     timer grace_;
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -21,6 +21,13 @@
 using nlohmann::json;
 
 constexpr std::size_t max_datagram = 65'507;
+/// Bytes of changes in one datagram. A configuration of many routes does not fit and is read from the
+/// registry.
+constexpr std::size_t max_news = 32'000;
+/// Bytes of a change beside its key and value.
+constexpr std::size_t change_overhead = 32;
+/// First element of news; reports begin with a text.
+constexpr int news_tag = 1;
 /// Datagrams read in one turn, so that a flood leaves time for requests.
 constexpr int max_reads = 64;
 
@@ -78,10 +85,52 @@
     }
 }
 
-report_exchange::report_exchange(event_base* base, report_callback received)
-    : base_{base}, received_{std::move(received)}
+std::vector<std::uint8_t> encode_news(gateway::registry_news news)
 {
-    assert(received_);
+    auto changes = json::array();
+    std::size_t size = 0;
+    for (auto& it : news.changes) {
+        size += it.key.size() + it.value.size() + change_overhead;
+        if (size > max_news) {
+            news.is_partial = true;
+            break;
+        }
+        changes.push_back({std::move(it.key), it.revision, it.is_removed,
+                           json::binary({it.value.begin(), it.value.end()})});
+    }
+    return json::to_cbor(json{news_tag, news.gateway, news.from_revision, news.to_revision, news.age.count(),
+                              news.is_partial, std::move(changes)});
+}
+
+std::optional<gateway::registry_news> decode_news(std::span<const std::uint8_t> bytes)
+{
+    try {
+        const auto value = json::from_cbor(bytes.begin(), bytes.end());
+        if (!value.is_array() || value.empty() || value.at(0) != news_tag) {
+            return std::nullopt;
+        }
+        gateway::registry_news out;
+        out.gateway = value.at(1).get<std::string>();
+        out.from_revision = value.at(2).get<std::uint64_t>();
+        out.to_revision = value.at(3).get<std::uint64_t>();
+        out.age = duration{value.at(4).get<std::int64_t>()};
+        out.is_partial = value.at(5).get<bool>();
+        for (const auto& it : value.at(6)) {
+            const auto& bytes_of = it.at(3).get_binary();
+            out.changes.push_back({it.at(0).get<std::string>(), it.at(1).get<std::uint64_t>(),
+                                   it.at(2).get<bool>(), std::string{bytes_of.begin(), bytes_of.end()}});
+        }
+        return out;
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+report_exchange::report_exchange(event_base* base, report_callback received, news_callback news_received)
+    : base_{base}, received_{std::move(received)}, news_received_{std::move(news_received)}
+{
+    assert(received_ && news_received_);
 }
 
 report_exchange::~report_exchange()
@@ -110,11 +159,21 @@
 void report_exchange::send(const gateway::fleet_report& report,
                            std::span<const endpoint_address> addresses) const
 {
-    const auto bytes = encode_report(report);
+    send_bytes(encode_report(report), addresses);
+}
+
+void report_exchange::send(gateway::registry_news news, std::span<const endpoint_address> addresses) const
+{
+    send_bytes(encode_news(std::move(news)), addresses);
+}
+
+void report_exchange::send_bytes(std::span<const std::uint8_t> bytes,
+                                 std::span<const endpoint_address> addresses) const
+{
     for (const auto& it : addresses) {
         sockaddr_in to{};
         if (to_sockaddr(it, to)) {
-            // A report that is not taken is made up for by the next one.
+            // What is not taken is made up for by the next report, or by a read of one's own.
             static_cast<void>(::sendto(fd_, bytes.data(), bytes.size(), 0,
                                        reinterpret_cast<const sockaddr*>(&to), sizeof to));
         }
@@ -134,15 +193,23 @@
         if (size <= 0) {
             return;
         }
-        const auto report = decode_report({buf.data(), static_cast<std::size_t>(size)});
-        if (!report) {
-            continue;
-        }
-        auto& newest = newest_[report->gateway];
-        if (report->incarnation != newest.incarnation || report->sequence > newest.sequence) {
-            newest = {report->incarnation, report->sequence};
-            received_(*report);
-        }
+        take({buf.data(), static_cast<std::size_t>(size)});
+    }
+}
+
+void report_exchange::take(std::span<const std::uint8_t> bytes)
+{
+    if (const auto news = decode_news(bytes)) {
+        return news_received_(*news);
+    }
+    const auto report = decode_report(bytes);
+    if (!report) {
+        return;
+    }
+    auto& newest = newest_[report->gateway];
+    if (report->incarnation != newest.incarnation || report->sequence > newest.sequence) {
+        newest = {report->incarnation, report->sequence};
+        received_(*report);
     }
 }
 
--- a/packages/daemon/src/gateway/report_exchange.hpp
+++ b/packages/daemon/src/gateway/report_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include <hemlocknotch/core/endpoint_address.hpp>
 #include <hemlocknotch/gateway/fleet_report.hpp>
+#include <hemlocknotch/gateway/registry_news.hpp>
 
 #include "../libevent_handles.hpp"
 
@@ -24,14 +25,21 @@
 /// Decodes a report; nothing where the bytes are none. Thread-safe.
 std::optional<gateway::fleet_report> decode_report(std::span<const std::uint8_t> bytes);
 
-/// Sends and receives reports as datagrams: each stands for itself, so that a lost one need not be sent
-/// again, and no connection can go silent. Used on the event loop's thread only.
+/// Encodes news as CBOR (RFC 8949), without changes that do not fit a datagram. Thread-safe.
+std::vector<std::uint8_t> encode_news(gateway::registry_news news);
+
+/// Decodes news; nothing where the bytes are none. Thread-safe.
+std::optional<gateway::registry_news> decode_news(std::span<const std::uint8_t> bytes);
+
+/// Sends and receives reports and news as datagrams: each stands for itself, so that a lost one need not be
+/// sent again, and no connection can go silent. Used on the event loop's thread only.
 class report_exchange {
 public:
     using report_callback = std::function<void(const gateway::fleet_report&)>;
+    using news_callback = std::function<void(const gateway::registry_news&)>;
 
-    /// `base` must outlive the exchange. Precondition: `received` is not empty.
-    report_exchange(event_base* base, report_callback received);
+    /// `base` must outlive the exchange. Precondition: the callbacks are not empty.
+    report_exchange(event_base* base, report_callback received, news_callback news_received);
     ~report_exchange();
 
     report_exchange(const report_exchange&) = delete;
@@ -44,13 +52,17 @@
 
     /// Sends `report` to each of `addresses`, as far as the system takes it.
     void send(const gateway::fleet_report& report, std::span<const endpoint_address> addresses) const;
+    void send(gateway::registry_news news, std::span<const endpoint_address> addresses) const;
 
 private:
     static void handle_read(evutil_socket_t fd, short what, void* self);
     void read();
+    void take(std::span<const std::uint8_t> bytes);
+    void send_bytes(std::span<const std::uint8_t> bytes, std::span<const endpoint_address> addresses) const;
 
     event_base* base_;
     report_callback received_;
+    news_callback news_received_;
     int fd_ = -1;
     event_ptr event_;
 
--- a/packages/daemon/tests/gateway_parts_test.cpp
+++ b/packages/daemon/tests/gateway_parts_test.cpp
@@ -103,6 +103,34 @@
     BOOST_TEST(back->accounts[0].rates.given == 50.0);
 }
 
+BOOST_AUTO_TEST_CASE(news_go_both_ways_and_leave_out_what_is_too_large)
+{
+    gateway::registry_news news;
+    news.gateway = "g1";
+    news.from_revision = 5;
+    news.to_revision = 9;
+    news.age = std::chrono::milliseconds{12};
+    news.changes = {{"a", 6, false, std::string("\0\xff", 2)}, {"b", 7, true, ""}};
+    const auto back = decode_news(encode_news(news));
+    BOOST_REQUIRE(back);
+    BOOST_TEST(back->from_revision == 5U);
+    BOOST_TEST(back->to_revision == 9U);
+    BOOST_TEST((back->age == news.age));
+    BOOST_TEST(!back->is_partial);
+    BOOST_REQUIRE_EQUAL(back->changes.size(), 2U);
+    BOOST_TEST(back->changes[0].value == news.changes[0].value);
+    BOOST_TEST(back->changes[1].is_removed);
+    news.changes.push_back({"c", 8, false, std::string(100'000, 'x')});
+    const auto bytes = encode_news(news);
+    BOOST_TEST(bytes.size() < 60'000U);
+    BOOST_TEST(decode_news(bytes)->is_partial);
+    // Neither is taken for the other.
+    gateway::fleet_report report;
+    report.gateway = "g1";
+    BOOST_TEST(!decode_news(encode_report(report)));
+    BOOST_TEST(!decode_report(bytes));
+}
+
 BOOST_AUTO_TEST_CASE(damaged_reports_are_no_reports)
 {
     gateway::fleet_report report;
--- a/packages/gateway/include/hemlocknotch/gateway/registry_feed.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_feed.hpp
@@ -49,6 +49,8 @@
     std::uint64_t revision = 0;
     bool is_removed = false;
     registry_item item;
+    /// What was written, as other gateways read it.
+    std::string value;
 };
 
 /// How a call to the registry ended.
@@ -88,6 +90,9 @@
     /// Returns the changes after `revision`, at once where there are any, else after `wait`.
     virtual void watch(std::uint64_t revision, duration wait, callback done) = 0;
 
+    /// Reads what another gateway tells was written under `key`.
+    [[nodiscard]] virtual registry_item decode(std::string_view key, std::string_view value) const = 0;
+
     /// Registers the gateway `name` under a new lease of `time_to_live`.
     virtual void join(std::string_view name, const endpoint_address& address, duration time_to_live,
                       callback done) = 0;
--- a/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
@@ -32,6 +32,9 @@
     registry_difference replace(std::span<const registry_change> changes, std::uint64_t revision,
                                 instant now);
 
+    /// Returns whether `change` would change more than the age of what is known.
+    [[nodiscard]] bool is_news(const registry_change& change) const;
+
     /// Takes changes in any order, also repeated ones.
     registry_difference apply(std::span<const registry_change> changes, std::uint64_t revision, instant now);
 
--- a/packages/gateway/src/registry_view.cpp
+++ b/packages/gateway/src/registry_view.cpp
@@ -56,6 +56,13 @@
     return difference;
 }
 
+bool registry_view::is_news(const registry_change& change) const
+{
+    const auto known = entries_.find(change.key);
+    return change.is_removed || known == entries_.end() || known->second.gone_at != instant::max() ||
+           !is_same(known->second.item, change.item);
+}
+
 void registry_view::take(const registry_change& change, instant now, registry_difference& difference)
 {
     const auto known = entries_.find(change.key);
--- a/packages/gateway/tests/registry_view_test.cpp
+++ b/packages/gateway/tests/registry_view_test.cpp
@@ -12,12 +12,12 @@
 
 registry_change written(const std::string& key, std::uint64_t revision, registry_item item)
 {
-    return {key, revision, false, std::move(item)};
+    return {key, revision, false, std::move(item), ""};
 }
 
 registry_change removed(const std::string& key, std::uint64_t revision)
 {
-    return {key, revision, true, unreadable_item{}};
+    return {key, revision, true, unreadable_item{}, ""};
 }
 
 registry_change endpoint(const std::string& name, std::uint64_t revision, bool is_draining = false)
