--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -13,9 +13,10 @@
 constexpr duration watch_wait = std::chrono::milliseconds{1};
 /// Time over which the gateways' next reads are spread; tens of times what a read and its telling take.
 constexpr duration read_spread = std::chrono::milliseconds{300};
-/// Pause after a failed call; short against the bounds of a few seconds, long against the store's usual
-/// answer.
+/// Pause after a first failed call, and the longest one, to which it doubles: short against the bounds of a few
+/// seconds, long against the store's usual answer.
 constexpr duration retry_pause = std::chrono::milliseconds{250};
+constexpr duration max_retry_pause = std::chrono::seconds{1};
 /// Failures for so long are an outage, after which registrations may have lapsed.
 constexpr duration outage_after = std::chrono::milliseconds{500};
 /// Life of the registration without renewal, and the time between renewals, which leaves room for two
@@ -163,11 +164,13 @@
               "registry-lost",
               {{"status", to_text(status)}, {"revision", std::to_string(view_.revision())}}});
     }
-    next_.start(retry_pause);
+    pause_ = std::min<duration>(std::max<duration>(pause_ * 2, retry_pause), max_retry_pause);
+    next_.start(pause_);
 }
 
 void registry_follower::note_answer()
 {
+    pause_ = duration::zero();
     const auto since = std::exchange(failed_since_, instant::max());
     if (since == instant::max()) {
         return;
--- a/packages/daemon/src/gateway/registry_follower.hpp
+++ b/packages/daemon/src/gateway/registry_follower.hpp
@@ -75,6 +75,8 @@
     timer grace_;
     instant current_as_of_{};
     instant failed_since_ = instant::max();
+    /// Pause after the last call where it failed.
+    duration pause_{};
     bool needs_whole_ = true;
     std::uint64_t lease_number_ = 0;
 };
