--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -13,8 +13,8 @@
 constexpr duration watch_wait = std::chrono::milliseconds{1};
 /// Time over which the gateways' next reads are spread; tens of times what a read and its telling take.
 constexpr duration read_spread = std::chrono::milliseconds{300};
-/// Pause after a first failed call, and the longest one, to which it doubles: short against the bounds of a few
-/// seconds, long against the store's usual answer.
+/// Pause after a first failed call, and the longest one, to which it doubles: short against the bounds of a
+/// few seconds, long against the store's usual answer.
 constexpr duration retry_pause = std::chrono::milliseconds{250};
 constexpr duration max_retry_pause = std::chrono::seconds{1};
 /// Failures for so long are an outage, after which registrations may have lapsed.
--- /dev/null
+++ b/packages/daemon/tests/gateway_shell_test.cpp
@@ -0,0 +1,289 @@
+#include <hemlocknotch/platform/header_dialect.hpp>
+#include <hemlocknotch/platform/store_client.hpp>
+#include <hemlocknotch/standins/platform_endpoint.hpp>
+#include <hemlocknotch/standins/platform_store.hpp>
+
+#include "gateway/gateway_shell.hpp"
+#include "start_error.hpp"
+#include "test_loop.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <string>
+
+namespace hemlocknotch::daemon {
+namespace {
+
+using standins::platform_endpoint;
+using standins::platform_store;
+
+const endpoint_address any_port = *endpoint_address::parse("127.0.0.1:0");
+
+std::string configuration(std::uint64_t version, bool has_second_key = true)
+{
+    using nlohmann::json;
+    const auto route = [](const char* prefix, const char* kind, const char* service, bool is_resumable) {
+        return json{{"name", prefix},
+                    {"hostname", "h"},
+                    {"prefix", prefix},
+                    {"route-type", kind},
+                    {"timeout-ms", 5000},
+                    {"priority", 1},
+                    {"backend", service},
+                    {"max-attempts", 2},
+                    {"target-latency-ms", 500},
+                    {"anonymous", false},
+                    {"stream-resume", is_resumable}};
+    };
+    auto keys = json::array({"key-1"});
+    if (has_second_key) {
+        keys.push_back("key-2");
+    }
+    return json{{"version", version},
+                {"routes",
+                 {route("/stream/", "streaming", "model", true), route("/unsafe/", "unsafe", "plain", false),
+                  route("/safe/", "safe", "plain", false)}},
+                {"backends",
+                 {{{"name", "model"}, {"max-connections", 100}, {"engine", {{"slots", 8}}}},
+                  {{"name", "plain"}, {"max-connections", 100}}}},
+                {"limits", {{"max-header-bytes", 16384}, {"max-body-bytes", 100000}}},
+                {"tenants", {{{"name", "acme"}, {"api-keys", keys}}}}}
+        .dump();
+}
+
+/// A gateway before two endpoints of each service and a store, all in one process.
+struct whole_path {
+    whole_path()
+    {
+        store.put("op/config", configuration(1));
+        store.put("servers/m1", m1.registration("model"));
+        store.put("servers/m2", m2.registration("model"));
+        store.put("servers/p1", p1.registration("plain"));
+        store.put("servers/p2", p2.registration("plain"));
+        store.put("servers/odd", "{\"backend\":7}");
+        settings.instance = "g1";
+        settings.failure_domain = "d1";
+        settings.callers = any_port;
+        settings.readiness = any_port;
+        settings.store = store.address();
+        client = std::make_unique<platform::store_client>(loop.base(), *settings.store);
+        start();
+    }
+
+    void start()
+    {
+        shell = std::make_unique<gateway_shell>(loop.base(), settings, dialect, *client);
+        port = boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<unsigned short> {
+                BOOST_LEAF_AUTO(at, shell->start());
+                return at.port();
+            },
+            [] { return static_cast<unsigned short>(0); });
+        BOOST_REQUIRE(port != 0);
+    }
+
+    bool wait_until_ready()
+    {
+        return loop.run_until(
+            [&] { return shell->is_ready() && store.contains("hemlocknotch/gateways/g1"); });
+    }
+
+    std::string ask(const std::string& target, const std::string& key = "key-1",
+                    const std::string& body = "abc")
+    {
+        const auto id = "id" + std::to_string(++last_id);
+        raw_client caller{loop.base(), port,
+                          "POST " + target + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+                              "\r\nX-Deadline-Ms: 4000\r\nX-Credential: " + key +
+                              "\r\nConnection: close\r\n" + "Content-Length: " + std::to_string(body.size()) +
+                              "\r\n\r\n" + body};
+        BOOST_REQUIRE(loop.run_until([&] { return caller.is_closed(); }));
+        return caller.received();
+    }
+
+    [[nodiscard]] unsigned executions() const
+    {
+        const auto id = "id" + std::to_string(last_id);
+        unsigned out = 0;
+        for (const auto* it : {&m1, &m2, &p1, &p2}) {
+            const auto found = it->executions.find(id);
+            out += found == it->executions.end() ? 0 : found->second;
+        }
+        return out;
+    }
+
+    test_loop loop;
+    platform_store store{loop.base(), any_port};
+    platform_endpoint m1{loop.base(), any_port, "m1"};
+    platform_endpoint m2{loop.base(), any_port, "m2"};
+    platform_endpoint p1{loop.base(), any_port, "p1"};
+    platform_endpoint p2{loop.base(), any_port, "p2"};
+    platform::header_dialect dialect;
+    gateway_settings settings;
+    std::unique_ptr<platform::store_client> client;
+    std::unique_ptr<gateway_shell> shell;
+    unsigned short port = 0;
+    int last_id = 0;
+};
+
+bool is_ok(const std::string& answer)
+{
+    return answer.starts_with("HTTP/1.1 200 ");
+}
+
+/// Returns the body of an answer in chunks; empty where it does not end.
+std::string unchunked(const std::string& answer)
+{
+    std::string out;
+    auto place = answer.find("\r\n\r\n");
+    place = place == std::string::npos ? answer.size() : place + 4;
+    while (place < answer.size()) {
+        const auto end = answer.find("\r\n", place);
+        if (end == std::string::npos) {
+            return {};
+        }
+        const auto size = std::stoul(answer.substr(place, end - place), nullptr, 16);
+        if (size == 0) {
+            return out;
+        }
+        out += answer.substr(end + 2, size);
+        place = end + 2 + size + 2;
+    }
+    return {};
+}
+
+std::string all_events()
+{
+    std::string out;
+    for (std::size_t n = 1; n <= platform_endpoint::stream_events; ++n) {
+        out += "id: " + std::to_string(n) + "\ndata: x\n\n";
+    }
+    return out;
+}
+
+BOOST_FIXTURE_TEST_SUITE(gateway_shell_suite, whole_path)
+
+BOOST_AUTO_TEST_CASE(serves_a_request_of_each_kind)
+{
+    BOOST_REQUIRE(wait_until_ready());
+    const auto plain = ask("/unsafe/x");
+    BOOST_TEST(is_ok(plain));
+    BOOST_TEST(plain.ends_with("\r\n\r\nabc"));
+    BOOST_TEST(p1.last_account + p2.last_account == "acme");
+    const auto stream = ask("/stream/x");
+    BOOST_TEST(is_ok(stream));
+    BOOST_TEST(unchunked(stream) == all_events());
+    BOOST_TEST(ask("/none/x").starts_with("HTTP/1.1 404 "));
+    BOOST_TEST(ask("/safe/x", "wrong").starts_with("HTTP/1.1 401 "));
+    BOOST_TEST(!(m1.has_seen_key || m2.has_seen_key || p1.has_seen_key || p2.has_seen_key));
+}
+
+BOOST_AUTO_TEST_CASE(resumes_a_broken_stream_at_another_endpoint)
+{
+    BOOST_REQUIRE(wait_until_ready());
+    m1.faults.breaks_after = 2;
+    BOOST_TEST(unchunked(ask("/stream/x")) == all_events());
+    m1.faults.breaks_after = 0;
+    m2.faults.breaks_after = 2;
+    BOOST_TEST(unchunked(ask("/stream/x")) == all_events());
+}
+
+BOOST_AUTO_TEST_CASE(an_unsafe_request_whose_answer_is_lost_runs_once)
+{
+    BOOST_REQUIRE(wait_until_ready());
+    p1.faults.loses_answers = true;
+    p2.faults.loses_answers = true;
+    BOOST_TEST(ask("/unsafe/x").starts_with("HTTP/1.1 502 "));
+    BOOST_TEST(executions() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_that_says_not_run_is_true)
+{
+    BOOST_REQUIRE(wait_until_ready());
+    p1.faults.is_full = true;
+    p2.faults.is_full = true;
+    const auto answer = ask("/unsafe/x");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(answer.find("Retry-After: ") != std::string::npos);
+    BOOST_TEST(executions() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(serves_on_while_the_store_is_away)
+{
+    BOOST_REQUIRE(wait_until_ready());
+    store.faults.refuses_with = 503;
+    p1.crash();
+    for (int n = 0; n < 5; ++n) {
+        BOOST_TEST(is_ok(ask("/safe/x")));
+    }
+    store.faults.refuses_with = 0;
+    store.put("op/config", configuration(2, false));
+    BOOST_TEST(loop.run_until([&] { return ask("/safe/x", "key-2").starts_with("HTTP/1.1 401 "); }));
+}
+
+BOOST_AUTO_TEST_CASE(learns_of_changes_also_after_history_is_lost)
+{
+    BOOST_REQUIRE(wait_until_ready());
+    store.put("servers/p1", p1.registration("plain", "draining"));
+    store.compact();
+    store.put("op/config", configuration(3, false));
+    BOOST_REQUIRE(loop.run_until([&] { return ask("/safe/x", "key-2").starts_with("HTTP/1.1 401 "); }));
+    const auto before = p1.executions.size();
+    for (int n = 0; n < 6; ++n) {
+        BOOST_TEST(is_ok(ask("/safe/x")));
+    }
+    BOOST_TEST(p1.executions.size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(sends_nothing_to_a_domain_that_is_out_of_service)
+{
+    BOOST_REQUIRE(wait_until_ready());
+    store.put("op/evacuate/d1", "{}");
+    BOOST_REQUIRE(loop.run_until([&] { return ask("/safe/x").starts_with("HTTP/1.1 503 "); }));
+    BOOST_TEST(executions() == 0U);
+    store.remove("op/evacuate/d1");
+    BOOST_TEST(loop.run_until([&] { return is_ok(ask("/safe/x")); }));
+}
+
+BOOST_AUTO_TEST_CASE(an_address_used_by_another_endpoint_executes_nothing)
+{
+    BOOST_REQUIRE(wait_until_ready());
+    // The registration names an instance that is no longer at this address.
+    store.put("servers/p3", p1.registration("plain"));
+    store.remove("servers/p1");
+    store.remove("servers/p2");
+    BOOST_REQUIRE(loop.run_until([&] { return ask("/safe/x").starts_with("HTTP/1.1 503 "); }));
+    BOOST_TEST(executions() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_ready_before_it_knows_a_configuration)
+{
+    shell.reset();
+    store.faults.is_silent = true;
+    client = std::make_unique<platform::store_client>(loop.base(), *settings.store);
+    start();
+    BOOST_TEST(ask("/safe/x").starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(!shell->is_ready());
+    store.faults.is_silent = false;
+    BOOST_TEST(wait_until_ready());
+}
+
+BOOST_AUTO_TEST_CASE(registers_also_where_the_answer_is_lost)
+{
+    BOOST_REQUIRE(wait_until_ready());
+    shell.reset();
+    store.remove("hemlocknotch/gateways/g1");
+    store.faults.loses_write_answers = true;
+    start();
+    BOOST_REQUIRE(wait_until_ready());
+    store.faults.loses_write_answers = false;
+    BOOST_TEST(is_ok(ask("/safe/x")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace hemlocknotch::daemon
--- /dev/null
+++ b/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/standins/event_loop.hpp>
+#include <hemlocknotch/standins/http_server.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace hemlocknotch::standins {
+
+/// Faults of an endpoint that can be switched on.
+struct platform_endpoint_faults {
+    /// Requests are rejected as not executed.
+    bool is_full = false;
+    /// Requests are executed and their connection closed without an answer.
+    bool loses_answers = false;
+    /// Streams break off after so many events; 0: they do not.
+    std::size_t breaks_after = 0;
+};
+
+/// Stand-in of one endpoint on the users' platform: streams events on `/stream/`, else answers with the
+/// request's body. Rejects requests meant for another instance. One thread.
+class platform_endpoint {
+public:
+    static constexpr std::size_t stream_events = 5;
+
+    /// Listens at `address`. Throws std::runtime_error where it cannot. `base` must outlive it.
+    platform_endpoint(event_base* base, const endpoint_address& address, std::string instance);
+
+    platform_endpoint(const platform_endpoint&) = delete;
+    platform_endpoint(platform_endpoint&&) = delete;
+    platform_endpoint& operator=(const platform_endpoint&) = delete;
+    platform_endpoint& operator=(platform_endpoint&&) = delete;
+    ~platform_endpoint();
+
+    [[nodiscard]] const endpoint_address& address() const { return server_.address(); }
+
+    /// Returns its registration for `service`.
+    [[nodiscard]] std::string registration(const std::string& service,
+                                           const std::string& state = "ready") const;
+
+    /// Closes every connection and accepts no more.
+    void crash();
+
+    platform_endpoint_faults faults;
+    /// Executions by request id.
+    std::map<std::string, unsigned> executions;
+    /// Client account that the last request was executed for.
+    std::string last_account;
+    /// Whether a caller's key has ever come through.
+    bool has_seen_key = false;
+
+private:
+    struct stream;
+
+    void on_request(const http_request& request);
+    void start_stream(const http_request& request);
+
+    event_base* base_;
+    std::string instance_;
+    std::list<std::unique_ptr<stream>> streams_;
+    http_server server_;
+};
+
+} // namespace hemlocknotch::standins
--- /dev/null
+++ b/packages/standins/src/platform_endpoint.cpp
@@ -0,0 +1,115 @@
+#include <hemlocknotch/standins/platform_endpoint.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace hemlocknotch::standins {
+namespace {
+
+constexpr int ok = 200;
+constexpr int misdirected = 421;
+constexpr int unavailable = 503;
+constexpr std::chrono::milliseconds event_interval{5};
+
+} // namespace
+
+/// A stream under way, one event an interval.
+struct platform_endpoint::stream {
+    stream(event_base* base, http_request request, std::size_t first,
+           const platform_endpoint_faults& stream_faults)
+        : answer{std::make_unique<response_stream>(request, ok)},
+          next{first},
+          faults{stream_faults},
+          pace{base, [this] { step(); }}
+    {
+        pace.start(event_interval);
+    }
+
+    void step()
+    {
+        if (!answer->is_open()) {
+            return;
+        }
+        if (faults.breaks_after > 0 && next > faults.breaks_after) {
+            // Breaks off in the middle of an event.
+            answer->write("id: " + std::to_string(next) + "\nda");
+            answer->abort();
+            return;
+        }
+        answer->write("id: " + std::to_string(next) + "\ndata: x\n\n");
+        if (++next > stream_events) {
+            answer->finish();
+            return;
+        }
+        pace.start(event_interval);
+    }
+
+    std::unique_ptr<response_stream> answer;
+    std::size_t next;
+    platform_endpoint_faults faults;
+    timer pace;
+};
+
+platform_endpoint::platform_endpoint(event_base* base, const endpoint_address& address, std::string instance)
+    : base_{base}, instance_{std::move(instance)}, server_{base, [this](const http_request& request) {
+                                                               on_request(request);
+                                                           }}
+{
+    server_.listen(address);
+}
+
+platform_endpoint::~platform_endpoint()
+{
+    streams_.clear();
+}
+
+std::string platform_endpoint::registration(const std::string& service, const std::string& state) const
+{
+    return nlohmann::json{{"backend", service}, {"address", address().to_string()},
+                          {"zone", "d1"},       {"version", "v1"},
+                          {"slots", 8},         {"state", state},
+                          {"seq", 1},           {"cold-remaining-ms", 0}}
+        .dump();
+}
+
+void platform_endpoint::crash()
+{
+    streams_.clear();
+    server_.close_all();
+}
+
+void platform_endpoint::on_request(const http_request& request)
+{
+    const auto id = request.header("X-Request-Id").value_or("");
+    has_seen_key = has_seen_key || request.header("X-Credential").has_value();
+    if (request.header("X-Target-Instance").value_or(instance_) != instance_) {
+        request.add_answer_header("X-Instance-Id", instance_);
+        return request.reply(misdirected, "");
+    }
+    if (faults.is_full) {
+        request.add_answer_header("X-Not-Executed", "1");
+        return request.reply(unavailable, "");
+    }
+    ++executions[id];
+    last_account = request.header("X-Tenant").value_or("");
+    if (faults.loses_answers) {
+        return request.drop();
+    }
+    request.add_answer_header("X-Request-Id", id);
+    request.add_answer_header("X-Response-Signature", "signed");
+    if (request.path().starts_with("/stream/")) {
+        return start_stream(request);
+    }
+    request.reply(ok, request.body());
+}
+
+void platform_endpoint::start_stream(const http_request& request)
+{
+    request.add_answer_header("Content-Type", "text/event-stream");
+    const auto last = request.header("Last-Event-Id").value_or("0");
+    streams_.push_back(std::make_unique<stream>(base_, request, std::stoul(last) + 1, faults));
+}
+
+} // namespace hemlocknotch::standins
