Let a gateway that starts while the store is away learn the registry from another one

Its requests got 503 until the store was back. It asks the seeds one after the other for all that they know; test learns_from_another_gateway_while_the_store_is_away.

--- a/packages/daemon/src/gateway/gateway_command.cpp
+++ b/packages/daemon/src/gateway/gateway_command.cpp
@@ -73,7 +73,9 @@
                                       shell.reload();
                                   }
                               }};
-    BOOST_LEAF_CHECK(shell.start());
+    if (auto it = shell.start(); !it) {
+        return it.error();
+    }
     event_base_dispatch(base.get());
     return exit_ok;
 }
--- a/packages/daemon/src/gateway/gateway_settings.cpp
+++ b/packages/daemon/src/gateway/gateway_settings.cpp
@@ -119,6 +119,7 @@
     out.callers = reader.address("/listen/callers", true);
     out.readiness = reader.address("/listen/readiness", true);
     out.members = reader.address("/listen/members", false);
+    out.registry = reader.address("/listen/registry", false);
     out.metrics = reader.address("/listen/metrics", false);
     out.store = reader.address("/store", true);
     out.seeds = reader.addresses("/seeds");
--- a/packages/daemon/src/gateway/gateway_settings.hpp
+++ b/packages/daemon/src/gateway/gateway_settings.hpp
@@ -21,8 +21,10 @@
     std::optional<endpoint_address> callers;
     /// Where the balancer asks for readiness.
     std::optional<endpoint_address> readiness;
-    /// Where other gateways connect; absent: no exchange with others.
+    /// Where other gateways send datagrams; absent: no exchange with others.
     std::optional<endpoint_address> members;
+    /// Where other gateways read the registry while it is away; absent: nowhere.
+    std::optional<endpoint_address> registry;
     /// Where metrics are read; absent: nowhere.
     std::optional<endpoint_address> metrics;
     /// The platform's store.
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace hemlocknotch::daemon {
@@ -80,12 +81,15 @@
                 [this] { return clock_.now(); },
                 [this](const gateway::registry_difference& it) { take_registry(it); },
                 [this](const log_effect& it) { log(it); },
-                [this](gateway::registry_news it) { reports_.send(std::move(it), others_); }},
+                [this](gateway::registry_news it) { reports_.send(std::move(it), others_); },
+                [this] { fetcher_.fetch(); }},
+      fetcher_{base, settings.seeds, [this](const gateway::registry_news& it) { follower_.take_whole(it); }},
       feed_{feed},
       callers_{base, dialect, caller_connections_of(settings), *this},
       pool_{base, dialect, *this, [this] { return clock_.now(); }},
       readiness_pages_{base, [this](std::string_view path) { return readiness(path); }},
       metrics_pages_{base, [this](std::string_view path) { return metrics(path); }},
+      registry_pages_{base, [this](std::string_view path) { return registry(path); }},
       reports_{base, [this](const gateway::fleet_report& it) { take_report(it); },
                [this](const gateway::registry_news& it) { follower_.take_news(it); }},
       report_timer_{base, [this] { tell_others(); }},
@@ -103,12 +107,23 @@
 boost::leaf::result<endpoint_address> gateway_shell::start()
 {
     BOOST_LEAF_AUTO(callers, callers_.listen(*settings_.callers));
-    BOOST_LEAF_CHECK(readiness_pages_.listen(*settings_.readiness, "readiness"));
+    if (auto it = readiness_pages_.listen(*settings_.readiness, "readiness"); !it) {
+        return it.error();
+    }
     if (settings_.metrics) {
-        BOOST_LEAF_CHECK(metrics_pages_.listen(*settings_.metrics, "metrics"));
+        if (auto it = metrics_pages_.listen(*settings_.metrics, "metrics"); !it) {
+            return it.error();
+        }
+    }
+    if (settings_.registry) {
+        if (auto it = registry_pages_.listen(*settings_.registry, "other gateways"); !it) {
+            return it.error();
+        }
     }
     if (settings_.members) {
-        BOOST_LEAF_CHECK(reports_.listen(*settings_.members));
+        if (auto it = reports_.listen(*settings_.members); !it) {
+            return it.error();
+        }
         report_timer_.start(report_interval);
     }
     log({log_level::info,
@@ -337,6 +352,21 @@
     return {unavailable, stop_since_ != instant::max() ? "stopping\n" : "no configuration yet\n"};
 }
 
+page gateway_shell::registry(std::string_view path) const
+{
+    constexpr int ok = 200;
+    constexpr int not_found = 404;
+    if (path != registry_path || view_.revision() == 0) {
+        return {not_found, "nothing known\n"};
+    }
+    gateway::registry_news news;
+    news.gateway = settings_.instance;
+    news.to_revision = view_.revision();
+    news.changes = view_.whole();
+    const auto bytes = encode_news(std::move(news), std::numeric_limits<std::size_t>::max());
+    return {ok, std::string{bytes.begin(), bytes.end()}};
+}
+
 page gateway_shell::metrics(std::string_view path) const
 {
     constexpr int ok = 200;
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -16,6 +16,7 @@
 #include "gateway_settings.hpp"
 #include "line_log.hpp"
 #include "page_server.hpp"
+#include "registry_fetcher.hpp"
 #include "registry_follower.hpp"
 #include "report_exchange.hpp"
 
@@ -85,6 +86,7 @@
     void log(const log_effect& record);
     [[nodiscard]] page readiness(std::string_view path) const;
     [[nodiscard]] page metrics(std::string_view path) const;
+    [[nodiscard]] page registry(std::string_view path) const;
 
     event_base* base_;
     gateway_settings settings_;
@@ -97,11 +99,13 @@
     gateway::router router_;
     gateway::registry_view view_;
     registry_follower follower_;
+    registry_fetcher fetcher_;
     gateway::registry_feed& feed_;
     caller_server callers_;
     endpoint_pool pool_;
     page_server readiness_pages_;
     page_server metrics_pages_;
+    page_server registry_pages_;
     report_exchange reports_;
     std::vector<endpoint_address> others_;
     /// When each other gateway was last heard.
--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -46,7 +46,7 @@
 registry_follower::registry_follower(event_base* base, gateway::registry_feed& feed,
                                      gateway::registry_view& view, const follower_options& options,
                                      std::function<instant()> now, changed_callback changed, log_callback log,
-                                     news_callback tell)
+                                     news_callback tell, std::function<void()> ask_others)
     : feed_{feed},
       view_{view},
       options_{options},
@@ -54,6 +54,7 @@
       changed_{std::move(changed)},
       log_{std::move(log)},
       tell_{std::move(tell)},
+      ask_others_{std::move(ask_others)},
       next_{base, [this] { needs_whole_ ? read() : watch(); }},
       lease_{base, [this] { lease_number_ == 0 ? join() : keep(); }},
       grace_{base, [this] { report(view_.on_time(now_())); }}
@@ -88,12 +89,7 @@
     if (failed_since_ != instant::max() && now - failed_since_ >= outage_after) {
         view_.on_registry_back(now);
     }
-    std::vector<gateway::registry_change> changes;
-    changes.reserve(news.changes.size());
-    for (const auto& it : news.changes) {
-        changes.push_back({it.key, it.revision, it.is_removed,
-                           it.is_removed ? gateway::unreadable_item{} : feed_.decode(it.key, it.value), ""});
-    }
+    const auto changes = decode(news);
     report(view_.apply(changes, news.is_partial ? 0 : news.to_revision, now));
     if (news.is_partial) {
         current_as_of_ = instant{};
@@ -106,6 +102,29 @@
     }
 }
 
+void registry_follower::take_whole(const gateway::registry_news& news)
+{
+    if (!needs_whole_ || news.is_partial) {
+        return;
+    }
+    log_({log_level::info,
+          "registry-learnt-from-gateway",
+          {{"gateway", news.gateway}, {"revision", std::to_string(news.to_revision)}}});
+    needs_whole_ = false;
+    report(view_.replace(decode(news), news.to_revision, now_()));
+}
+
+std::vector<gateway::registry_change> registry_follower::decode(const gateway::registry_news& news) const
+{
+    std::vector<gateway::registry_change> out;
+    out.reserve(news.changes.size());
+    for (const auto& it : news.changes) {
+        auto item = it.is_removed ? gateway::registry_item{} : feed_.decode(it.key, it.value);
+        out.push_back({it.key, it.revision, it.is_removed, std::move(item), it.value});
+    }
+    return out;
+}
+
 void registry_follower::read()
 {
     const auto asked_at = now_();
@@ -164,6 +183,9 @@
               "registry-lost",
               {{"status", to_text(status)}, {"revision", std::to_string(view_.revision())}}});
     }
+    if (needs_whole_) {
+        ask_others_();
+    }
     pause_ = std::min<duration>(std::max<duration>(pause_ * 2, retry_pause), max_retry_pause);
     next_.start(pause_);
 }
--- a/packages/daemon/src/gateway/registry_follower.hpp
+++ b/packages/daemon/src/gateway/registry_follower.hpp
@@ -32,10 +32,11 @@
     /// Tells others what was read.
     using news_callback = std::function<void(gateway::registry_news)>;
 
-    /// All must outlive the follower.
+    /// All must outlive the follower. `ask_others` is called while nothing is known and the registry does not
+    /// answer; what comes of it goes to `take_whole`.
     registry_follower(event_base* base, gateway::registry_feed& feed, gateway::registry_view& view,
                       const follower_options& options, std::function<instant()> now, changed_callback changed,
-                      log_callback log, news_callback tell);
+                      log_callback log, news_callback tell, std::function<void()> ask_others);
 
     /// Reads everything and follows it from then on.
     void start();
@@ -44,6 +45,8 @@
 
     /// Takes what another gateway has read, so that this one need not.
     void take_news(const gateway::registry_news& news);
+    /// Takes all that another gateway knows. Ignored once something is known here.
+    void take_whole(const gateway::registry_news& news);
 
     /// Returns the moment as of which the view is known to be current.
     [[nodiscard]] instant current_as_of() const { return current_as_of_; }
@@ -57,6 +60,7 @@
     void note_failure(gateway::registry_status status);
     void note_answer();
     void schedule();
+    [[nodiscard]] std::vector<gateway::registry_change> decode(const gateway::registry_news& news) const;
     void tell(const gateway::registry_answer& answer, instant asked_at);
     void join();
     void keep();
@@ -69,6 +73,7 @@
     changed_callback changed_;
     log_callback log_;
     news_callback tell_;
+    std::function<void()> ask_others_;
     std::minstd_rand random_{std::random_device{}()};
     timer next_;
     timer lease_;
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <cassert>
 #include <cerrno>
+#include <cmath>
 #include <cstring>
 #include <utility>
 
@@ -21,9 +22,6 @@
 using nlohmann::json;
 
 constexpr std::size_t max_datagram = 65'507;
-/// Bytes of changes in one datagram. A configuration of many routes does not fit and is read from the
-/// registry.
-constexpr std::size_t max_news = 32'000;
 /// Bytes of a change beside its key and value.
 constexpr std::size_t change_overhead = 32;
 /// First element of news; reports begin with a text.
@@ -42,7 +40,7 @@
 /// Rounds to whole tokens, which take less space.
 std::uint64_t whole(double value)
 {
-    return value <= 0.0 ? 0 : static_cast<std::uint64_t>(value + 0.5);
+    return value <= 0.0 ? 0 : static_cast<std::uint64_t>(std::llround(value));
 }
 
 } // namespace
@@ -85,13 +83,13 @@
     }
 }
 
-std::vector<std::uint8_t> encode_news(gateway::registry_news news)
+std::vector<std::uint8_t> encode_news(gateway::registry_news news, std::size_t max_bytes)
 {
     auto changes = json::array();
     std::size_t size = 0;
     for (auto& it : news.changes) {
         size += it.key.size() + it.value.size() + change_overhead;
-        if (size > max_news) {
+        if (size > max_bytes) {
             news.is_partial = true;
             break;
         }
@@ -164,7 +162,7 @@
 
 void report_exchange::send(gateway::registry_news news, std::span<const endpoint_address> addresses) const
 {
-    send_bytes(encode_news(std::move(news)), addresses);
+    send_bytes(encode_news(std::move(news), max_datagram_news), addresses);
 }
 
 void report_exchange::send_bytes(std::span<const std::uint8_t> bytes,
--- a/packages/daemon/src/gateway/report_exchange.hpp
+++ b/packages/daemon/src/gateway/report_exchange.hpp
@@ -25,8 +25,12 @@
 /// Decodes a report; nothing where the bytes are none. Thread-safe.
 std::optional<gateway::fleet_report> decode_report(std::span<const std::uint8_t> bytes);
 
-/// Encodes news as CBOR (RFC 8949), without changes that do not fit a datagram. Thread-safe.
-std::vector<std::uint8_t> encode_news(gateway::registry_news news);
+/// Encodes news as CBOR (RFC 8949), without changes beyond `max_bytes` in all. Thread-safe.
+std::vector<std::uint8_t> encode_news(gateway::registry_news news, std::size_t max_bytes);
+
+/// Bytes of changes that fit a datagram. A configuration of many routes does not and is read from the
+/// registry.
+inline constexpr std::size_t max_datagram_news = 32'000;
 
 /// Decodes news; nothing where the bytes are none. Thread-safe.
 std::optional<gateway::registry_news> decode_news(std::span<const std::uint8_t> bytes);
--- a/packages/daemon/tests/gateway_parts_test.cpp
+++ b/packages/daemon/tests/gateway_parts_test.cpp
@@ -111,7 +111,7 @@
     news.to_revision = 9;
     news.age = std::chrono::milliseconds{12};
     news.changes = {{"a", 6, false, std::string("\0\xff", 2)}, {"b", 7, true, ""}};
-    const auto back = decode_news(encode_news(news));
+    const auto back = decode_news(encode_news(news, max_datagram_news));
     BOOST_REQUIRE(back);
     BOOST_TEST(back->from_revision == 5U);
     BOOST_TEST(back->to_revision == 9U);
@@ -121,7 +121,7 @@
     BOOST_TEST(back->changes[0].value == news.changes[0].value);
     BOOST_TEST(back->changes[1].is_removed);
     news.changes.push_back({"c", 8, false, std::string(100'000, 'x')});
-    const auto bytes = encode_news(news);
+    const auto bytes = encode_news(news, max_datagram_news);
     BOOST_TEST(bytes.size() < 60'000U);
     BOOST_TEST(decode_news(bytes)->is_partial);
     // Neither is taken for the other.
--- a/packages/daemon/tests/gateway_shell_test.cpp
+++ b/packages/daemon/tests/gateway_shell_test.cpp
@@ -271,6 +271,34 @@
     BOOST_TEST(wait_until_ready());
 }
 
+BOOST_AUTO_TEST_CASE(learns_from_another_gateway_while_the_store_is_away)
+{
+    BOOST_REQUIRE(wait_until_ready());
+    // Ports are chosen by the system; the other gateway's page is found through a throw-away listener's port.
+    const auto page_port = standins::platform_endpoint{loop.base(), any_port, "x"}.address();
+    shell.reset();
+    settings.registry = page_port;
+    start();
+    BOOST_REQUIRE(wait_until_ready());
+    store.faults.is_silent = true;
+    auto other = settings;
+    other.instance = "g2";
+    other.registry.reset();
+    other.seeds = {*endpoint_address::parse("127.0.0.1:1"), page_port};
+    platform::store_client own_client{loop.base(), *settings.store};
+    gateway_shell second{loop.base(), other, dialect, own_client};
+    const auto at = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<unsigned short> {
+            BOOST_LEAF_AUTO(address, second.start());
+            return address.port();
+        },
+        [] { return static_cast<unsigned short>(0); });
+    BOOST_REQUIRE(loop.run_until([&] { return second.is_ready(); }));
+    port = at;
+    BOOST_TEST(is_ok(ask("/safe/x")));
+    BOOST_TEST(ask("/safe/x", "wrong").starts_with("HTTP/1.1 401 "));
+}
+
 BOOST_AUTO_TEST_CASE(registers_also_where_the_answer_is_lost)
 {
     BOOST_REQUIRE(wait_until_ready());
--- a/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/gateway/registry_feed.hpp>
+#include <hemlocknotch/gateway/registry_news.hpp>
 
 #include <cstdint>
 #include <map>
@@ -49,6 +50,9 @@
     /// Returns the newest revision taken. 0: none.
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
+    /// Returns everything that is known, for a gateway that knows nothing.
+    [[nodiscard]] std::vector<told_change> whole() const;
+
     [[nodiscard]] std::shared_ptr<const routing_configuration> configuration() const;
     [[nodiscard]] std::vector<endpoint_record> endpoints() const;
     [[nodiscard]] std::set<std::string, std::less<>> out_of_service() const;
@@ -58,6 +62,7 @@
     struct entry {
         std::uint64_t revision = 0;
         registry_item item;
+        std::string value;
         /// Removed, but its endpoint is still used until then.
         instant gone_at = instant::max();
     };
--- a/packages/gateway/src/registry_view.cpp
+++ b/packages/gateway/src/registry_view.cpp
@@ -90,7 +90,7 @@
         difference.has_configuration = true;
     }
     if (known == entries_.end()) {
-        entries_.emplace(change.key, entry{change.revision, change.item, instant::max()});
+        entries_.emplace(change.key, entry{change.revision, change.item, change.value, instant::max()});
         note(change.item, difference);
         return;
     }
@@ -99,7 +99,7 @@
         note(it.item, difference);
         note(change.item, difference);
     }
-    it = {change.revision, change.item, instant::max()};
+    it = {change.revision, change.item, change.value, instant::max()};
 }
 
 void registry_view::remove(std::map<std::string, entry>::iterator it, instant now,
@@ -146,6 +146,15 @@
     return configuration_;
 }
 
+std::vector<told_change> registry_view::whole() const
+{
+    std::vector<told_change> out;
+    for (const auto& [key, it] : entries_) {
+        out.push_back({key, it.revision, false, it.value});
+    }
+    return out;
+}
+
 std::vector<endpoint_record> registry_view::endpoints() const
 {
     std::vector<endpoint_record> out;
