--- a/packages/ctl/src/command_line.cpp
+++ b/packages/ctl/src/command_line.cpp
@@ -56,6 +56,7 @@
                                    "Return a failure domain or an instance to service");
         add_status_command();
         add_trace_command();
+        add_explain_command();
         options_.author = default_author();
     }
 
@@ -167,6 +168,14 @@
             ->required();
     }
 
+    void add_explain_command()
+    {
+        CLI::App* sub = add_command("explain", command::explain,
+                                    "Say what the gateways' logs tell of one request, and what it means");
+        sub->add_option("REQUEST", options_.request, "Id of the request")->required();
+        sub->add_option("FILE", options_.log_files, "Logs of the gateways; - for standard input")->required();
+    }
+
     CLI::App app_{description, "hemlocknotchctl"};
     command_options options_;
 };
--- a/packages/ctl/src/command_options.hpp
+++ b/packages/ctl/src/command_options.hpp
@@ -10,7 +10,18 @@
 namespace hemlocknotch {
 
 /// The command that was named.
-enum class command : std::uint8_t { check, apply, show, diff, history, take_out, put_back, status, trace };
+enum class command : std::uint8_t {
+    check,
+    apply,
+    show,
+    diff,
+    history,
+    take_out,
+    put_back,
+    status,
+    trace,
+    explain
+};
 
 /// Everything that a command line can say, in the order of `--help`.
 struct command_options {
@@ -40,6 +51,8 @@
     std::uint32_t count = 0;
 
     std::vector<std::string> trace_files;
+    /// Log files of gateways.
+    std::vector<std::string> log_files;
     std::string request;
 };
 
--- a/packages/ctl/tests/program_test.cpp
+++ b/packages/ctl/tests/program_test.cpp
@@ -99,6 +99,28 @@
     BOOST_TEST(applied.out.find("\"status\":\"unavailable\"") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_is_explained_from_logs)
+{
+    const temporary_file log{
+        "no json\n"
+        R"({"time":"1","level":"warning","process":"g1","event":"call-failed","request":"r1","endpoint":"p1",)"
+        R"("outcome":"broken"})"
+        "\n"
+        R"({"time":"2","level":"warning","process":"g1","event":"request-ended","request":"r1","status":"502",)"
+        R"("reason":"endpoint-broke-off"})"
+        "\n"
+        R"({"time":"3","level":"warning","process":"g1","event":"request-ended","request":"r2","status":"503",)"
+        R"("reason":"overloaded"})"
+        "\n"};
+    const run_outcome outcome = run({"explain", "r1", log.path()});
+    BOOST_TEST(outcome.code == 0);
+    BOOST_TEST(outcome.out.find("an endpoint broke off") < outcome.out.find("may have run: the endpoint's"));
+    BOOST_TEST(outcome.out.find("endpoint = p1") != std::string::npos);
+    BOOST_TEST(outcome.out.find("overloaded") == std::string::npos);
+    BOOST_TEST(run({"explain", "r2", log.path()}).out.find("it has not run") != std::string::npos);
+    BOOST_TEST(run({"explain", "r3", log.path()}).code == 6);
+}
+
 BOOST_AUTO_TEST_CASE(a_trace_is_shown_as_a_tree)
 {
     const temporary_file spans{
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -14,6 +14,9 @@
 /// needs two misses.
 constexpr duration balancer_delay = std::chrono::milliseconds{2600};
 constexpr duration stop_check_interval = std::chrono::milliseconds{200};
+/// Part of the shortest bound on heeding the registry after which the view is renewed; the rest covers the
+/// spread of reads, one that fails, and the telling.
+constexpr double view_age_share = 0.4;
 /// Left before the end by force.
 constexpr duration stop_margin = std::chrono::milliseconds{700};
 /// Descriptors that are left to files and to what the process opens for itself.
@@ -50,18 +53,9 @@
 
 follower_options follower_options_of(const gateway_settings& settings)
 {
-    return {settings.instance, settings.members.value_or(*settings.callers)};
-}
-
-void append_metric(std::string& out, std::string_view name, std::string_view type, double value)
-{
-    out += "# TYPE ";
-    out += name;
-    out += " ";
-    out += type;
-    out += "\n";
-    out += name;
-    out += " " + std::to_string(value) + "\n";
+    const auto bound = std::min(settings.drain_bound, settings.configuration_bound);
+    return {settings.instance, settings.members.value_or(*settings.callers),
+            std::chrono::duration_cast<duration>(bound * view_age_share)};
 }
 
 } // namespace
@@ -88,7 +82,7 @@
       callers_{base, dialect, caller_connections_of(settings), *this},
       pool_{base, dialect, *this, [this] { return clock_.now(); }},
       readiness_pages_{base, [this](std::string_view path) { return readiness(path); }},
-      metrics_pages_{base, [this](std::string_view path) { return metrics(path); }},
+      metrics_pages_{base, [this](std::string_view path) { return metrics_page(path); }},
       registry_pages_{base, [this](std::string_view path) { return registry(path); }},
       reports_{base, [this](const gateway::fleet_report& it) { take_report(it); },
                [this](const gateway::registry_news& it) { follower_.take_news(it); }},
@@ -276,6 +270,11 @@
     callers_.abort(exchange);
 }
 
+void gateway_shell::record(const metric_effect& metric)
+{
+    metrics_.record(metric);
+}
+
 bool gateway_shell::wants_log(log_level level)
 {
     return log_.wants(level);
@@ -367,39 +366,41 @@
     return {ok, std::string{bytes.begin(), bytes.end()}};
 }
 
-page gateway_shell::metrics(std::string_view path) const
+page gateway_shell::metrics_page(std::string_view path)
 {
     constexpr int ok = 200;
     constexpr int not_found = 404;
     if (path != metrics_path) {
         return {not_found, "no such page\n"};
     }
-    const auto& it = router_.counters();
-    std::string out;
-    const auto counter = [&](std::string_view name, std::uint64_t value) {
-        append_metric(out, name, "counter", static_cast<double>(value));
+    const auto total = [this](std::string_view name, std::uint64_t value) {
+        metrics_.set_total(name, static_cast<double>(value));
     };
-    const auto gauge = [&](std::string_view name, std::size_t value) {
-        append_metric(out, name, "gauge", static_cast<double>(value));
+    const auto gauge = [this](std::string_view name, std::size_t value) {
+        metrics_.set(name, static_cast<double>(value));
     };
-    counter("hemlocknotch_gateway_requests_total", it.requests);
-    counter("hemlocknotch_gateway_answered_total", it.answered);
-    counter("hemlocknotch_gateway_refused_total", it.refused);
-    counter("hemlocknotch_gateway_failed_total", it.failed);
-    counter("hemlocknotch_gateway_cancelled_total", it.cancelled);
-    counter("hemlocknotch_gateway_sends_total", it.sends);
-    counter("hemlocknotch_gateway_retries_total", it.retries);
-    counter("hemlocknotch_gateway_resumed_streams_total", it.resumed_streams);
-    counter("hemlocknotch_gateway_malformed_total", malformed_);
-    counter("hemlocknotch_gateway_registry_calls_total", feed_.call_count());
-    counter("hemlocknotch_gateway_endpoint_connections_opened_total", pool_.opened_count());
-    counter("hemlocknotch_gateway_log_lines_left_out_total", log_.left_out());
+    const auto& it = router_.counters();
+    total("hemlocknotch_gateway_requests_total", it.requests);
+    total("hemlocknotch_gateway_answered_total", it.answered);
+    total("hemlocknotch_gateway_refused_total", it.refused);
+    total("hemlocknotch_gateway_failed_total", it.failed);
+    total("hemlocknotch_gateway_cancelled_total", it.cancelled);
+    total("hemlocknotch_gateway_sends_total", it.sends);
+    total("hemlocknotch_gateway_retries_total", it.retries);
+    total("hemlocknotch_gateway_resumed_streams_total", it.resumed_streams);
+    total("hemlocknotch_gateway_malformed_total", malformed_);
+    total("hemlocknotch_gateway_registry_calls_total", feed_.call_count());
+    total("hemlocknotch_gateway_endpoint_connections_opened_total", pool_.opened_count());
+    total("hemlocknotch_gateway_log_lines_left_out_total", log_.left_out());
     gauge("hemlocknotch_gateway_open_requests", router_.exchange_count());
     gauge("hemlocknotch_gateway_caller_connections", callers_.connection_count());
     gauge("hemlocknotch_gateway_endpoint_connections", pool_.connection_count());
+    gauge("hemlocknotch_gateway_others_heard", heard_at_.size());
     gauge("hemlocknotch_gateway_configuration_version",
           view_.configuration() ? view_.configuration()->version() : 0);
-    return {ok, std::move(out)};
+    const std::chrono::duration<double> age = clock_.now() - follower_.current_as_of();
+    metrics_.set("hemlocknotch_gateway_registry_age_seconds", age.count());
+    return {ok, metrics_.text()};
 }
 
 } // namespace hemlocknotch::daemon
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -9,6 +9,7 @@
 
 #include "../entropy_source.hpp"
 #include "../libevent_handles.hpp"
+#include "../metrics.hpp"
 #include "../process_clock.hpp"
 #include "../timer.hpp"
 #include "caller_server.hpp"
@@ -65,6 +66,7 @@
     void send_part(gateway::exchange_id exchange, std::string_view bytes) override;
     void end_stream(gateway::exchange_id exchange) override;
     void abort(gateway::exchange_id exchange) override;
+    void record(const metric_effect& metric) override;
     bool wants_log(log_level level) override;
     void write_log(const log_effect& record) override;
 
@@ -85,7 +87,7 @@
     void take_report(const gateway::fleet_report& report);
     void log(const log_effect& record);
     [[nodiscard]] page readiness(std::string_view path) const;
-    [[nodiscard]] page metrics(std::string_view path) const;
+    [[nodiscard]] page metrics_page(std::string_view path);
     [[nodiscard]] page registry(std::string_view path) const;
 
     event_base* base_;
@@ -94,6 +96,7 @@
     process_clock clock_;
     std::uint64_t incarnation_ = entropy_source{}.next();
     line_log log_;
+    metrics metrics_;
     gateway::affinity_placement model_placement_;
     gateway::least_loaded_placement plain_placement_;
     gateway::router router_;
--- a/packages/daemon/tests/metrics_test.cpp
+++ b/packages/daemon/tests/metrics_test.cpp
@@ -80,9 +80,12 @@
     }
     const std::regex quoted_name{"\"(hemlocknotch_[a-z_]+)\""};
     std::size_t found = 0;
-    for (const std::string package : {"core", "daemon"}) {
+    for (const std::string package : {"core", "gateway", "daemon"}) {
         const auto sources = std::string{HEMLOCKNOTCH_SOURCE_DIR} + "/packages/" + package + "/src";
-        for (const auto& file : std::filesystem::directory_iterator{sources}) {
+        for (const auto& file : std::filesystem::recursive_directory_iterator{sources}) {
+            if (!file.is_regular_file()) {
+                continue;
+            }
             std::ifstream input{file.path()};
             const std::string text{std::istreambuf_iterator<char>{input}, {}};
             for (std::sregex_iterator it{text.begin(), text.end(), quoted_name}, end; it != end; ++it) {
--- a/packages/gateway/fuzz/fuzz_fleet.cpp
+++ b/packages/gateway/fuzz/fuzz_fleet.cpp
@@ -143,6 +143,8 @@
 
     void abort(exchange_id exchange) override { end(owner_.requests.at(exchange)); }
 
+    void record(const metric_effect& /*metric*/) override {}
+
     bool wants_log(log_level /*level*/) override { return false; }
 
     void write_log(const log_effect& /*record*/) override {}
--- a/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 
 namespace hemlocknotch::gateway {
 
@@ -19,6 +20,20 @@
     beyond,
 };
 
+/// Returns the text of `value` as it stands in logs. Thread-safe.
+constexpr std::string_view to_string(share_standing value)
+{
+    switch (value) {
+    case share_standing::within:
+        return "within";
+    case share_standing::excess:
+        return "excess";
+    case share_standing::beyond:
+        break;
+    }
+    return "beyond";
+}
+
 /// What a placement policy knows of a request.
 struct placement_request {
     /// Key of the longest part of the prompt that other requests share; nothing where there is none.
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -131,7 +131,8 @@
     void handle_failure(exchange& it, call_outcome outcome, instant now);
     bool may_send_again(const exchange& it, bool was_executed) const;
     bool try_again(exchange& it, bool was_executed, instant now);
-    void pass_stream(exchange& it, std::string_view bytes);
+    void pass_stream(exchange& it, std::string_view bytes, instant now);
+    void record_time(const exchange& it, std::string_view name, instant now);
     void finish_stream(exchange& it, instant now);
     void refuse(exchange& it, int status, std::string_view reason, duration retry_after);
     void reply_own(exchange& it, int status, std::string_view reason, duration retry_after);
@@ -158,6 +159,8 @@
     std::map<std::string, std::unique_ptr<service_state>, std::less<>> services_;
     std::set<std::pair<instant, exchange_id>> deadlines_;
     call_id last_call_ = 0;
+    /// Time of the latest event.
+    instant latest_{};
     router_counters counters_;
 };
 
--- a/packages/gateway/include/hemlocknotch/gateway/router_port.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router_port.hpp
@@ -2,6 +2,7 @@
 
 #include <hemlocknotch/core/endpoint_address.hpp>
 #include <hemlocknotch/core/log_record.hpp>
+#include <hemlocknotch/core/metric_effect.hpp>
 #include <hemlocknotch/gateway/request_fields.hpp>
 #include <hemlocknotch/gateway/waiting_line.hpp>
 
@@ -81,6 +82,8 @@
     /// Closes the caller's connection so that what was sent cannot be taken for a whole answer.
     virtual void abort(exchange_id exchange) = 0;
 
+    virtual void record(const metric_effect& metric) = 0;
+
     /// Returns whether a line of `level` would be written now; what is left out is counted.
     virtual bool wants_log(log_level level) = 0;
     virtual void write_log(const log_effect& record) = 0;
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -225,6 +225,7 @@
 
 void router::on_request(exchange_id id, std::shared_ptr<const caller_request> request, instant now)
 {
+    latest_ = now;
     ++counters_.requests;
     auto made = std::make_unique<exchange>();
     auto& it = *made;
@@ -452,6 +453,7 @@
 
 void router::on_caller_gone(exchange_id id, instant now)
 {
+    latest_ = now;
     const auto found = exchanges_.find(id);
     if (found == exchanges_.end()) {
         return;
@@ -469,6 +471,7 @@
 
 void router::on_head(call_id call, answer_head head, const answer_fields& fields, instant now)
 {
+    latest_ = now;
     auto* it = find_by_call(call);
     if (it == nullptr) {
         return;
@@ -486,12 +489,13 @@
 
 void router::on_part(call_id call, std::string_view bytes, instant now)
 {
+    latest_ = now;
     auto* it = find_by_call(call);
     if (it == nullptr || !it->head) {
         return;
     }
     if (it->is_stream) {
-        pass_stream(*it, bytes);
+        pass_stream(*it, bytes, now);
         if (it->pending > 0.0 && it->is_begun) {
             take_prompt_read(*it, now);
             offer_waiting(now);
@@ -505,7 +509,7 @@
     }
 }
 
-void router::pass_stream(exchange& it, std::string_view bytes)
+void router::pass_stream(exchange& it, std::string_view bytes, instant now)
 {
     const auto whole = it.events.take(bytes);
     if (whole.empty()) {
@@ -513,6 +517,7 @@
     }
     if (!it.is_begun) {
         it.is_begun = true;
+        record_time(it, "hemlocknotch_first_byte_seconds", now);
         port_.begin_stream(it.id, *it.head);
     }
     port_.send_part(it.id, whole);
@@ -520,6 +525,7 @@
 
 void router::on_end(call_id call, call_outcome outcome, instant now)
 {
+    latest_ = now;
     auto* found = find_by_call(call);
     if (found == nullptr) {
         return;
@@ -566,6 +572,8 @@
             it.body = std::move(body);
         }
         ++counters_.answered;
+        record_time(it, "hemlocknotch_first_byte_seconds", now);
+        record_time(it, "hemlocknotch_request_seconds", now);
         log_end(it, status, "answered", is_failure ? log_level::warning : log_level::debug);
         port_.reply(it.id, *it.head, it.body);
         finish_call(it, now);
@@ -584,6 +592,7 @@
     }
     port_.end_stream(it.id);
     ++counters_.answered;
+    record_time(it, "hemlocknotch_request_seconds", now);
     log_end(it, it.head->status, "answered", log_level::debug);
     finish_call(it, now);
     erase(it.id);
@@ -704,6 +713,7 @@
 
 void router::on_time(instant now)
 {
+    latest_ = now;
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
         const auto id = deadlines_.begin()->second;
         deadlines_.erase(deadlines_.begin());
@@ -782,6 +792,7 @@
 void router::refuse(exchange& it, int status, std::string_view reason, duration retry_after)
 {
     ++counters_.refused;
+    port_.record({metric_kind::counter, "hemlocknotch_refusals_total", "code", std::string{reason}, 1.0});
     reply_own(it, status, reason, retry_after);
 }
 
@@ -810,16 +821,28 @@
     erase(it.id);
 }
 
+void router::record_time(const exchange& it, std::string_view name, instant now)
+{
+    port_.record({metric_kind::histogram, name, "route", it.matched->name,
+                  std::chrono::duration<double>(now - it.arrived).count()});
+}
+
 void router::log_end(const exchange& it, int status, std::string_view reason, log_level level)
 {
     if (!port_.wants_log(level)) {
         return;
     }
     const auto version = configuration_ ? configuration_->version() : 0;
+    const auto held = std::chrono::duration_cast<milliseconds>(latest_ - it.arrived);
+    const auto service = services_.find(it.service);
+    const auto waiting = service == services_.end() ? 0 : service->second->line.size();
     port_.write_log({level,
                      "request-ended",
                      {{"request", std::string{it.id_text()}},
                       {"status", std::to_string(status)},
+                      {"held_ms", std::to_string(held.count())},
+                      {"standing", std::string{to_string(it.place.standing)}},
+                      {"waiting", std::to_string(waiting)},
                       {"reason", std::string{reason}},
                       {"route", it.matched == nullptr ? "" : it.matched->name},
                       {"account", it.account},
--- a/packages/gateway/tests/recording_port.hpp
+++ b/packages/gateway/tests/recording_port.hpp
@@ -56,6 +56,8 @@
 
     void abort(exchange_id exchange) override { answers[exchange].is_aborted = true; }
 
+    void record(const metric_effect& metric) override { metrics.push_back(metric); }
+
     bool wants_log(log_level /*level*/) override { return true; }
 
     void write_log(const log_effect& record) override { lines.push_back(record); }
@@ -64,6 +66,7 @@
     std::set<call_id> cancelled;
     std::map<exchange_id, seen_answer> answers;
     std::vector<log_effect> lines;
+    std::vector<metric_effect> metrics;
 };
 
 } // namespace hemlocknotch::gateway
