Tell a return that follows a lapse in one answer; spill small shared parts

Cause: a lapse and the registration that followed it came in one answer; the lapse was told as news and the registration, equal to what was known before the lapse, was not. Ruled out: the grace (all four applied it) and lost datagrams (one teller, three that agree). News are now measured against what was told before them, and carry a hash of the keys that the teller knows; a gateway that differs reads everything. Placing: a shared part whose reading costs less than the wait may be read at three further endpoints.

--- a/packages/daemon/src/gateway/gateway_settings.cpp
+++ b/packages/daemon/src/gateway/gateway_settings.cpp
@@ -134,6 +134,10 @@
     auto& placement = out.placement;
     placement.fanout = static_cast<std::size_t>(
         reader.number("/placement/fanout", static_cast<double>(placement.fanout), 1.0));
+    placement.spill_endpoints = static_cast<std::size_t>(
+        reader.number("/placement/spill_endpoints", static_cast<double>(placement.spill_endpoints), 0.0));
+    placement.spill_factor = reader.number("/placement/spill_factor", placement.spill_factor, 0.0);
+    placement.spill_seconds = reader.number("/placement/spill_seconds", placement.spill_seconds, 0.0);
     placement.window_seconds = reader.number("/placement/window_seconds", placement.window_seconds, 0.0);
     placement.rate_factor = reader.number("/placement/rate_factor", placement.rate_factor, 0.0);
     placement.excess_window_seconds =
--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -96,6 +96,12 @@
         next_.start(duration::zero());
         return;
     }
+    if (view_.revision() == news.to_revision && view_.digest() != news.digest) {
+        log_({log_level::warning, "registry-views-differ", {{"gateway", news.gateway}}});
+        needs_whole_ = true;
+        next_.start(duration::zero());
+        return;
+    }
     current_as_of_ = std::max(current_as_of_, now - news.age);
     if (failed_since_ == instant::max()) {
         schedule();
@@ -151,27 +157,27 @@
     note_answer();
     needs_whole_ = false;
     current_as_of_ = std::max(current_as_of_, asked_at);
-    if (!is_whole) {
-        tell(answer, asked_at);
-    }
+    const auto from = view_.revision();
+    auto news = is_whole ? std::vector<gateway::told_change>{} : view_.news_of(answer.changes);
     const auto difference = is_whole ? view_.replace(answer.changes, answer.revision, now_())
                                      : view_.apply(answer.changes, answer.revision, now_());
+    if (!is_whole) {
+        tell(std::move(news), from, asked_at);
+    }
     report(difference);
     schedule();
 }
 
-void registry_follower::tell(const registry_answer& answer, instant asked_at)
+void registry_follower::tell(std::vector<gateway::told_change> changes, std::uint64_t from_revision,
+                             instant asked_at)
 {
     gateway::registry_news news;
     news.gateway = options_.instance;
-    news.from_revision = view_.revision();
-    news.to_revision = answer.revision;
+    news.from_revision = from_revision;
+    news.to_revision = view_.revision();
+    news.digest = view_.digest();
     news.age = now_() - asked_at;
-    for (const auto& it : answer.changes) {
-        if (view_.is_news(it)) {
-            news.changes.push_back({it.key, it.revision, it.is_removed, it.value});
-        }
-    }
+    news.changes = std::move(changes);
     tell_(std::move(news));
 }
 
--- a/packages/daemon/src/gateway/registry_follower.hpp
+++ b/packages/daemon/src/gateway/registry_follower.hpp
@@ -61,7 +61,7 @@
     void note_answer();
     void schedule();
     [[nodiscard]] std::vector<gateway::registry_change> decode(const gateway::registry_news& news) const;
-    void tell(const gateway::registry_answer& answer, instant asked_at);
+    void tell(std::vector<gateway::told_change> changes, std::uint64_t from_revision, instant asked_at);
     void join();
     void keep();
     void report(const gateway::registry_difference& difference);
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -96,8 +96,8 @@
         changes.push_back({std::move(it.key), it.revision, it.is_removed,
                            json::binary({it.value.begin(), it.value.end()})});
     }
-    return json::to_cbor(json{news_tag, news.gateway, news.from_revision, news.to_revision, news.age.count(),
-                              news.is_partial, std::move(changes)});
+    return json::to_cbor(json{news_tag, news.gateway, news.from_revision, news.to_revision, news.digest,
+                              news.age.count(), news.is_partial, std::move(changes)});
 }
 
 std::optional<gateway::registry_news> decode_news(std::span<const std::uint8_t> bytes)
@@ -111,9 +111,10 @@
         out.gateway = value.at(1).get<std::string>();
         out.from_revision = value.at(2).get<std::uint64_t>();
         out.to_revision = value.at(3).get<std::uint64_t>();
-        out.age = duration{value.at(4).get<std::int64_t>()};
-        out.is_partial = value.at(5).get<bool>();
-        for (const auto& it : value.at(6)) {
+        out.digest = value.at(4).get<std::uint64_t>();
+        out.age = duration{value.at(5).get<std::int64_t>()};
+        out.is_partial = value.at(6).get<bool>();
+        for (const auto& it : value.at(7)) {
             const auto& bytes_of = it.at(3).get_binary();
             out.changes.push_back({it.at(0).get<std::string>(), it.at(1).get<std::uint64_t>(),
                                    it.at(2).get<bool>(), std::string{bytes_of.begin(), bytes_of.end()}});
--- a/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
@@ -14,6 +14,12 @@
     /// "The Power of Two Choices in Randomized Load Balancing", 2001); each further one reads each part
     /// again.
     std::size_t fanout = 2;
+    /// Endpoints beyond these, in the same order for all gateways, that may be taken where the wait that is
+    /// saved is longer than reading the shared part again: so many times its tokens, and at least so long at
+    /// the stated rate.
+    std::size_t spill_endpoints = 3;
+    double spill_factor = 8.0;
+    double spill_seconds = 0.2;
     /// Prompt tokens that may be ahead of a request at its endpoint, as time at the stated rate; more are
     /// held by the gateway, where they can still be ordered, refused and placed elsewhere.
     double window_seconds = 0.7;
--- a/packages/gateway/include/hemlocknotch/gateway/registry_news.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_news.hpp
@@ -22,6 +22,8 @@
     /// The changes are all that matter between these revisions, the first left out.
     std::uint64_t from_revision = 0;
     std::uint64_t to_revision = 0;
+    /// Hash of the keys that the teller knows after the changes.
+    std::uint64_t digest = 0;
     /// Time since the registry was asked.
     duration age{};
     /// Some change was too large to be told; the registry has to be read for it.
--- a/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
@@ -33,8 +33,11 @@
     registry_difference replace(std::span<const registry_change> changes, std::uint64_t revision,
                                 instant now);
 
-    /// Returns whether `change` would change more than the age of what is known.
-    [[nodiscard]] bool is_news(const registry_change& change) const;
+    /// Returns those of `changes`, not yet taken, that would change more than the age of what is known.
+    [[nodiscard]] std::vector<told_change> news_of(std::span<const registry_change> changes) const;
+
+    /// Returns a hash of the keys that exist; the same for views that took the same changes.
+    [[nodiscard]] std::uint64_t digest() const;
 
     /// Takes changes in any order, also repeated ones.
     registry_difference apply(std::span<const registry_change> changes, std::uint64_t revision, instant now);
--- a/packages/gateway/src/affinity_placement.cpp
+++ b/packages/gateway/src/affinity_placement.cpp
@@ -37,22 +37,25 @@
     const auto ranked = rank(request.shared_part.value_or(0), endpoints);
     placement out;
     out.has_candidates = !ranked.empty();
-    // Without a shared part no endpoint is better than another.
-    const auto fanout = request.shared_part ? options_.fanout : ranked.size();
     const auto is_within = request.standing == share_standing::within;
     const auto part = request.standing == share_standing::beyond ? options_.beyond_part : 1.0;
     const auto stated = request.endpoint_tokens_per_second;
     const auto window =
         stated * (is_within ? options_.window_seconds : options_.excess_window_seconds * part);
     const auto rate = stated * (is_within ? options_.rate_factor : options_.excess_rate_factor * part);
+    // Elsewhere the shared part is read again, which has to cost less than the wait that it saves.
+    const auto penalty =
+        std::max(options_.spill_seconds * stated, options_.spill_factor * request.shared_tokens);
+    const auto reach = request.shared_part ? options_.fanout + options_.spill_endpoints : ranked.size();
     double least = 0.0;
-    for (std::size_t n = 0; n < std::min(fanout, ranked.size()); ++n) {
+    for (std::size_t n = 0; n < std::min(reach, ranked.size()); ++n) {
         const auto& it = endpoints[ranked[n].second];
-        const auto has_room =
-            it.pending_tokens <= window && it.running < it.slots && it.tokens_per_second <= rate;
-        if (has_room && (!out.endpoint || it.pending_tokens < least)) {
+        const auto is_owner = !request.shared_part || n < options_.fanout;
+        const auto cost = it.pending_tokens + (is_owner ? 0.0 : penalty);
+        const auto has_room = cost <= window && it.running < it.slots && it.tokens_per_second <= rate;
+        if (has_room && (!out.endpoint || cost < least)) {
             out.endpoint = ranked[n].second;
-            least = it.pending_tokens;
+            least = cost;
         }
     }
     return out;
--- a/packages/gateway/src/registry_view.cpp
+++ b/packages/gateway/src/registry_view.cpp
@@ -1,5 +1,7 @@
 #include <hemlocknotch/gateway/registry_view.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace hemlocknotch::gateway {
@@ -56,11 +58,33 @@
     return difference;
 }
 
-bool registry_view::is_news(const registry_change& change) const
+std::vector<told_change> registry_view::news_of(std::span<const registry_change> changes) const
 {
-    const auto known = entries_.find(change.key);
-    return change.is_removed || known == entries_.end() || known->second.gone_at != instant::max() ||
-           !is_same(known->second.item, change.item);
+    std::vector<told_change> out;
+    std::set<std::string_view> told;
+    for (const auto& it : changes) {
+        const auto known = entries_.find(it.key);
+        const auto is_new = known == entries_.end() || known->second.gone_at != instant::max() ||
+                            !is_same(known->second.item, it.item);
+        // What follows a told change of the same key is measured against that change, not against what is
+        // known.
+        if (it.is_removed || is_new || told.contains(it.key)) {
+            told.insert(it.key);
+            out.push_back({it.key, it.revision, it.is_removed, it.value});
+        }
+    }
+    return out;
+}
+
+std::uint64_t registry_view::digest() const
+{
+    std::uint64_t out = 0;
+    for (const auto& [key, it] : entries_) {
+        if (it.gone_at == instant::max()) {
+            out = XXH64(key.data(), key.size(), out);
+        }
+    }
+    return out;
 }
 
 void registry_view::take(const registry_change& change, instant now, registry_difference& difference)
--- a/packages/gateway/tests/share_test.cpp
+++ b/packages/gateway/tests/share_test.cpp
@@ -115,6 +115,7 @@
     auto loads = make_loads({"a", "b", "c", "d", "e"});
     placement_request request;
     request.shared_part = 7;
+    request.shared_tokens = 500.0;
     request.endpoint_tokens_per_second = 1000.0;
     const auto first = it.choose(request, loads);
     BOOST_REQUIRE(first.endpoint);
@@ -130,6 +131,12 @@
     // Both are full: the request waits rather than have its part read at a third place.
     BOOST_TEST(!it.choose(request, loads).endpoint.has_value());
     BOOST_TEST(it.choose(request, loads).has_candidates);
+    // A part that is soon read again is no reason to wait; all gateways spill it to the same places.
+    request.shared_tokens = 10.0;
+    const auto spilled = it.choose(request, loads);
+    BOOST_REQUIRE(spilled.endpoint);
+    BOOST_TEST(!used.contains(*spilled.endpoint));
+    BOOST_TEST((it.choose(request, loads).endpoint == spilled.endpoint));
 }
 
 BOOST_AUTO_TEST_CASE(accounts_beyond_their_share_leave_room_for_the_others)
