Keep one copy of header names, socket addresses and header fields

The gateway had its own comparison of header names, list of connection headers, socket addresses and header field beside those of core, wire and the daemon's front.

--- a/packages/daemon/src/caller_headers.cpp
+++ b/packages/daemon/src/caller_headers.cpp
@@ -58,11 +58,6 @@
     own_header_name{own_header::trace, "traceparent"},
 };
 
-char lower(char c)
-{
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-}
-
 bool is_visible_ascii(std::string_view text)
 {
     return std::ranges::all_of(text, [](char c) { return c > ' ' && c <= '~'; });
@@ -167,11 +162,6 @@
 
 } // namespace
 
-bool is_same_header(std::string_view a, std::string_view b)
-{
-    return std::ranges::equal(a, b, {}, lower, lower);
-}
-
 bool is_hop_header(std::string_view name)
 {
     return std::ranges::any_of(hop_headers, [&](auto hop) { return is_same_header(hop, name); });
--- a/packages/daemon/src/caller_headers.hpp
+++ b/packages/daemon/src/caller_headers.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/core/entry_event.hpp>
+#include <hemlocknotch/core/header_name.hpp>
 #include <hemlocknotch/core/message.hpp>
 
 #include <span>
@@ -25,7 +26,4 @@
 /// passed on. Names are case-insensitive.
 bool is_hop_header(std::string_view name);
 
-/// Returns whether two header names are the same; case does not matter.
-bool is_same_header(std::string_view a, std::string_view b);
-
 } // namespace hemlocknotch::daemon
--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -121,7 +121,7 @@
             // The caller's own time limit bounds the body; the idle limit its pauses.
             timer_.start(owner_.limits().idle_timeout);
             const auto expects = std::ranges::any_of(
-                parser_->fields(), [](const auto& it) { return is_same_name(it.name, "Expect"); });
+                parser_->fields(), [](const auto& it) { return is_same_header(it.name, "Expect"); });
             if (expects && !has_sent_continue_) {
                 has_sent_continue_ = true;
                 channel_->send("HTTP/1.1 100 Continue\r\n\r\n");
@@ -150,11 +150,11 @@
     }
     unsigned hosts = 0;
     for (auto& it : parser->fields()) {
-        if (is_same_name(it.name, "Host")) {
+        if (is_same_header(it.name, "Host")) {
             ++hosts;
             request->host = it.value;
         }
-        else if (is_same_name(it.name, "Content-Length") || is_same_name(it.name, "Expect") ||
+        else if (is_same_header(it.name, "Content-Length") || is_same_header(it.name, "Expect") ||
                  owner_.dialect().is_set_by_gateway(it.name)) {
             continue;
         }
--- a/packages/daemon/src/gateway/caller_server.cpp
+++ b/packages/daemon/src/gateway/caller_server.cpp
@@ -1,10 +1,10 @@
 #include "caller_server.hpp"
 
+#include <hemlocknotch/wire/socket_address.hpp>
+
 #include "../start_error.hpp"
 
-#include <arpa/inet.h>
 #include <boost/leaf/error.hpp>
-#include <netinet/in.h>
 #include <unistd.h>
 
 #include <cassert>
@@ -36,28 +36,16 @@
 
 boost::leaf::result<endpoint_address> caller_server::listen(const endpoint_address& address)
 {
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_port = htons(address.port());
-    if (inet_pton(AF_INET, address.host().c_str(), &at.sin_addr) != 1) {
-        return boost::leaf::new_error(
-            start_error{"cannot listen on " + address.to_string(), "Name an IPv4 address."});
-    }
+    const auto at = detail::socket_address::of(address);
     listener_.reset(evconnlistener_new_bind(base_, handle_accept, this,
                                             LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_CLOSE_ON_FREE,
-                                            accept_backlog, reinterpret_cast<sockaddr*>(&at), sizeof at));
+                                            accept_backlog, at.get(), at.length()));
     if (!listener_) {
         return boost::leaf::new_error(
             start_error{"cannot listen on " + address.to_string() + " for callers: " + std::strerror(errno),
                         "Choose an address of this instance and a free port."});
     }
-    socklen_t length = sizeof at;
-    if (getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&at), &length) != 0) {
-        return address;
-    }
-    const auto bound = endpoint_address::parse(address.host() + ":" + std::to_string(ntohs(at.sin_port)));
-    assert(bound);
-    return *bound;
+    return detail::socket_address::bound_to(evconnlistener_get_fd(listener_.get()));
 }
 
 void caller_server::handle_accept(evconnlistener* /*listener*/, evutil_socket_t fd, sockaddr* /*address*/,
--- a/packages/daemon/src/gateway/endpoint_connection.cpp
+++ b/packages/daemon/src/gateway/endpoint_connection.cpp
@@ -163,7 +163,7 @@
     gateway::answer_head head{status, {}};
     head.headers.reserve(fields.size());
     for (auto& it : fields) {
-        if (!is_same_name(it.name, "Content-Length") &&
+        if (!is_same_header(it.name, "Content-Length") &&
             !is_connection_header(it.name, parser_->connection_values())) {
             head.headers.push_back(std::move(it));
         }
@@ -233,7 +233,7 @@
 {
     constexpr std::string_view name = "timeout=";
     for (const auto& it : fields) {
-        const auto place = is_same_name(it.name, "Keep-Alive") ? it.value.find(name) : std::string::npos;
+        const auto place = is_same_header(it.name, "Keep-Alive") ? it.value.find(name) : std::string::npos;
         if (place == std::string::npos) {
             continue;
         }
--- a/packages/daemon/src/gateway/message_parser.cpp
+++ b/packages/daemon/src/gateway/message_parser.cpp
@@ -1,16 +1,10 @@
 #include "message_parser.hpp"
 
-#include <algorithm>
-#include <array>
-#include <cctype>
+#include "../caller_headers.hpp"
 
 namespace hemlocknotch::daemon {
 namespace {
 
-constexpr std::array<std::string_view, 9> connection_headers{
-    "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
-    "trailer",    "transfer-encoding", "upgrade"};
-
 std::string_view trimmed(std::string_view text)
 {
     constexpr std::string_view blanks = " \t";
@@ -23,18 +17,12 @@
 
 } // namespace
 
-bool is_same_name(std::string_view a, std::string_view b)
-{
-    return std::ranges::equal(
-        a, b, [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
-}
-
 bool has_token(const std::vector<std::string>& values, std::string_view token)
 {
     for (std::string_view text : values) {
         while (!text.empty()) {
             const auto comma = text.find(',');
-            if (is_same_name(trimmed(text.substr(0, comma)), token)) {
+            if (is_same_header(trimmed(text.substr(0, comma)), token)) {
                 return true;
             }
             text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
@@ -45,9 +33,7 @@
 
 bool is_connection_header(std::string_view name, const std::vector<std::string>& connection_values)
 {
-    return std::ranges::any_of(connection_headers,
-                               [&](std::string_view it) { return is_same_name(it, name); }) ||
-           has_token(connection_values, name);
+    return is_hop_header(name) || has_token(connection_values, name);
 }
 
 } // namespace hemlocknotch::daemon
--- a/packages/daemon/src/gateway/message_parser.hpp
+++ b/packages/daemon/src/gateway/message_parser.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <hemlocknotch/core/header_name.hpp>
 #include <hemlocknotch/gateway/request_fields.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -14,9 +15,6 @@
 
 namespace hemlocknotch::daemon {
 
-/// Returns whether `a` and `b` are the same header name, in any case.
-bool is_same_name(std::string_view a, std::string_view b);
-
 /// Returns whether `name` concerns one connection only (RFC 9110, section 7.6.1), or one of those that
 /// `connection_values` (values of Connection headers) names.
 bool is_connection_header(std::string_view name, const std::vector<std::string>& connection_values);
@@ -72,7 +70,7 @@
     {
         return length_count_ > 1 || (length_count_ > 0 && !coding_values_.empty()) ||
                coding_values_.size() > 1 ||
-               (coding_values_.size() == 1 && !is_same_name(coding_values_.front(), "chunked"));
+               (coding_values_.size() == 1 && !is_same_header(coding_values_.front(), "chunked"));
     }
 
 private:
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -1,10 +1,10 @@
 #include "report_exchange.hpp"
 
+#include <hemlocknotch/wire/socket_address.hpp>
+
 #include "../start_error.hpp"
 
-#include <arpa/inet.h>
 #include <boost/leaf/error.hpp>
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -29,14 +29,6 @@
 /// Datagrams read in one turn, so that a flood leaves time for requests.
 constexpr int max_reads = 64;
 
-bool to_sockaddr(const endpoint_address& address, sockaddr_in& out)
-{
-    out = {};
-    out.sin_family = AF_INET;
-    out.sin_port = htons(address.port());
-    return inet_pton(AF_INET, address.host().c_str(), &out.sin_addr) == 1;
-}
-
 /// Rounds to whole tokens, which take less space.
 std::uint64_t whole(double value)
 {
@@ -142,10 +134,9 @@
 
 boost::leaf::result<void> report_exchange::listen(const endpoint_address& address)
 {
-    sockaddr_in at{};
+    const auto at = detail::socket_address::of(address);
     fd_ = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd_ < 0 || !to_sockaddr(address, at) ||
-        ::bind(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) {
+    if (fd_ < 0 || ::bind(fd_, at.get(), static_cast<socklen_t>(at.length())) != 0) {
         return boost::leaf::new_error(start_error{"cannot listen on " + address.to_string() +
                                                       " for other gateways: " + std::strerror(errno),
                                                   "Choose an address of this instance and a free port."});
@@ -170,12 +161,10 @@
                                  std::span<const endpoint_address> addresses) const
 {
     for (const auto& it : addresses) {
-        sockaddr_in to{};
-        if (to_sockaddr(it, to)) {
-            // What is not taken is made up for by the next report, or by a read of one's own.
-            static_cast<void>(::sendto(fd_, bytes.data(), bytes.size(), 0,
-                                       reinterpret_cast<const sockaddr*>(&to), sizeof to));
-        }
+        const auto to = detail::socket_address::of(it);
+        // What is not taken is made up for by the next report, or by a read of one's own.
+        static_cast<void>(
+            ::sendto(fd_, bytes.data(), bytes.size(), 0, to.get(), static_cast<socklen_t>(to.length())));
     }
 }
 
--- a/packages/daemon/src/gateway/socket_channel.cpp
+++ b/packages/daemon/src/gateway/socket_channel.cpp
@@ -1,6 +1,7 @@
 #include "socket_channel.hpp"
 
-#include <arpa/inet.h>
+#include <hemlocknotch/wire/socket_address.hpp>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -39,14 +40,6 @@
     set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, silence_limit_ms);
 }
 
-bool to_sockaddr(const endpoint_address& address, sockaddr_in& out)
-{
-    out = {};
-    out.sin_family = AF_INET;
-    out.sin_port = htons(address.port());
-    return inet_pton(AF_INET, address.host().c_str(), &out.sin_addr) == 1;
-}
-
 } // namespace
 
 std::shared_ptr<socket_channel> socket_channel::adopt(event_base* base, int fd, channel_sink& sink)
@@ -60,17 +53,14 @@
 std::shared_ptr<socket_channel> socket_channel::connect(event_base* base, const endpoint_address& address,
                                                         std::chrono::milliseconds limit, channel_sink& sink)
 {
-    sockaddr_in to{};
-    if (!to_sockaddr(address, to)) {
-        return nullptr;
-    }
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const auto to = detail::socket_address::of(address);
+    const int fd = ::socket(to.get()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0) {
         return nullptr;
     }
     std::shared_ptr<socket_channel> out{new socket_channel{base, fd, sink, false}};
     set_options(fd);
-    if (::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 && errno != EINPROGRESS) {
+    if (::connect(fd, to.get(), static_cast<socklen_t>(to.length())) != 0 && errno != EINPROGRESS) {
         return nullptr;
     }
     out->wait_for_connection(limit);
--- a/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <hemlocknotch/core/message.hpp>
 #include <hemlocknotch/core/time.hpp>
 
 #include <cstdint>
@@ -10,11 +11,7 @@
 
 namespace hemlocknotch::gateway {
 
-/// One header of a message.
-struct header_field {
-    std::string name;
-    std::string value;
-};
+using hemlocknotch::header_field;
 
 /// One part of a prompt. A part that several prompts begin with is read once where it is kept.
 struct prompt_part {
--- a/packages/wire/src/socket_address.cpp
+++ b/packages/wire/src/socket_address.cpp
@@ -1,4 +1,4 @@
-#include "socket_address.hpp"
+#include <hemlocknotch/wire/socket_address.hpp>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/packages/wire/src/websocket_link.cpp
+++ b/packages/wire/src/websocket_link.cpp
@@ -2,8 +2,7 @@
 
 #include <hemlocknotch/wire/link_factory.hpp>
 #include <hemlocknotch/wire/message_codec.hpp>
-
-#include "socket_address.hpp"
+#include <hemlocknotch/wire/socket_address.hpp>
 
 #include <event2/buffer.h>
 #include <event2/util.h>
--- a/packages/wire/src/websocket_link_factory.cpp
+++ b/packages/wire/src/websocket_link_factory.cpp
@@ -1,7 +1,7 @@
 #include <hemlocknotch/wire/link_factory.hpp>
+#include <hemlocknotch/wire/socket_address.hpp>
 
 #include "event_pointers.hpp"
-#include "socket_address.hpp"
 #include "websocket_link.hpp"
 
 #include <event2/listener.h>
