--- a/packages/daemon/tests/caller_server_test.cpp
+++ b/packages/daemon/tests/caller_server_test.cpp
@@ -230,13 +230,14 @@
         }
         bodies.push_back(body);
         if (random() % 2 == 0) {
-            all += head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            all.append(head).append("Content-Length: ").append(std::to_string(body.size()));
+            all.append("\r\n\r\n").append(body);
             continue;
         }
         all += head + "Transfer-Encoding: chunked\r\n\r\n";
         for (std::size_t place = 0; place < body.size();) {
             const auto size = std::min<std::size_t>(1 + random() % 9, body.size() - place);
-            all += std::to_string(size) + "\r\n" + body.substr(place, size) + "\r\n";
+            all.append(std::to_string(size)).append("\r\n").append(body, place, size).append("\r\n");
             place += size;
         }
         all += "0\r\n\r\n";
