--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <hemlocknotch/gateway/endpoint_table.hpp>
-#include <hemlocknotch/gateway/event_splitter.hpp>
 #include <hemlocknotch/gateway/fleet_report.hpp>
 #include <hemlocknotch/gateway/placement_policy.hpp>
 #include <hemlocknotch/gateway/retry_allowance.hpp>
@@ -22,6 +21,11 @@
 
 namespace hemlocknotch::gateway {
 
+class call_table;
+class service_admission;
+struct exchange;
+struct unserved_end;
+
 /// Settings of the router.
 struct router_options {
     retry_bound retries;
@@ -114,19 +118,12 @@
 
     [[nodiscard]] const router_counters& counters() const { return counters_; }
 
-    [[nodiscard]] endpoint_table& endpoints() { return endpoints_; }
-
 private:
-    struct exchange;
-    struct service_state;
-
-    service_state& service_of(std::string_view name);
+    service_admission& service_of(std::string_view name);
     void admit(exchange& it, instant now);
     bool try_send(exchange& it, instant now);
     void offer_waiting(instant now);
     void send(exchange& it, endpoint_state& endpoint, instant now);
-    void finish_call(exchange& it, instant now);
-    void take_prompt_read(exchange& it, instant now);
     void wait_or_refuse(exchange& it, instant now);
     void handle_failure(exchange& it, call_outcome outcome, instant now);
     bool may_send_again(const exchange& it, bool was_executed) const;
@@ -134,6 +131,7 @@
     void pass_stream(exchange& it, std::string_view bytes, instant now);
     void record_time(const exchange& it, std::string_view name, instant now);
     void finish_stream(exchange& it, instant now);
+    void end_unserved(exchange& it, const unserved_end& end, bool may_have_run);
     void refuse(exchange& it, int status, std::string_view reason, duration retry_after);
     void reply_own(exchange& it, int status, std::string_view reason, duration retry_after);
     void expire(exchange& it, instant now);
@@ -141,8 +139,6 @@
     void erase(exchange_id id);
     void count_unheard();
     exchange* find_by_call(call_id call);
-    [[nodiscard]] duration estimated_wait(service_state& service, const exchange& it, instant now) const;
-    [[nodiscard]] share_standing standing_of(service_state& service, const exchange& it, instant now) const;
 
     router_options options_;
     const placement_policy& model_placement_;
@@ -155,10 +151,9 @@
     /// Gateways whose reports are current.
     std::set<std::string, std::less<>> heard_;
     std::unordered_map<exchange_id, std::unique_ptr<exchange>> exchanges_;
-    std::unordered_map<call_id, exchange_id> calls_;
-    std::map<std::string, std::unique_ptr<service_state>, std::less<>> services_;
+    std::unique_ptr<call_table> calls_;
+    std::map<std::string, std::unique_ptr<service_admission>, std::less<>> services_;
     std::set<std::pair<instant, exchange_id>> deadlines_;
-    call_id last_call_ = 0;
     /// Time of the latest event.
     instant latest_{};
     router_counters counters_;
--- /dev/null
+++ b/packages/gateway/src/call_table.cpp
@@ -0,0 +1,84 @@
+#include "call_table.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+
+namespace hemlocknotch::gateway {
+namespace {
+
+/// Parts that are remembered of each endpoint; bounds memory.
+constexpr std::size_t max_kept_parts = 4096;
+/// A part that was not used for so long counts as gone from its endpoint.
+constexpr duration kept_part_life = std::chrono::seconds{60};
+
+} // namespace
+
+void call_table::begin(exchange& it, endpoint_state& endpoint, instant now)
+{
+    assert(it.call == 0);
+    it.call = ++last_call_;
+    it.instance = endpoint.record.instance;
+    calls_.emplace(it.call, it.id);
+    ++endpoint.running;
+    if (it.is_model) {
+        add_prompt(it, endpoint, now);
+    }
+    if (endpoint.gate && endpoint.cold_until > now) {
+        endpoint.gate->on_send(now);
+    }
+}
+
+void call_table::add_prompt(exchange& it, endpoint_state& endpoint, instant now) const
+{
+    it.pending = it.place.prompt_tokens;
+    if (it.place.shared_part) {
+        auto& parts = endpoint.kept_parts;
+        const auto kept = parts.find(*it.place.shared_part);
+        if (kept != parts.end() && now - kept->second < kept_part_life) {
+            it.pending -= it.place.shared_tokens;
+        }
+        if (parts.size() >= max_kept_parts) {
+            parts.clear();
+        }
+        parts.insert_or_assign(*it.place.shared_part, now);
+    }
+    endpoint.pending_tokens += it.pending;
+    endpoint.sent_tokens.add(it.pending + output_weight_ * it.place.output_tokens, now);
+}
+
+void call_table::note_prompt_read(exchange& it)
+{
+    if (it.pending <= 0.0) {
+        return;
+    }
+    if (auto* endpoint = endpoints_.find(it.instance)) {
+        endpoint->pending_tokens = std::max(0.0, endpoint->pending_tokens - it.pending);
+    }
+    it.pending = 0.0;
+}
+
+void call_table::finish(exchange& it)
+{
+    if (it.call == 0) {
+        return;
+    }
+    note_prompt_read(it);
+    if (auto* endpoint = endpoints_.find(it.instance); endpoint != nullptr && endpoint->running > 0) {
+        --endpoint->running;
+    }
+    calls_.erase(it.call);
+    it.call = 0;
+    it.silent_at = instant::max();
+    it.head.reset();
+    it.is_stream = false;
+    it.body.clear();
+}
+
+exchange_id call_table::exchange_of(call_id call) const
+{
+    const auto it = calls_.find(call);
+    return it == calls_.end() ? 0 : it->second;
+}
+
+} // namespace hemlocknotch::gateway
--- /dev/null
+++ b/packages/gateway/src/service_admission.cpp
@@ -0,0 +1,91 @@
+#include "service_admission.hpp"
+
+#include <algorithm>
+
+namespace hemlocknotch::gateway {
+namespace {
+
+/// Time between two computations of the fair level; a fraction of the time in which demand changes.
+constexpr duration level_interval = std::chrono::milliseconds{50};
+/// Time over which the rate of sending is averaged.
+constexpr duration rate_memory = std::chrono::seconds{1};
+/// Part of its time that a request of a plain service may wait; its work takes a small part of it.
+constexpr int plain_wait_part = 2;
+
+} // namespace
+
+service_admission::service_admission(const router_options& options, std::size_t gateways)
+    : options_{options}, line_{meter_}, retries_{options.retries, gateways}, sent_{rate_memory}
+{
+}
+
+void service_admission::note_asked(const exchange& it, instant now)
+{
+    retries_.on_request();
+    meter_.note_asked(it.account, it.cost, now);
+}
+
+void service_admission::note_sent(const exchange& it, instant now)
+{
+    meter_.note_given(it.account, it.cost, now);
+    sent_.add(it.cost, now);
+}
+
+double service_admission::endpoint_rate(const routing_configuration& configuration, std::size_t endpoints)
+{
+    most_endpoints_ = std::max(most_endpoints_, endpoints);
+    const auto stated = configuration.document().tokens_per_second;
+    return stated > 0.0 && most_endpoints_ > 0 ? stated / static_cast<double>(most_endpoints_)
+                                               : options_.default_endpoint_rate;
+}
+
+share_standing service_admission::standing_of(const exchange& it, instant now)
+{
+    const auto capacity = it.configuration->document().tokens_per_second * options_.share_capacity;
+    if (!it.is_model || capacity <= 0.0) {
+        return share_standing::within;
+    }
+    if (now - level_at_ >= level_interval) {
+        fair_level_ = meter_.fair_level(capacity, now);
+        const auto present = std::max(capacity, meter_.total_given(now) * options_.present_headroom);
+        present_level_ = meter_.fair_level(present, now);
+        level_at_ = now;
+    }
+    const auto given = meter_.rates_of(it.account, now).given;
+    if (given <= fair_level_) {
+        return share_standing::within;
+    }
+    return given <= present_level_ ? share_standing::excess : share_standing::beyond;
+}
+
+duration service_admission::estimated_wait(const exchange& it, instant now) const
+{
+    if (line_.is_empty() || now - backlogged_since_ < options_.backlog_time) {
+        return duration::zero();
+    }
+    const auto ahead = line_.tokens_ahead(it.account, it.cost, now);
+    const auto rate = sent_.per_second(now);
+    if (ahead <= 0.0 || rate <= 0.0) {
+        return duration::zero();
+    }
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>{ahead / rate});
+}
+
+instant service_admission::send_by(const exchange& it, instant now)
+{
+    const auto is_within = standing_of(it, now) == share_standing::within;
+    const auto share = is_within ? options_.wait_share : options_.excess_wait_share;
+    const auto longest = it.is_model ? std::chrono::duration_cast<duration>(it.objective() * share)
+                                     : (it.ends_at - it.arrived) / plain_wait_part;
+    return std::min(it.arrived + longest, it.ends_at);
+}
+
+void service_admission::add_waiting(const exchange& it, unsigned priority, instant send_by, instant now)
+{
+    if (line_.is_empty()) {
+        backlogged_since_ = now;
+    }
+    line_.add(it.account, {it.id, it.cost, priority, send_by});
+}
+
+} // namespace hemlocknotch::gateway
