--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -67,6 +67,11 @@
     /// Shortest and longest suspicion; it doubles with each failure in a row.
     static constexpr duration min_suspicion = std::chrono::milliseconds{250};
     static constexpr duration max_suspicion = std::chrono::seconds{2};
+    /// How long an endpoint is left alone after it said that it is full: about the time of one short answer.
+    static constexpr duration full_pause = std::chrono::milliseconds{50};
+    /// How long an address is left alone after another instance answered there; the registry says more by
+    /// then.
+    static constexpr duration misdirected_pause = std::chrono::seconds{3};
 
     /// `seed` is drawn by each gateway for itself.
     explicit endpoint_table(std::uint64_t seed) : seed_{seed} {}
@@ -103,8 +108,8 @@
     void note_success(endpoint_state& endpoint);
     void note_failure(endpoint_state& endpoint, bool was_reached, instant now);
 
-    /// Keeps requests from `endpoint` until `until`.
-    static void suspect(endpoint_state& endpoint, instant until);
+    /// The endpoint said that it has not executed a request: it is full, or another one has its address.
+    static void note_rejection(endpoint_state& endpoint, bool is_misdirected, instant now);
 
     /// Returns when the next cold endpoint takes a request, or a suspicion ends; `instant::max()` where
     /// nothing is held back.
@@ -116,6 +121,7 @@
     }
 
 private:
+    static void suspect(endpoint_state& endpoint, instant until);
     static void trust_where_most_are_suspected(const std::vector<bool>& takes,
                                                std::span<endpoint_state* const> states,
                                                std::span<endpoint_load> loads);
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -16,14 +16,17 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace hemlocknotch::gateway {
 
 class call_table;
+class caller_answers;
+class exchange_table;
+class fleet_reports;
 class service_admission;
 struct exchange;
+struct exchange_context;
 struct unserved_end;
 
 /// Settings of the router.
@@ -114,9 +117,9 @@
 
     [[nodiscard]] bool has_configuration() const { return configuration_ != nullptr; }
 
-    [[nodiscard]] std::size_t exchange_count() const { return exchanges_.size(); }
+    [[nodiscard]] std::size_t exchange_count() const;
 
-    [[nodiscard]] const router_counters& counters() const { return counters_; }
+    [[nodiscard]] const router_counters& counters() const;
 
 private:
     service_admission& service_of(std::string_view name);
@@ -128,16 +131,12 @@
     void handle_failure(exchange& it, call_outcome outcome, instant now);
     bool may_send_again(const exchange& it, bool was_executed) const;
     bool try_again(exchange& it, bool was_executed, instant now);
-    void pass_stream(exchange& it, std::string_view bytes, instant now);
-    void record_time(const exchange& it, std::string_view name, instant now);
     void finish_stream(exchange& it, instant now);
-    void end_unserved(exchange& it, const unserved_end& end, bool may_have_run);
-    void refuse(exchange& it, int status, std::string_view reason, duration retry_after);
-    void reply_own(exchange& it, int status, std::string_view reason, duration retry_after);
+    void end_unserved(exchange& it, const unserved_end& end, bool may_have_run, instant now);
+    void refuse(exchange& it, int status, std::string_view reason, duration retry_after, instant now);
     void expire(exchange& it, instant now);
-    void log_end(const exchange& it, int status, std::string_view reason, log_level level);
-    void erase(exchange_id id);
-    void count_unheard();
+    void erase(const exchange& it);
+    [[nodiscard]] exchange_context context_of(const exchange& it, instant now) const;
     exchange* find_by_call(call_id call);
 
     router_options options_;
@@ -147,16 +146,11 @@
     std::shared_ptr<const routing_configuration> configuration_;
     std::vector<endpoint_record> records_;
     endpoint_table endpoints_;
-    std::size_t gateways_ = 1;
-    /// Gateways whose reports are current.
-    std::set<std::string, std::less<>> heard_;
-    std::unordered_map<exchange_id, std::unique_ptr<exchange>> exchanges_;
+    std::unique_ptr<fleet_reports> reports_;
+    std::unique_ptr<exchange_table> exchanges_;
+    std::unique_ptr<caller_answers> answers_;
     std::unique_ptr<call_table> calls_;
     std::map<std::string, std::unique_ptr<service_admission>, std::less<>> services_;
-    std::set<std::pair<instant, exchange_id>> deadlines_;
-    /// Time of the latest event.
-    instant latest_{};
-    router_counters counters_;
 };
 
 } // namespace hemlocknotch::gateway
--- /dev/null
+++ b/packages/gateway/src/caller_answers.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <hemlocknotch/gateway/router.hpp>
+#include <hemlocknotch/gateway/router_port.hpp>
+
+#include "exchange.hpp"
+#include "exchange_lines.hpp"
+#include "unserved_end.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace hemlocknotch::gateway {
+
+/// What is known of the gateway when a request ends.
+struct exchange_context {
+    instant now;
+    /// Requests that wait for the same service.
+    std::size_t waiting = 0;
+    /// Version of the configuration in force; 0: none.
+    std::uint64_t configuration_version = 0;
+};
+
+/// Tells callers how their requests end, and logs and counts it. Changes no request. Used by one thread at a
+/// time.
+class caller_answers {
+public:
+    /// `port` must outlive the object.
+    explicit caller_answers(router_port& port) : port_{port} {}
+
+    /// Passes on an endpoint's whole answer.
+    void pass_whole(const exchange& it, const exchange_context& context);
+    /// Passes on whole events of a stream, the first ones with its head.
+    void pass_events(exchange& it, std::string_view events, instant now);
+    /// Ends a stream as complete.
+    void end_stream(const exchange& it, const exchange_context& context);
+
+    /// Says that the request has not run and never will, and when to come back; zero: not.
+    void refuse(const exchange& it, int status, std::string_view reason, duration retry_after,
+                const exchange_context& context);
+    /// Ends a request that could not be served.
+    void end_unserved(const exchange& it, const unserved_end& end, bool may_have_run,
+                      const exchange_context& context);
+    /// The caller has left.
+    void note_left(const exchange& it, const exchange_context& context);
+
+    [[nodiscard]] router_counters& counters() { return counters_; }
+
+    [[nodiscard]] const router_counters& counters() const { return counters_; }
+
+private:
+    void reply_own(const exchange& it, int status, std::string_view reason, duration retry_after,
+                   const exchange_context& context);
+    void record_time(const exchange& it, std::string_view name, instant now);
+    void log_end(const exchange& it, int status, std::string_view reason, log_level level,
+                 const exchange_context& context);
+
+    router_port& port_;
+    router_counters counters_;
+};
+
+} // namespace hemlocknotch::gateway
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -167,6 +167,11 @@
     suspect(endpoint, now + std::min<duration>(max_suspicion, min_suspicion * (1LL << doublings)));
 }
 
+void endpoint_table::note_rejection(endpoint_state& endpoint, bool is_misdirected, instant now)
+{
+    suspect(endpoint, now + (is_misdirected ? misdirected_pause : full_pause));
+}
+
 void endpoint_table::suspect(endpoint_state& endpoint, instant until)
 {
     endpoint.suspected_until = std::max(endpoint.suspected_until, until);
