--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -129,7 +129,8 @@
     void send(exchange& it, endpoint_state& endpoint, instant now);
     void wait_or_refuse(exchange& it, instant now);
     void handle_failure(exchange& it, call_outcome outcome, instant now);
-    bool may_send_again(const exchange& it, bool was_executed) const;
+    void take_rejection(exchange& it, instant now);
+    void take_whole_answer(exchange& it, instant now);
     bool try_again(exchange& it, bool was_executed, instant now);
     void finish_stream(exchange& it, instant now);
     void end_unserved(exchange& it, const unserved_end& end, bool may_have_run, instant now);
--- a/packages/gateway/src/call_table.cpp
+++ b/packages/gateway/src/call_table.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-void call_table::begin(exchange& it, endpoint_state& endpoint, instant now)
+call_start call_table::begin(exchange& it, endpoint_state& endpoint, std::size_t gateways, instant now)
 {
     assert(it.call == 0);
     it.call = ++last_call_;
@@ -27,6 +27,18 @@
     if (endpoint.gate && endpoint.cold_until > now) {
         endpoint.gate->on_send(now);
     }
+    const auto& resumed = it.events.last_id();
+    const auto* service = it.configuration->find_service(it.service);
+    return {.call = it.call,
+            .request = it.request,
+            .address = endpoint.record.address,
+            .instance = it.instance,
+            .account = it.account,
+            .remaining = it.ends_at - now,
+            .resume_after = resumed.empty() ? it.request->fields.last_event_id : resumed,
+            .is_unrepeatable = !it.is_repeatable(),
+            .max_connections =
+                service == nullptr ? 0U : service->max_connections / static_cast<unsigned>(gateways)};
 }
 
 void call_table::add_prompt(exchange& it, endpoint_state& endpoint, instant now) const
--- a/packages/gateway/src/call_table.hpp
+++ b/packages/gateway/src/call_table.hpp
@@ -4,6 +4,7 @@
 
 #include "exchange.hpp"
 
+#include <cstddef>
 #include <unordered_map>
 
 namespace hemlocknotch::gateway {
@@ -17,8 +18,9 @@
     {
     }
 
-    /// Begins a call of `it` to `endpoint`, which is one of the table's. Precondition: it has none.
-    void begin(exchange& it, endpoint_state& endpoint, instant now);
+    /// Begins a call of `it` to `endpoint`, which is one of the table's and is shared by `gateways` gateways,
+    /// and returns what is to be sent. Precondition: `it` has no call.
+    call_start begin(exchange& it, endpoint_state& endpoint, std::size_t gateways, instant now);
 
     /// The endpoint has read the prompt of the call under way.
     void note_prompt_read(exchange& it);
--- a/packages/gateway/src/exchange.hpp
+++ b/packages/gateway/src/exchange.hpp
@@ -18,6 +18,9 @@
 struct exchange {
     /// Objective of routes that state none.
     static constexpr duration default_objective = std::chrono::seconds{1};
+    /// Most sends of one request, those included that reached nothing. Bounds the work for one request while
+    /// endpoints are down.
+    static constexpr unsigned max_sends = 5;
 
     exchange_id id = 0;
     std::shared_ptr<const caller_request> request;
@@ -65,6 +68,14 @@
                (matched->kind == request_kind::streaming && matched->is_resumable);
     }
 
+    /// Returns whether it may go to another endpoint after a call in which it may have been executed, or was
+    /// not.
+    [[nodiscard]] bool may_send_again(bool was_executed) const
+    {
+        return sends < max_sends &&
+               (!was_executed || (is_repeatable() && executions + 1 < matched->max_attempts));
+    }
+
     [[nodiscard]] std::string_view id_text() const { return request->fields.id; }
 };
 
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -25,11 +25,9 @@
 constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
 constexpr int status_misdirected = 421;
+constexpr int first_server_error = 500;
 constexpr int status_unavailable = 503;
 
-/// Most sends of one request, those included that reached nothing. Bounds the work for one request while
-/// endpoints are down.
-constexpr unsigned max_sends = 5;
 /// A request with less time left is not sent again: no endpoint would finish it.
 constexpr duration min_remaining = milliseconds{20};
 /// Limit of requests that state none.
@@ -193,26 +191,13 @@
     it.is_waiting = false;
     ++it.sends;
     ++answers_->counters().sends;
-    calls_->begin(it, endpoint, now);
+    const auto start = calls_->begin(it, endpoint, reports_->gateways(), now);
     service_of(it.service).note_sent(it, now);
     if (it.matched->kind == request_kind::safe && it.executions + 1 < it.matched->max_attempts) {
         it.silent_at = now + std::chrono::duration_cast<duration>(it.objective() * silent_objectives);
         exchanges_->add_deadline(it, it.silent_at);
     }
-    const auto& resumed = it.events.last_id();
-    const auto* definition = it.configuration->find_service(it.service);
-    port_.start_call(
-        {.call = it.call,
-         .request = it.request,
-         .address = endpoint.record.address,
-         .instance = it.instance,
-         .account = it.account,
-         .remaining = it.ends_at - now,
-         .resume_after = resumed.empty() ? it.request->fields.last_event_id : resumed,
-         .is_unrepeatable = !it.is_repeatable(),
-         .max_connections = definition == nullptr
-                                ? 0U
-                                : definition->max_connections / static_cast<unsigned>(reports_->gateways())});
+    port_.start_call(start);
 }
 
 void router::offer_waiting(instant now)
@@ -293,48 +278,54 @@
         handle_failure(it, outcome == call_outcome::complete ? call_outcome::broken : outcome, now);
         return;
     }
-    auto* endpoint = endpoints_.find(it.instance);
-    const auto status = it.head->status;
-    if (it.told.is_not_executed || status == status_misdirected) {
-        if (endpoint != nullptr) {
-            endpoint_table::note_rejection(*endpoint, status == status_misdirected, now);
-        }
-        calls_->finish(it);
-        if (!try_again(it, false, now)) {
-            refuse(it, status_unavailable, "endpoint-refused", min_retry_after, now);
-        }
-        offer_waiting(now);
-        return;
+    if (it.told.is_not_executed || it.head->status == status_misdirected) {
+        take_rejection(it, now);
     }
-    if (it.is_stream) {
-        if (it.events.has_remainder()) {
-            return handle_failure(it, call_outcome::broken, now);
-        }
-        finish_stream(it, now);
+    else if (!it.is_stream) {
+        take_whole_answer(it, now);
+    }
+    else if (it.events.has_remainder()) {
+        return handle_failure(it, call_outcome::broken, now);
     }
     else {
-        const auto is_failure = status >= 500;
-        if (endpoint != nullptr) {
-            is_failure ? endpoints_.note_failure(*endpoint, true, now) : endpoints_.note_success(*endpoint);
-        }
-        if (is_failure && may_send_again(it, true)) {
-            const auto head = *it.head;
-            auto body = std::move(it.body);
-            calls_->finish(it);
-            if (try_again(it, true, now)) {
-                offer_waiting(now);
-                return;
-            }
-            it.head = head;
-            it.body = std::move(body);
-        }
-        answers_->pass_whole(it, context_of(it, now));
-        calls_->finish(it);
-        erase(it);
+        finish_stream(it, now);
     }
     offer_waiting(now);
 }
 
+void router::take_rejection(exchange& it, instant now)
+{
+    if (auto* endpoint = endpoints_.find(it.instance)) {
+        endpoint_table::note_rejection(*endpoint, it.head->status == status_misdirected, now);
+    }
+    calls_->finish(it);
+    if (!try_again(it, false, now)) {
+        refuse(it, status_unavailable, "endpoint-refused", min_retry_after, now);
+    }
+}
+
+void router::take_whole_answer(exchange& it, instant now)
+{
+    const auto is_failure = it.head->status >= first_server_error;
+    if (auto* endpoint = endpoints_.find(it.instance)) {
+        is_failure ? endpoints_.note_failure(*endpoint, true, now) : endpoints_.note_success(*endpoint);
+    }
+    if (is_failure && it.may_send_again(true)) {
+        // Kept for the caller where no endpoint does better.
+        const auto head = *it.head;
+        auto body = std::move(it.body);
+        calls_->finish(it);
+        if (try_again(it, true, now)) {
+            return;
+        }
+        it.head = head;
+        it.body = std::move(body);
+    }
+    answers_->pass_whole(it, context_of(it, now));
+    calls_->finish(it);
+    erase(it);
+}
+
 void router::finish_stream(exchange& it, instant now)
 {
     if (auto* endpoint = endpoints_.find(it.instance)) {
@@ -364,17 +355,9 @@
     offer_waiting(now);
 }
 
-bool router::may_send_again(const exchange& it, bool was_executed) const
-{
-    if (it.sends >= max_sends) {
-        return false;
-    }
-    return !was_executed || (it.is_repeatable() && it.executions + 1 < it.matched->max_attempts);
-}
-
 bool router::try_again(exchange& it, bool was_executed, instant now)
 {
-    if (!may_send_again(it, was_executed) || it.ends_at - now < min_remaining) {
+    if (!it.may_send_again(was_executed) || it.ends_at - now < min_remaining) {
         it.executions += was_executed ? 1U : 0U;
         return false;
     }
@@ -434,7 +417,7 @@
 void router::expire(exchange& it, instant now)
 {
     if (now < it.ends_at) {
-        if (it.call == 0 || now < it.silent_at || it.head || !may_send_again(it, true)) {
+        if (it.call == 0 || now < it.silent_at || it.head || !it.may_send_again(true)) {
             return;
         }
         if (service_of(it.service).retries().left() < 1.0) {
