Share few connections among many gateways, and let no waiting retry stand for an old backlog

Cause 1: a service's limit of connections divided by more gateways than it has connections gave 0, which stands for no limit. Cause 2: a retry that waited in an empty line did not begin a new backlog, so that the next request was measured against one of long ago and could be refused though a place was free. Found by reading. Change: at least one connection each; retries enter the line as all others do.

--- a/packages/gateway/src/call_table.cpp
+++ b/packages/gateway/src/call_table.cpp
@@ -12,6 +12,12 @@
 /// A part that was not used for so long counts as gone from its endpoint.
 constexpr duration kept_part_life = std::chrono::seconds{60};
 
+/// Returns one gateway's part of a limit, at least 1; 0, which is no limit, stays 0.
+unsigned part_of(unsigned limit, std::size_t gateways)
+{
+    return limit == 0 ? 0U : std::max(1U, limit / static_cast<unsigned>(gateways));
+}
+
 } // namespace
 
 call_start call_table::begin(exchange& it, endpoint_state& endpoint, std::size_t gateways, instant now)
@@ -37,8 +43,7 @@
             .remaining = it.ends_at - now,
             .resume_after = resumed.empty() ? it.request->fields.last_event_id : resumed,
             .is_unrepeatable = !it.is_repeatable(),
-            .max_connections =
-                service == nullptr ? 0U : service->max_connections / static_cast<unsigned>(gateways)};
+            .max_connections = part_of(service == nullptr ? 0U : service->max_connections, gateways)};
 }
 
 void call_table::add_prompt(exchange& it, endpoint_state& endpoint, instant now) const
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -30,6 +30,8 @@
 
 /// A request with less time left is not sent again: no endpoint would finish it.
 constexpr duration min_remaining = milliseconds{20};
+/// Rank of a request that has been sent once already: it goes before new ones of its account.
+constexpr unsigned most_urgent = 0;
 /// Limit of requests that state none.
 constexpr duration default_patience = std::chrono::seconds{30};
 /// A repeatable request is sent to a second endpoint after this many objectives of silence.
@@ -372,7 +374,7 @@
         return true;
     }
     it.is_waiting = true;
-    service_of(it.service).line().add(it.account, {it.id, it.cost, 0, it.ends_at - min_remaining});
+    service_of(it.service).add_waiting(it, most_urgent, it.ends_at - min_remaining, now);
     return true;
 }
 
