--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_load.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_load.hpp
@@ -8,7 +8,6 @@
 struct endpoint_load {
     /// Valid as long as the table that made this value is not changed.
     std::string_view instance;
-    std::string_view failure_domain;
     /// May take a request now: not leaving, not out of service, not suspected, not held back while cold.
     bool is_usable = false;
     /// Prompt tokens sent and not yet read, as far as known, of all gateways.
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -91,7 +91,6 @@
     for (auto* it : found->second) {
         const auto like_this = 1.0 + static_cast<double>(unheard_);
         endpoint_load load{it->record.instance,
-                           it->record.failure_domain,
                            false,
                            it->pending_tokens * like_this,
                            it->running,
--- a/packages/gateway/tests/share_test.cpp
+++ b/packages/gateway/tests/share_test.cpp
@@ -21,7 +21,7 @@
     std::vector<endpoint_load> out;
     out.reserve(names.size());
     for (const auto& it : names) {
-        out.push_back({it, "d", true, 0.0, 0, 0.0, 8});
+        out.push_back({it, true, 0.0, 0, 0.0, 8});
     }
     return out;
 }
