Copy a shared part to a second endpoint only where the wait is longer than reading it again

Cause: of the two endpoints that a shared part has, the one with less to read was always taken, so that most parts were read at both, and again whenever the two changed places. Change: an endpoint remembers which parts it was sent, and one that would have to read tokens again counts twice these tokens as work ahead. What other gateways cause at an endpoint is added up when it is told, no longer at each choice. Tests: a_part_is_copied_only_where_the_wait_is_longer_than_reading_it_again, an_endpoint_keeps_what_was_sent_to_it_of_late. The older test of two endpoints states which of them keep the part; its assertions are the same.

--- a/packages/daemon/src/gateway/gateway_settings.cpp
+++ b/packages/daemon/src/gateway/gateway_settings.cpp
@@ -134,6 +134,7 @@
     auto& placement = out.placement;
     placement.fanout = static_cast<std::size_t>(
         reader.number("/placement/fanout", static_cast<double>(placement.fanout), 1.0));
+    placement.copy_factor = reader.number("/placement/copy_factor", placement.copy_factor, 0.0);
     placement.spill_endpoints = static_cast<std::size_t>(
         reader.number("/placement/spill_endpoints", static_cast<double>(placement.spill_endpoints), 0.0));
     placement.spill_factor = reader.number("/placement/spill_factor", placement.spill_factor, 0.0);
--- a/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
@@ -14,6 +14,10 @@
     /// "The Power of Two Choices in Randomized Load Balancing", 2001); each further one reads each part
     /// again.
     std::size_t fanout = 2;
+    /// Where another than the first of them would have to read tokens of the shared part again, these count
+    /// so many times as work ahead there: they take the endpoint's time and memory, and those of the prompts
+    /// after this one.
+    double copy_factor = 2.0;
     /// Endpoints beyond these, in the same order for all gateways, that may be taken where the wait that is
     /// saved is longer than reading the shared part again: so many times its tokens, and at least so long at
     /// the stated rate.
@@ -37,8 +41,9 @@
     double beyond_part = 0.3;
 };
 
-/// Takes the less loaded of the few endpoints that rendezvous hashing gives to the longest shared part of the
-/// prompt, so that all gateways agree on where it is kept without talking. Immutable.
+/// Takes the first of the few endpoints that rendezvous hashing gives to the longest shared part of the
+/// prompt, so that all gateways agree on where it is kept without talking, and another one where the wait
+/// that it saves is worth reading the part again. Immutable.
 class affinity_placement final : public placement_policy {
 public:
     explicit affinity_placement(const affinity_options& options) : options_{options} {}
@@ -47,6 +52,10 @@
                                    std::span<const endpoint_load> endpoints) const override;
 
 private:
+    /// Returns what speaks against the endpoint at place `rank` for the shared part, as tokens ahead there.
+    [[nodiscard]] double copy_penalty(const placement_request& request, const endpoint_load& endpoint,
+                                      std::size_t rank) const;
+
     affinity_options options_;
 };
 
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_load.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_load.hpp
@@ -18,6 +18,9 @@
     double tokens_per_second = 0.0;
     /// Requests that it executes at once.
     unsigned slots = 1;
+    /// Tokens at the beginning of the prompt in question that were sent there of late and need not be read
+    /// again, as far as this gateway knows.
+    double kept_tokens = 0.0;
 };
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -45,6 +45,8 @@
     decaying_sum sent_tokens{rate_memory};
     /// By the name of the gateway that causes it.
     std::map<std::string, peer_load, std::less<>> peers;
+    /// What all of them cause together.
+    peer_load peers_total;
     /// Moving share of calls that failed.
     double failure_rate = 0.0;
     unsigned failures_in_row = 0;
@@ -54,6 +56,14 @@
     instant cold_until{};
     /// Shared parts of prompts that were sent here, with the time of the last one.
     std::unordered_map<std::uint64_t, instant> kept_parts;
+
+    /// Returns how many tokens at the beginning of `shared_parts` are kept here, as far as this gateway
+    /// knows.
+    [[nodiscard]] double kept_tokens(std::span<const prompt_part> shared_parts, instant now) const;
+    /// Remembers that a prompt that begins with `shared_parts` was sent here.
+    void note_sent(std::span<const prompt_part> shared_parts, instant now);
+    /// Replaces what `gateway` causes here; nothing forgets it.
+    void set_peer(std::string_view gateway, const std::optional<peer_load>& load);
     std::optional<cold_gate> gate;
 };
 
@@ -95,10 +105,11 @@
     /// Replaces what `gateway` says of its load. An empty list forgets it.
     void set_peer_load(std::string_view gateway, const std::map<std::string, peer_load, std::less<>>& loads);
 
-    /// Returns the endpoints of `service`, valid until the next change; `states` receives their states in the
-    /// same order.
+    /// Returns the endpoints of `service` as seen by a prompt that begins with `shared_parts`, valid until
+    /// the next change; `states` receives their states in the same order.
     std::vector<endpoint_load> loads_of(std::string_view service, instant now,
                                         std::span<const std::string> excluded,
+                                        std::span<const prompt_part> shared_parts,
                                         std::vector<endpoint_state*>& states);
 
     /// Returns the state of `instance`; null where it is not known.
--- a/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/gateway/endpoint_load.hpp>
+#include <hemlocknotch/gateway/request_fields.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -38,6 +39,8 @@
 struct placement_request {
     /// Key of the longest part of the prompt that other requests share; nothing where there is none.
     std::optional<std::uint64_t> shared_part;
+    /// All parts that other requests share, in order. Valid as long as the request.
+    std::span<const prompt_part> shared_parts;
     /// Tokens of the prompt, shared parts included.
     double prompt_tokens = 0.0;
     /// Of these, tokens that are kept where requests with the same shared part have run.
--- a/packages/gateway/src/affinity_placement.cpp
+++ b/packages/gateway/src/affinity_placement.cpp
@@ -31,6 +31,20 @@
 
 } // namespace
 
+double affinity_placement::copy_penalty(const placement_request& request, const endpoint_load& endpoint,
+                                        std::size_t rank) const
+{
+    if (!request.shared_part || rank == 0) {
+        return 0.0;
+    }
+    const auto again = std::max(0.0, request.shared_tokens - endpoint.kept_tokens);
+    if (rank < options_.fanout) {
+        return options_.copy_factor * again;
+    }
+    return std::max(options_.spill_seconds * request.endpoint_tokens_per_second,
+                    options_.spill_factor * again);
+}
+
 placement affinity_placement::choose(const placement_request& request,
                                      std::span<const endpoint_load> endpoints) const
 {
@@ -43,15 +57,11 @@
     const auto window =
         stated * (is_within ? options_.window_seconds : options_.excess_window_seconds * part);
     const auto rate = stated * (is_within ? options_.rate_factor : options_.excess_rate_factor * part);
-    // Elsewhere the shared part is read again, which has to cost less than the wait that it saves.
-    const auto penalty =
-        std::max(options_.spill_seconds * stated, options_.spill_factor * request.shared_tokens);
     const auto reach = request.shared_part ? options_.fanout + options_.spill_endpoints : ranked.size();
     double least = 0.0;
     for (std::size_t n = 0; n < std::min(reach, ranked.size()); ++n) {
         const auto& it = endpoints[ranked[n].second];
-        const auto is_owner = !request.shared_part || n < options_.fanout;
-        const auto cost = it.pending_tokens + (is_owner ? 0.0 : penalty);
+        const auto cost = it.pending_tokens + copy_penalty(request, it, n);
         const auto has_room = cost <= window && it.running < it.slots && it.tokens_per_second <= rate;
         if (has_room && (!out.endpoint || cost < least)) {
             out.endpoint = ranked[n].second;
--- a/packages/gateway/src/call_table.cpp
+++ b/packages/gateway/src/call_table.cpp
@@ -7,11 +7,6 @@
 namespace hemlocknotch::gateway {
 namespace {
 
-/// Parts that are remembered of each endpoint; bounds memory.
-constexpr std::size_t max_kept_parts = 4096;
-/// A part that was not used for so long counts as gone from its endpoint.
-constexpr duration kept_part_life = std::chrono::seconds{60};
-
 /// Returns one gateway's part of a limit, at least 1; 0, which is no limit, stays 0.
 unsigned part_of(unsigned limit, std::size_t gateways)
 {
@@ -48,18 +43,8 @@
 
 void call_table::add_prompt(exchange& it, endpoint_state& endpoint, instant now) const
 {
-    it.pending = it.place.prompt_tokens;
-    if (it.place.shared_part) {
-        auto& parts = endpoint.kept_parts;
-        const auto kept = parts.find(*it.place.shared_part);
-        if (kept != parts.end() && now - kept->second < kept_part_life) {
-            it.pending -= it.place.shared_tokens;
-        }
-        if (parts.size() >= max_kept_parts) {
-            parts.clear();
-        }
-        parts.insert_or_assign(*it.place.shared_part, now);
-    }
+    it.pending = it.place.prompt_tokens - endpoint.kept_tokens(it.place.shared_parts, now);
+    endpoint.note_sent(it.place.shared_parts, now);
     endpoint.pending_tokens += it.pending;
     endpoint.sent_tokens.add(it.pending + output_weight_ * it.place.output_tokens, now);
 }
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -10,9 +10,58 @@
 
 constexpr unsigned default_slots = 64;
 constexpr unsigned max_doublings = 6;
+/// Parts that are remembered of each endpoint; bounds memory.
+constexpr std::size_t max_kept_parts = 4096;
+/// A part that was not used for so long counts as gone: about the time in which an engine under load fills
+/// its memory with other prompts.
+constexpr duration kept_part_life = std::chrono::seconds{15};
 
 } // namespace
 
+double endpoint_state::kept_tokens(std::span<const prompt_part> shared_parts, instant now) const
+{
+    double out = 0.0;
+    for (const auto& part : shared_parts) {
+        const auto it = kept_parts.find(part.id);
+        if (it == kept_parts.end() || now - it->second >= kept_part_life) {
+            break;
+        }
+        out += static_cast<double>(part.tokens);
+    }
+    return out;
+}
+
+void endpoint_state::note_sent(std::span<const prompt_part> shared_parts, instant now)
+{
+    if (kept_parts.size() + shared_parts.size() > max_kept_parts) {
+        kept_parts.clear();
+    }
+    for (const auto& part : shared_parts) {
+        kept_parts.insert_or_assign(part.id, now);
+    }
+}
+
+void endpoint_state::set_peer(std::string_view gateway, const std::optional<peer_load>& load)
+{
+    const auto known = peers.find(gateway);
+    if (load) {
+        peers.insert_or_assign(std::string{gateway}, *load);
+    }
+    else if (known != peers.end()) {
+        peers.erase(known);
+    }
+    else {
+        return;
+    }
+    // Added up anew rather than corrected, so that no rounding remains.
+    peers_total = {};
+    for (const auto& [name, it] : peers) {
+        peers_total.pending_tokens += it.pending_tokens;
+        peers_total.running += it.running;
+        peers_total.tokens_per_second += it.tokens_per_second;
+    }
+}
+
 void endpoint_table::set_endpoints(std::span<const endpoint_record> records,
                                    const routing_configuration& configuration, std::size_t gateways,
                                    instant now)
@@ -66,18 +115,13 @@
 {
     for (auto& [name, it] : endpoints_) {
         const auto told = loads.find(name);
-        const auto known = it->peers.find(gateway);
-        if (told != loads.end()) {
-            it->peers.insert_or_assign(std::string{gateway}, told->second);
-        }
-        else if (known != it->peers.end()) {
-            it->peers.erase(known);
-        }
+        it->set_peer(gateway, told == loads.end() ? std::nullopt : std::optional{told->second});
     }
 }
 
 std::vector<endpoint_load> endpoint_table::loads_of(std::string_view service, instant now,
                                                     std::span<const std::string> excluded,
+                                                    std::span<const prompt_part> shared_parts,
                                                     std::vector<endpoint_state*>& states)
 {
     states.clear();
@@ -90,17 +134,14 @@
     std::vector<bool> takes;
     for (auto* it : found->second) {
         const auto like_this = 1.0 + static_cast<double>(unheard_);
+        const auto& peers = it->peers_total;
         endpoint_load load{it->record.instance,
                            false,
-                           it->pending_tokens * like_this,
-                           it->running,
-                           it->sent_tokens.per_second(now) * like_this,
-                           it->record.slots > 0 ? it->record.slots : default_slots};
-        for (const auto& [name, peer] : it->peers) {
-            load.pending_tokens += peer.pending_tokens;
-            load.running += peer.running;
-            load.tokens_per_second += peer.tokens_per_second;
-        }
+                           it->pending_tokens * like_this + peers.pending_tokens,
+                           it->running + peers.running,
+                           it->sent_tokens.per_second(now) * like_this + peers.tokens_per_second,
+                           it->record.slots > 0 ? it->record.slots : default_slots,
+                           it->kept_tokens(shared_parts, now)};
         const auto is_excluded = std::ranges::find(excluded, it->record.instance) != excluded.end();
         takes.push_back(!is_excluded && may_take(*it, now));
         load.is_usable = takes.back() && it->suspected_until <= now;
--- a/packages/gateway/src/request_target.cpp
+++ b/packages/gateway/src/request_target.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <span>
 
 namespace hemlocknotch::gateway {
 
@@ -32,7 +33,8 @@
     }
     out.prompt_tokens = std::max(sum, static_cast<double>(fields.prompt_tokens));
     if (fields.prompt.size() >= 2) {
-        out.shared_part = fields.prompt[fields.prompt.size() - 2].id;
+        out.shared_parts = std::span{fields.prompt}.first(fields.prompt.size() - 1);
+        out.shared_part = out.shared_parts.back().id;
         out.shared_tokens = sum - static_cast<double>(fields.prompt.back().tokens);
     }
     else if (fields.prompt.size() == 1) {
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -151,7 +151,7 @@
         return;
     }
     std::vector<endpoint_state*> states;
-    if (endpoints_.loads_of(it.service, now, {}, states).empty()) {
+    if (endpoints_.loads_of(it.service, now, {}, {}, states).empty()) {
         return refuse(it, status_unavailable, "no-endpoint", min_retry_after, now);
     }
     wait_or_refuse(it, now);
@@ -175,7 +175,7 @@
 bool router::try_send(exchange& it, instant now)
 {
     std::vector<endpoint_state*> states;
-    const auto loads = endpoints_.loads_of(it.service, now, it.tried, states);
+    const auto loads = endpoints_.loads_of(it.service, now, it.tried, it.place.shared_parts, states);
     auto& service = service_of(it.service);
     it.place.endpoint_tokens_per_second = service.endpoint_rate(*it.configuration, states.size());
     it.place.standing = service.standing_of(it, now);
--- a/packages/gateway/tests/share_test.cpp
+++ b/packages/gateway/tests/share_test.cpp
@@ -1,8 +1,11 @@
 #include <hemlocknotch/gateway/affinity_placement.hpp>
+#include <hemlocknotch/gateway/endpoint_table.hpp>
 #include <hemlocknotch/gateway/least_loaded_placement.hpp>
 #include <hemlocknotch/gateway/share_meter.hpp>
 #include <hemlocknotch/gateway/waiting_line.hpp>
 
+#include "router_fixture.hpp"
+
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
@@ -14,8 +17,6 @@
 namespace hemlocknotch::gateway {
 namespace {
 
-using std::chrono::milliseconds;
-
 std::vector<endpoint_load> make_loads(const std::vector<std::string>& names)
 {
     std::vector<endpoint_load> out;
@@ -122,9 +123,15 @@
     BOOST_REQUIRE(first.endpoint);
     std::set<std::size_t> used{*first.endpoint};
     loads[*first.endpoint].pending_tokens = 500.0;
+    for (auto& load : loads) {
+        load.kept_tokens = request.shared_tokens;
+    }
     const auto second = it.choose(request, loads);
     BOOST_REQUIRE(second.endpoint);
     used.insert(*second.endpoint);
+    for (std::size_t n = 0; n < loads.size(); ++n) {
+        loads[n].kept_tokens = used.contains(n) ? request.shared_tokens : 0.0;
+    }
     BOOST_TEST(used.size() == 2U);
     loads[*second.endpoint].pending_tokens = 10'000.0;
     BOOST_TEST((it.choose(request, loads).endpoint == first.endpoint));
@@ -140,6 +147,47 @@
     BOOST_TEST((it.choose(request, loads).endpoint == spilled.endpoint));
 }
 
+BOOST_AUTO_TEST_CASE(a_part_is_copied_only_where_the_wait_is_longer_than_reading_it_again)
+{
+    const affinity_placement it{affinity_options{}};
+    auto loads = make_loads({"a", "b", "c"});
+    placement_request request;
+    request.shared_part = 7;
+    request.shared_tokens = 100.0;
+    request.endpoint_tokens_per_second = 1000.0;
+    const auto first = it.choose(request, loads).endpoint;
+    BOOST_REQUIRE(first);
+    auto& owner = loads[*first];
+    owner.pending_tokens = 150.0;
+    BOOST_TEST((it.choose(request, loads).endpoint == first));
+    owner.pending_tokens = 250.0;
+    const auto second = it.choose(request, loads).endpoint;
+    BOOST_REQUIRE(second);
+    BOOST_TEST((second != first));
+    // Once it is kept there, the less loaded of the two is taken.
+    loads[*second].kept_tokens = 100.0;
+    owner.pending_tokens = 10.0;
+    BOOST_TEST((it.choose(request, loads).endpoint == second));
+    owner.pending_tokens = 0.0;
+    loads[*second].pending_tokens = 10.0;
+    BOOST_TEST((it.choose(request, loads).endpoint == first));
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_keeps_what_was_sent_to_it_of_late)
+{
+    endpoint_state it{make_endpoint("e", "model")};
+    const instant now{std::chrono::seconds{10}};
+    const std::vector<prompt_part> parts{{1, 100}, {2, 50}};
+    const std::vector<prompt_part> branch{{1, 100}, {3, 70}};
+    const std::vector<prompt_part> other{{4, 100}, {2, 50}};
+    it.note_sent(parts, now);
+    BOOST_TEST(it.kept_tokens(parts, now) == 150.0);
+    BOOST_TEST(it.kept_tokens(branch, now) == 100.0);
+    // A part counts only where all before it are kept too.
+    BOOST_TEST(it.kept_tokens(other, now) == 0.0);
+    BOOST_TEST(it.kept_tokens(parts, now + std::chrono::minutes{1}) == 0.0);
+}
+
 BOOST_AUTO_TEST_CASE(accounts_beyond_their_share_leave_room_for_the_others)
 {
     const affinity_placement it{affinity_options{}};
