Take no request whose caller has left before it was read

Change: before a request is taken, the connection is asked whether it has been closed. Ruled out: a timer for the age of requests (the time of arrival in the socket is not known). Test: takes_no_request_whose_caller_has_left_before_it_was_read, failed before (2 requests taken where 1 was due).

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -169,6 +169,10 @@
     request->target = parser->target();
     request->body = std::move(parser->body());
     is_head_method_ = request->method == "HEAD";
+    if (channel_->has_peer_closed()) {
+        // Under load a request may be read after its caller has given up; nobody waits for its answer.
+        return close();
+    }
     owner_.on_request(*this, std::move(request));
 }
 
--- a/packages/daemon/src/gateway/socket_channel.cpp
+++ b/packages/daemon/src/gateway/socket_channel.cpp
@@ -104,6 +104,13 @@
     }
 }
 
+bool socket_channel::has_peer_closed() const
+{
+    char next = 0;
+    const auto n = fd_ < 0 ? 0 : ::recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void socket_channel::pause_reading()
 {
     if (fd_ >= 0) {
--- a/packages/daemon/src/gateway/socket_channel.hpp
+++ b/packages/daemon/src/gateway/socket_channel.hpp
@@ -61,6 +61,10 @@
 
     [[nodiscard]] bool is_connected() const { return is_connected_; }
 
+    /// Returns whether the peer has closed the connection and nothing is left to read, though `on_end` has
+    /// not told so yet.
+    [[nodiscard]] bool has_peer_closed() const;
+
     /// Stops and resumes reading, so that a sender that is faster than the reader is held back.
     void pause_reading();
     void resume_reading();
--- a/packages/daemon/tests/caller_server_test.cpp
+++ b/packages/daemon/tests/caller_server_test.cpp
@@ -1,3 +1,5 @@
+#include <hemlocknotch/wire/socket_address.hpp>
+
 #include "gateway/caller_server.hpp"
 #include "plain_dialect.hpp"
 #include "start_error.hpp"
@@ -5,6 +7,8 @@
 
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/test/unit_test.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <random>
 #include <string>
@@ -151,6 +155,21 @@
     server.reply(keeper.exchanges[0], {200, {}}, "late");
 }
 
+BOOST_AUTO_TEST_CASE(takes_no_request_whose_caller_has_left_before_it_was_read)
+{
+    const auto text = head + "Content-Length: 3\r\n\r\nabc";
+    const auto address =
+        detail::socket_address::of(*endpoint_address::parse("127.0.0.1:" + std::to_string(port)));
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    BOOST_REQUIRE(::connect(fd, address.get(), static_cast<socklen_t>(address.length())) == 0);
+    BOOST_REQUIRE(::send(fd, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+    ::close(fd);
+    // A second caller, served after the first, shows that the first was read.
+    raw_client client{loop.base(), port, text};
+    BOOST_REQUIRE(loop.run_until([&] { return !keeper.requests.empty() && server.connection_count() == 1; }));
+    BOOST_TEST(keeper.requests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(sends_a_stream_in_chunks_and_cuts_it_without_an_end)
 {
     raw_client client{loop.base(), port, head + "\r\n"};
