Take less processor time under load: offer the line at intervals, add rates up once, report in fewer bytes and twice as often

Change: a model service's line is offered at most each 10 ms; rates of all gateways are kept as one decaying sum; a peer's load at an endpoint is replaced in place; reports leave out what is next to nothing and spell no frame for each entry, and are sent twice as often in large fleets.

--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -25,8 +25,8 @@
 constexpr double caller_descriptor_share = 0.6;
 /// Time between two reports to others: a tenth of the objectives of a second.
 constexpr duration report_interval = std::chrono::milliseconds{100};
-/// With more others the interval grows, so that a gateway's datagrams stay at some 80 a second.
-constexpr std::size_t others_per_interval = 4;
+/// With more others the interval grows, so that a gateway sends and takes some 80 datagrams a second.
+constexpr std::size_t others_per_interval = 8;
 /// What a gateway has told counts for so long after its last report.
 constexpr duration report_life = std::chrono::seconds{2};
 constexpr std::string_view metrics_path = "/metrics";
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -22,6 +22,9 @@
 using nlohmann::json;
 
 constexpr std::size_t max_datagram = 65'507;
+/// Fields of one endpoint, and of one account, in a report.
+constexpr std::size_t endpoint_fields = 4;
+constexpr std::size_t account_fields = 3;
 /// Bytes of a change beside its key and value.
 constexpr std::size_t change_overhead = 32;
 /// First element of news; reports begin with a text.
@@ -39,13 +42,20 @@
 
 std::vector<std::uint8_t> encode_report(const gateway::fleet_report& report)
 {
+    // Fields follow each other without a frame for each entry; every gateway sends this to all others.
     auto endpoints = json::array();
     for (const auto& it : report.endpoints) {
-        endpoints.push_back({it.instance, whole(it.pending_tokens), it.running, whole(it.tokens_per_second)});
+        endpoints.push_back(it.instance);
+        endpoints.push_back(whole(it.pending_tokens));
+        endpoints.push_back(it.running);
+        endpoints.push_back(whole(it.tokens_per_second));
     }
-    auto accounts = json::array();
+    auto accounts = json::object();
     for (const auto& it : report.accounts) {
-        accounts.push_back({it.service, it.account, whole(it.rates.asked), whole(it.rates.given)});
+        auto& of_service = accounts[it.service];
+        of_service.push_back(it.account);
+        of_service.push_back(whole(it.rates.asked));
+        of_service.push_back(whole(it.rates.given));
     }
     return json::to_cbor(
         json{report.gateway, report.incarnation, report.sequence, std::move(endpoints), std::move(accounts)});
@@ -59,14 +69,18 @@
         out.gateway = value.at(0).get<std::string>();
         out.incarnation = value.at(1).get<std::uint64_t>();
         out.sequence = value.at(2).get<std::uint64_t>();
-        for (const auto& it : value.at(3)) {
-            out.endpoints.push_back({it.at(0).get<std::string>(), it.at(1).get<double>(),
-                                     it.at(2).get<unsigned>(), it.at(3).get<double>()});
+        const auto& endpoints = value.at(3);
+        for (std::size_t n = 0; n < endpoints.size(); n += endpoint_fields) {
+            out.endpoints.push_back({endpoints.at(n).get<std::string>(), endpoints.at(n + 1).get<double>(),
+                                     endpoints.at(n + 2).get<unsigned>(), endpoints.at(n + 3).get<double>()});
         }
-        for (const auto& it : value.at(4)) {
-            out.accounts.push_back({it.at(0).get<std::string>(),
-                                    it.at(1).get<std::string>(),
-                                    {it.at(2).get<double>(), it.at(3).get<double>()}});
+        for (const auto& [service, accounts] : value.at(4).items()) {
+            for (std::size_t n = 0; n < accounts.size(); n += account_fields) {
+                out.accounts.push_back(
+                    {service,
+                     accounts.at(n).get<std::string>(),
+                     {accounts.at(n + 1).get<double>(), accounts.at(n + 2).get<double>()}});
+            }
         }
         return out;
     }
--- a/packages/daemon/src/metrics.cpp
+++ b/packages/daemon/src/metrics.cpp
@@ -12,6 +12,11 @@
 namespace hemlocknotch::daemon {
 namespace {
 
+/// Samples of one family; bounds memory and the page where labels come from callers or endpoints. Later
+/// values share one sample.
+constexpr std::size_t max_samples = 200;
+constexpr std::string_view shared_sample = "other";
+
 std::string number_text(double value)
 {
     constexpr double least_plain = 1e-6;
@@ -161,6 +166,10 @@
     assert(it->second.kind == kind);
     auto& samples = it->second.samples;
     auto found = samples.find(label_value);
+    if (found == samples.end() && samples.size() >= max_samples) {
+        label_value = shared_sample;
+        found = samples.find(label_value);
+    }
     if (found == samples.end()) {
         found = samples.emplace(std::string{label_value}, sample{}).first;
     }
--- a/packages/daemon/tests/metrics_test.cpp
+++ b/packages/daemon/tests/metrics_test.cpp
@@ -37,6 +37,18 @@
     BOOST_TEST(has_line(text, "hemlocknotch_refused_by_front_total{code=\"body-too-large\"} 3"));
 }
 
+BOOST_AUTO_TEST_CASE(many_label_values_share_one_sample)
+{
+    metrics it;
+    for (int n = 0; n < 1000; ++n) {
+        it.add("hemlocknotch_gateway_account_requests_total", "account", "a" + std::to_string(n), 1);
+    }
+    const auto text = it.text();
+    BOOST_TEST(has_line(text, "hemlocknotch_gateway_account_requests_total{account=\"a0\"} 1"));
+    BOOST_TEST(has_line(text, "hemlocknotch_gateway_account_requests_total{account=\"other\"} 800"));
+    BOOST_TEST(text.find("\"a999\"") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(buckets_are_cumulative_and_include_their_bound)
 {
     metrics it;
--- a/packages/gateway/include/hemlocknotch/gateway/share_meter.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/share_meter.hpp
@@ -59,10 +59,14 @@
     struct account {
         pair_of_sums own;
         std::map<std::string, pair_of_sums, std::less<>> told;
+        /// Own and told together, so that a rate is not added up over all gateways each time it is asked for.
+        pair_of_sums total;
     };
 
     account& find_or_add(std::string_view name);
     static account_rates rates_of(const account& it, instant now);
+    /// Sets `part`, which `total` contains, to `amount`.
+    static void replace(decaying_sum& part, decaying_sum& total, double amount, instant now);
 
     std::map<std::string, account, std::less<>> accounts_;
 };
--- a/packages/gateway/src/caller_answers.cpp
+++ b/packages/gateway/src/caller_answers.cpp
@@ -52,6 +52,10 @@
 {
     ++counters_.refused;
     port_.record({metric_kind::counter, "hemlocknotch_refusals_total", "code", std::string{reason}, 1.0});
+    if (!it.account.empty()) {
+        port_.record({metric_kind::counter, "hemlocknotch_gateway_account_refusals_total", "account",
+                      it.account, 1.0});
+    }
     reply_own(it, status, reason, retry_after, context);
 }
 
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -44,21 +44,21 @@
 void endpoint_state::set_peer(std::string_view gateway, const std::optional<peer_load>& load)
 {
     const auto known = peers.find(gateway);
-    if (load) {
-        peers.insert_or_assign(std::string{gateway}, *load);
-    }
-    else if (known != peers.end()) {
+    if (known != peers.end()) {
+        peers_total.pending_tokens -= known->second.pending_tokens;
+        peers_total.running -= known->second.running;
+        peers_total.tokens_per_second -= known->second.tokens_per_second;
         peers.erase(known);
     }
-    else {
-        return;
+    if (load) {
+        peers.emplace(gateway, *load);
+        peers_total.pending_tokens += load->pending_tokens;
+        peers_total.running += load->running;
+        peers_total.tokens_per_second += load->tokens_per_second;
     }
-    // Added up anew rather than corrected, so that no rounding remains.
-    peers_total = {};
-    for (const auto& [name, it] : peers) {
-        peers_total.pending_tokens += it.pending_tokens;
-        peers_total.running += it.running;
-        peers_total.tokens_per_second += it.tokens_per_second;
+    if (peers.empty()) {
+        // No rounding remains.
+        peers_total = {};
     }
 }
 
--- a/packages/gateway/src/fleet_reports.cpp
+++ b/packages/gateway/src/fleet_reports.cpp
@@ -5,8 +5,9 @@
 namespace hemlocknotch::gateway {
 namespace {
 
-/// Rate, in tokens a second, of an endpoint without requests that is not worth telling.
-constexpr double negligible_rate = 1.0;
+/// Rate, in tokens a second, of an endpoint without requests that is not worth telling: a hundredth of what
+/// the slowest engines do. Rates fall off exponentially, so that a lower one would be told for seconds more.
+constexpr double negligible_rate = 100.0;
 
 } // namespace
 
--- a/packages/gateway/src/service_admission.cpp
+++ b/packages/gateway/src/service_admission.cpp
@@ -11,6 +11,10 @@
 constexpr duration rate_memory = std::chrono::seconds{1};
 /// Part of its time that a request of a plain service may wait; its work takes a small part of it.
 constexpr int plain_wait_part = 2;
+/// Time between two offers of a model service's line. Each costs a choice for each waiting request, and
+/// without it there would be one for each event of any request; prompts wait for hundreds of times as long.
+/// Lines of plain services are short, and their requests end within some ten milliseconds.
+constexpr duration offer_interval = std::chrono::milliseconds{10};
 
 } // namespace
 
@@ -22,6 +26,7 @@
 void service_admission::note_asked(const exchange& it, instant now)
 {
     retries_.on_request();
+    is_model_ = it.is_model;
     meter_.note_asked(it.account, it.cost, now);
 }
 
@@ -80,6 +85,18 @@
     return std::min(it.arrived + longest, it.ends_at);
 }
 
+bool service_admission::begin_offer(instant now)
+{
+    const auto due = last_offer_ + offer_interval;
+    if (is_model_ && now < due) {
+        postponed_until_ = due;
+        return false;
+    }
+    last_offer_ = now;
+    postponed_until_ = instant::max();
+    return true;
+}
+
 void service_admission::add_waiting(const exchange& it, unsigned priority, instant send_by, instant now)
 {
     if (line_.is_empty()) {
--- a/packages/gateway/src/service_admission.hpp
+++ b/packages/gateway/src/service_admission.hpp
@@ -40,6 +40,13 @@
     /// Lets a request wait until `send_by`.
     void add_waiting(const exchange& it, unsigned priority, instant send_by, instant now);
 
+    /// Returns whether the line is to be offered to the endpoints now. Where it is too soon after the last
+    /// time, it is put off until `next_offer`.
+    bool begin_offer(instant now);
+
+    /// Returns when an offer that was put off is due; `instant::max()` where none was.
+    [[nodiscard]] instant next_offer() const { return postponed_until_; }
+
     [[nodiscard]] share_meter& meter() { return meter_; }
 
     [[nodiscard]] waiting_line& line() { return line_; }
@@ -61,6 +68,9 @@
     /// Most endpoints seen at once: those that the operators' statement is about. Lost ones leave the others
     /// as fast as they were.
     std::size_t most_endpoints_ = 0;
+    bool is_model_ = false;
+    instant last_offer_{};
+    instant postponed_until_ = instant::max();
     /// Costs sent here of late.
     decaying_sum sent_;
 };
--- a/packages/gateway/src/share_meter.cpp
+++ b/packages/gateway/src/share_meter.cpp
@@ -7,8 +7,9 @@
 namespace hemlocknotch::gateway {
 namespace {
 
-/// Rates, in tokens a second, that are not worth telling.
-constexpr double negligible_rate = 1.0;
+/// Rates, in tokens a second, that are not worth telling: a small request of 400 tokens counts for so much
+/// after three times the memory.
+constexpr double negligible_rate = 15.0;
 /// Accounts that are remembered; more are forgotten together, which costs one memory of fairness.
 constexpr std::size_t max_accounts = 20'000;
 
@@ -16,25 +17,29 @@
 
 void share_meter::note_asked(std::string_view name, double tokens, instant now)
 {
-    find_or_add(name).own.asked.add(tokens, now);
+    auto& it = find_or_add(name);
+    it.own.asked.add(tokens, now);
+    it.total.asked.add(tokens, now);
 }
 
 void share_meter::note_given(std::string_view name, double tokens, instant now)
 {
-    find_or_add(name).own.given.add(tokens, now);
+    auto& it = find_or_add(name);
+    it.own.given.add(tokens, now);
+    it.total.given.add(tokens, now);
 }
 
 void share_meter::set_told(std::string_view gateway, std::string_view name, const account_rates& rates,
                            instant now)
 {
-    auto& told = find_or_add(name).told;
-    auto it = told.find(gateway);
-    if (it == told.end()) {
-        it = told.emplace(std::string{gateway}, pair_of_sums{}).first;
+    auto& of = find_or_add(name);
+    auto it = of.told.find(gateway);
+    if (it == of.told.end()) {
+        it = of.told.emplace(std::string{gateway}, pair_of_sums{}).first;
     }
     const auto seconds = std::chrono::duration<double>(memory).count();
-    it->second.asked.set(rates.asked * seconds, now);
-    it->second.given.set(rates.given * seconds, now);
+    replace(it->second.asked, of.total.asked, rates.asked * seconds, now);
+    replace(it->second.given, of.total.given, rates.given * seconds, now);
 }
 
 account_rates share_meter::rates_of(std::string_view name, instant now) const
@@ -96,12 +101,14 @@
 
 account_rates share_meter::rates_of(const account& it, instant now)
 {
-    account_rates out{it.own.asked.per_second(now), it.own.given.per_second(now)};
-    for (const auto& [gateway, told] : it.told) {
-        out.asked += told.asked.per_second(now);
-        out.given += told.given.per_second(now);
-    }
-    return out;
+    return {it.total.asked.per_second(now), it.total.given.per_second(now)};
+}
+
+void share_meter::replace(decaying_sum& part, decaying_sum& total, double amount, instant now)
+{
+    // Decay is linear, so the sum of decayed parts is the decayed sum; rounding must not leave it below zero.
+    total.set(std::max(0.0, total.value(now) - part.value(now) + amount), now);
+    part.set(amount, now);
 }
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/tests/recording_port.hpp
+++ b/packages/gateway/tests/recording_port.hpp
@@ -67,6 +67,16 @@
     std::map<exchange_id, seen_answer> answers;
     std::vector<log_effect> lines;
     std::vector<metric_effect> metrics;
+
+    /// Returns the sum of what was recorded of `name` with `label`.
+    [[nodiscard]] double total(std::string_view name, std::string_view label) const
+    {
+        double out = 0.0;
+        for (const auto& it : metrics) {
+            out += it.name == name && it.label_value == label ? it.value : 0.0;
+        }
+        return out;
+    }
 };
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/tests/router_test.cpp
+++ b/packages/gateway/tests/router_test.cpp
@@ -205,6 +205,40 @@
     BOOST_TEST(port.calls[18].request->fields.id == "id-19");
 }
 
+BOOST_AUTO_TEST_CASE(a_prompt_that_waits_goes_soon_after_a_place_is_free)
+{
+    exchange_id last = 0;
+    const auto sent = [&] { return port.calls.size(); };
+    // Fills what its account may have at the endpoints of the part.
+    while (it.exchange_count() == sent()) {
+        ask(++last, "/stream/");
+    }
+    const auto before = sent();
+    const auto waiting = it.exchange_count() - before;
+    BOOST_REQUIRE(waiting == 1U);
+    for (std::size_t n = 0; n < before; ++n) {
+        head(port.calls[n], 200, true);
+        it.on_part(port.calls[n].call, "id: 1\ndata: x\n\n", now);
+    }
+    BOOST_REQUIRE(it.next_time(now) <= now + milliseconds{20});
+    now += milliseconds{20};
+    it.on_time(now);
+    BOOST_TEST(sent() == before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(counts_by_account_endpoint_and_kept_tokens)
+{
+    ask(1, "/stream/");
+    ask(2, "/stream/");
+    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    BOOST_TEST(port.total("hemlocknotch_gateway_account_requests_total", "a") == 2.0);
+    BOOST_TEST(port.total("hemlocknotch_gateway_endpoint_calls_total", port.calls[0].instance) >= 1.0);
+    BOOST_TEST(port.total("hemlocknotch_gateway_endpoint_failures_total", port.calls[0].instance) == 1.0);
+    // The second prompt shares 600 of its 1,000 tokens with the first.
+    BOOST_TEST(port.total("hemlocknotch_gateway_prompt_tokens_total", "kept") == 600.0);
+    BOOST_TEST(port.total("hemlocknotch_gateway_prompt_tokens_total", "read") == 1400.0);
+}
+
 BOOST_AUTO_TEST_CASE(keeps_to_the_share_of_retries)
 {
     unsigned sent_again = 0;
--- a/packages/gateway/tests/share_test.cpp
+++ b/packages/gateway/tests/share_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <cmath>
 #include <limits>
 #include <set>
 #include <string>
@@ -52,6 +53,26 @@
     BOOST_TEST(it.rates_of("a", now).given < before * 0.06);
 }
 
+BOOST_AUTO_TEST_CASE(rates_add_up_over_gateways_whenever_they_were_told)
+{
+    share_meter it;
+    instant now{std::chrono::seconds{10}};
+    const auto seconds = std::chrono::duration<double>(share_meter::memory).count();
+    it.set_told("g1", "a", {100.0, 10.0}, now);
+    now += milliseconds{300};
+    it.set_told("g2", "a", {40.0, 4.0}, now);
+    it.note_asked("a", 60.0 * seconds, now);
+    now += milliseconds{300};
+    it.set_told("g1", "a", {20.0, 2.0}, now);
+    const auto decay = std::exp(-0.3 / seconds);
+    BOOST_TEST(it.rates_of("a", now).asked == 20.0 + 100.0 * decay, boost::test_tools::tolerance(1e-6));
+    BOOST_TEST(it.rates_of("a", now).given == 2.0 + 4.0 * decay, boost::test_tools::tolerance(1e-6));
+    it.set_told("g1", "a", {0.0, 0.0}, now);
+    it.set_told("g2", "a", {0.0, 0.0}, now);
+    BOOST_TEST(it.rates_of("a", now).given >= 0.0);
+    BOOST_TEST(it.rates_of("a", now).given < 1e-6);
+}
+
 BOOST_AUTO_TEST_CASE(the_account_with_least_is_next)
 {
     share_meter meter;
@@ -194,7 +215,7 @@
     auto loads = make_loads({"a"});
     placement_request request;
     request.endpoint_tokens_per_second = 1000.0;
-    loads[0].pending_tokens = 300.0;
+    loads[0].pending_tokens = 400.0;
     request.standing = share_standing::excess;
     BOOST_TEST(!it.choose(request, loads).endpoint.has_value());
     request.standing = share_standing::within;
