Read reports while they are parsed, and once

Cause: each datagram was parsed as news first and then again as a report, into a tree of some 300 values; with 29 others that was the largest part of an idle gateway's processor time. A peer's loads went through a map of names for each report. Change: the byte after the list's head tells news from reports; a reader takes the fields as they are parsed; loads are merged in order of names, and replaced in place. Tests: damaged_reports_are_no_reports also with fields in other places, negative or missing; the random ones are as before.

--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -3,6 +3,7 @@
 #include <hemlocknotch/wire/socket_address.hpp>
 
 #include "../start_error.hpp"
+#include "report_reader.hpp"
 
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
@@ -22,9 +23,6 @@
 using nlohmann::json;
 
 constexpr std::size_t max_datagram = 65'507;
-/// Fields of one endpoint, and of one account, in a report.
-constexpr std::size_t endpoint_fields = 4;
-constexpr std::size_t account_fields = 3;
 /// Bytes of a change beside its key and value.
 constexpr std::size_t change_overhead = 32;
 /// First element of news; reports begin with a text.
@@ -63,30 +61,12 @@
 
 std::optional<gateway::fleet_report> decode_report(std::span<const std::uint8_t> bytes)
 {
-    try {
-        const auto value = json::from_cbor(bytes.begin(), bytes.end());
-        gateway::fleet_report out;
-        out.gateway = value.at(0).get<std::string>();
-        out.incarnation = value.at(1).get<std::uint64_t>();
-        out.sequence = value.at(2).get<std::uint64_t>();
-        const auto& endpoints = value.at(3);
-        for (std::size_t n = 0; n < endpoints.size(); n += endpoint_fields) {
-            out.endpoints.push_back({endpoints.at(n).get<std::string>(), endpoints.at(n + 1).get<double>(),
-                                     endpoints.at(n + 2).get<unsigned>(), endpoints.at(n + 3).get<double>()});
-        }
-        for (const auto& [service, accounts] : value.at(4).items()) {
-            for (std::size_t n = 0; n < accounts.size(); n += account_fields) {
-                out.accounts.push_back(
-                    {service,
-                     accounts.at(n).get<std::string>(),
-                     {accounts.at(n + 1).get<double>(), accounts.at(n + 2).get<double>()}});
-            }
-        }
-        return out;
-    }
-    catch (const json::exception&) {
+    report_reader reader;
+    if (!json::sax_parse(bytes.begin(), bytes.end(), &reader, json::input_format_t::cbor) ||
+        !reader.is_complete()) {
         return std::nullopt;
     }
+    return std::move(reader.report());
 }
 
 std::vector<std::uint8_t> encode_news(gateway::registry_news news, std::size_t max_bytes)
@@ -201,8 +181,12 @@
 
 void report_exchange::take(std::span<const std::uint8_t> bytes)
 {
-    if (const auto news = decode_news(bytes)) {
-        return news_received_(*news);
+    // The tag follows the one byte that opens the list.
+    if (bytes.size() > 1 && bytes[1] == news_tag) {
+        if (const auto news = decode_news(bytes)) {
+            news_received_(*news);
+        }
+        return;
     }
     const auto report = decode_report(bytes);
     if (!report) {
--- a/packages/daemon/tests/gateway_parts_test.cpp
+++ b/packages/daemon/tests/gateway_parts_test.cpp
@@ -4,6 +4,7 @@
 #include "process_clock.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 #include <array>
@@ -145,6 +146,22 @@
         static_cast<void>(decode_report(bytes));
     }
     BOOST_TEST(!decode_report({}));
+    // Fields in other places, below zero, or too few.
+    using nlohmann::json;
+    const std::vector<json> others{
+        json{"g1", 1, 2, json::array({"i-1", 5, 1}), json::object()},
+        json{"g1", 1, 2, json::array({"i-1", -5, 1, 7}), json::object()},
+        json{"g1", 1, 2, json::array({5, "i-1", 1, 7}), json::object()},
+        json{"g1", 1, 2, json::array({json::array({"i-1", 5, 1, 7})}), json::object()},
+        json{"g1", 1, 2, json::array(), json{{"s", json::array({"acme", 1})}}},
+        json{"g1", 1, 2, json::array()},
+        json{"g1", 1, 2, json::object(), json::object()},
+        json{1, "g1", 2, json::array(), json::object()},
+    };
+    for (const auto& it : others) {
+        BOOST_TEST(!decode_report(json::to_cbor(it)), it.dump());
+    }
+    BOOST_TEST(decode_report(json::to_cbor(json{"g1", 1, 2, json::array(), json::object()})).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -31,6 +31,12 @@
     double tokens_per_second = 0.0;
 };
 
+/// The same with the endpoint's name, which stays valid as long as the report that tells it.
+struct told_endpoint_load {
+    std::string_view instance;
+    peer_load load;
+};
+
 /// What the gateway knows of one endpoint.
 struct endpoint_state {
     /// Time over which rates are averaged: some prompts of the largest kind.
@@ -62,8 +68,9 @@
     [[nodiscard]] double kept_tokens(std::span<const prompt_part> shared_parts, instant now) const;
     /// Remembers that a prompt that begins with `shared_parts` was sent here.
     void note_sent(std::span<const prompt_part> shared_parts, instant now);
-    /// Replaces what `gateway` causes here; nothing forgets it.
-    void set_peer(std::string_view gateway, const std::optional<peer_load>& load);
+    /// Replaces or forgets what `gateway` causes here.
+    void set_peer(std::string_view gateway, const peer_load& load);
+    void forget_peer(std::string_view gateway);
     std::optional<cold_gate> gate;
 };
 
@@ -103,7 +110,7 @@
     void set_unheard(std::size_t gateways) { unheard_ = gateways; }
 
     /// Replaces what `gateway` says of its load. An empty list forgets it.
-    void set_peer_load(std::string_view gateway, const std::map<std::string, peer_load, std::less<>>& loads);
+    void set_peer_load(std::string_view gateway, std::span<const told_endpoint_load> loads);
 
     /// Returns the endpoints of `service` as seen by a prompt that begins with `shared_parts`, valid until
     /// the next change; `states` receives their states in the same order.
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -41,21 +41,26 @@
     }
 }
 
-void endpoint_state::set_peer(std::string_view gateway, const std::optional<peer_load>& load)
+void endpoint_state::set_peer(std::string_view gateway, const peer_load& load)
 {
-    const auto known = peers.find(gateway);
-    if (known != peers.end()) {
-        peers_total.pending_tokens -= known->second.pending_tokens;
-        peers_total.running -= known->second.running;
-        peers_total.tokens_per_second -= known->second.tokens_per_second;
-        peers.erase(known);
+    auto it = peers.find(gateway);
+    if (it == peers.end()) {
+        it = peers.emplace(gateway, peer_load{}).first;
     }
-    if (load) {
-        peers.emplace(gateway, *load);
-        peers_total.pending_tokens += load->pending_tokens;
-        peers_total.running += load->running;
-        peers_total.tokens_per_second += load->tokens_per_second;
+    peers_total.pending_tokens += load.pending_tokens - it->second.pending_tokens;
+    peers_total.running += load.running - it->second.running;
+    peers_total.tokens_per_second += load.tokens_per_second - it->second.tokens_per_second;
+    it->second = load;
+}
+
+void endpoint_state::forget_peer(std::string_view gateway)
+{
+    const auto it = peers.find(gateway);
+    if (it == peers.end()) {
+        return;
     }
+    set_peer(gateway, {});
+    peers.erase(it);
     if (peers.empty()) {
         // No rounding remains.
         peers_total = {};
@@ -110,12 +115,26 @@
     }
 }
 
-void endpoint_table::set_peer_load(std::string_view gateway,
-                                   const std::map<std::string, peer_load, std::less<>>& loads)
+void endpoint_table::set_peer_load(std::string_view gateway, std::span<const told_endpoint_load> loads)
 {
+    std::vector<const told_endpoint_load*> in_order;
+    in_order.reserve(loads.size());
+    for (const auto& it : loads) {
+        in_order.push_back(&it);
+    }
+    std::ranges::sort(in_order, {}, &told_endpoint_load::instance);
+    // Both in order of names, so that each is looked at once.
+    auto told = in_order.begin();
     for (auto& [name, it] : endpoints_) {
-        const auto told = loads.find(name);
-        it->set_peer(gateway, told == loads.end() ? std::nullopt : std::optional{told->second});
+        while (told != in_order.end() && (*told)->instance < name) {
+            ++told;
+        }
+        if (told != in_order.end() && (*told)->instance == name) {
+            it->set_peer(gateway, (*told)->load);
+        }
+        else {
+            it->forget_peer(gateway);
+        }
     }
 }
 
--- a/packages/gateway/src/fleet_reports.cpp
+++ b/packages/gateway/src/fleet_reports.cpp
@@ -1,6 +1,7 @@
 #include "fleet_reports.hpp"
 
 #include <cassert>
+#include <vector>
 
 namespace hemlocknotch::gateway {
 namespace {
@@ -39,9 +40,10 @@
 
 void fleet_reports::take_load(const fleet_report& report)
 {
-    std::map<std::string, peer_load, std::less<>> loads;
+    std::vector<told_endpoint_load> loads;
+    loads.reserve(report.endpoints.size());
     for (const auto& it : report.endpoints) {
-        loads.insert_or_assign(it.instance, peer_load{it.pending_tokens, it.running, it.tokens_per_second});
+        loads.push_back({it.instance, {it.pending_tokens, it.running, it.tokens_per_second}});
     }
     endpoints_.set_peer_load(report.gateway, loads);
     heard_.insert(report.gateway);
