Leave the queue of an endpoint to accounts within their share

Cause: the wider window for accounts beyond their share lets them put work ahead of the others at the endpoint, where it cannot be ordered any more. Change: the window is 0.22 s again; the rate stays at 1.6 times the stated one.

--- a/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/affinity_placement.hpp
@@ -34,7 +34,7 @@
     /// The same bounds for requests beyond their accounts' fair shares. What lies between is kept for
     /// accounts within theirs, which would wait behind the others at the endpoint, where nothing can be
     /// ordered any more.
-    double excess_window_seconds = 0.35;
+    double excess_window_seconds = 0.22;
     double excess_rate_factor = 1.6;
     /// Part of the excess bounds that is open to accounts beyond even their share of what is done at present:
     /// an endpoint with so little to do is not needed by others.
--- a/packages/gateway/tests/share_test.cpp
+++ b/packages/gateway/tests/share_test.cpp
@@ -215,7 +215,7 @@
     auto loads = make_loads({"a"});
     placement_request request;
     request.endpoint_tokens_per_second = 1000.0;
-    loads[0].pending_tokens = 400.0;
+    loads[0].pending_tokens = 300.0;
     request.standing = share_standing::excess;
     BOOST_TEST(!it.choose(request, loads).endpoint.has_value());
     request.standing = share_standing::within;
