Keep one copy of the interval of reports, and take counters of requests out of the router

Change: gateway::report_interval serves the gateway and the model; exchange_metrics records requests, sends and failed calls. No change in behaviour.

--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -23,10 +23,6 @@
 constexpr std::size_t reserved_descriptors = 250;
 /// Part of the others that callers' connections may take; the rest is for endpoints.
 constexpr double caller_descriptor_share = 0.6;
-/// Time between two reports to others: a tenth of the objectives of a second.
-constexpr duration report_interval = std::chrono::milliseconds{100};
-/// With more others the interval grows, so that a gateway sends and takes some 80 datagrams a second.
-constexpr std::size_t others_per_interval = 8;
 /// What a gateway has told counts for so long after its last report.
 constexpr duration report_life = std::chrono::seconds{2};
 constexpr std::string_view metrics_path = "/metrics";
@@ -118,7 +114,7 @@
         if (auto it = reports_.listen(*settings_.members); !it) {
             return it.error();
         }
-        report_timer_.start(report_interval);
+        report_timer_.start(gateway::report_interval(others_.size()));
     }
     log({log_level::info,
          "started",
@@ -210,8 +206,7 @@
     report.incarnation = incarnation_;
     report.sequence = ++report_sequence_;
     reports_.send(report, others_);
-    const auto rounds = std::max<std::size_t>(1, others_.size() / others_per_interval);
-    report_timer_.start(report_interval * static_cast<int>(rounds));
+    report_timer_.start(gateway::report_interval(others_.size()));
 }
 
 void gateway_shell::take_report(const gateway::fleet_report& report)
--- a/packages/gateway/bench/fleet_model.cpp
+++ b/packages/gateway/bench/fleet_model.cpp
@@ -238,11 +238,7 @@
                 [this, receiver, report] { receiver->decisions.take_report(*report, events_.now()); });
         }
     }
-    // As the gateways do: with more of them, reports become rarer.
-    constexpr std::size_t others_per_interval = 8;
-    const auto rounds = std::max<std::size_t>(1, (gateways_.size() - 1) / others_per_interval);
-    events_.add_in(options_.report_interval * static_cast<int>(rounds),
-                   [this, from] { exchange_reports(from); });
+    events_.add_in(report_interval(gateways_.size() - 1), [this, from] { exchange_reports(from); });
 }
 
 } // namespace hemlocknotch::gateway::model
--- a/packages/gateway/bench/fleet_model.hpp
+++ b/packages/gateway/bench/fleet_model.hpp
@@ -27,7 +27,6 @@
     double tokens_per_second = 320'000.0;
     /// One way between callers, gateways and engines.
     duration link_delay = std::chrono::microseconds{900};
-    duration report_interval = std::chrono::milliseconds{100};
     /// So many engines are lost, without a word, after a third of the run and come back after two thirds.
     std::size_t lost_engines = 0;
     load_options load;
--- a/packages/gateway/include/hemlocknotch/gateway/fleet_report.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/fleet_report.hpp
@@ -2,6 +2,7 @@
 
 #include <hemlocknotch/gateway/share_meter.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -39,4 +40,7 @@
     std::vector<account_report> accounts;
 };
 
+/// Returns the time between two reports of a gateway that tells `others` gateways. Thread-safe.
+duration report_interval(std::size_t others);
+
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -126,7 +126,6 @@
     void admit(exchange& it, instant now);
     bool try_send(exchange& it, instant now);
     void offer_waiting(instant now);
-    void record_send(const exchange& it, instant now);
     void send(exchange& it, endpoint_state& endpoint, instant now);
     void wait_or_refuse(exchange& it, instant now);
     void handle_failure(exchange& it, call_outcome outcome, instant now);
--- a/packages/gateway/src/fleet_reports.cpp
+++ b/packages/gateway/src/fleet_reports.cpp
@@ -1,6 +1,8 @@
 #include "fleet_reports.hpp"
 
+#include <algorithm>
 #include <cassert>
+#include <chrono>
 #include <vector>
 
 namespace hemlocknotch::gateway {
@@ -10,8 +12,19 @@
 /// the slowest engines do. Rates fall off exponentially, so that a lower one would be told for seconds more.
 constexpr double negligible_rate = 100.0;
 
+/// Shortest time between two reports: a tenth of the objectives of a second.
+constexpr duration least_report_interval = std::chrono::milliseconds{100};
+/// With more others the interval grows, so that a gateway sends and takes some 80 datagrams a second.
+constexpr std::size_t others_per_interval = 8;
+
 } // namespace
 
+duration report_interval(std::size_t others)
+{
+    const auto rounds = std::max<std::size_t>(1, others / others_per_interval);
+    return least_report_interval * static_cast<int>(rounds);
+}
+
 void fleet_reports::set_gateways(std::size_t gateways)
 {
     assert(gateways >= 1);
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -4,6 +4,7 @@
 #include "caller_answers.hpp"
 #include "exchange.hpp"
 #include "exchange_lines.hpp"
+#include "exchange_metrics.hpp"
 #include "exchange_table.hpp"
 #include "fleet_reports.hpp"
 #include "request_target.hpp"
@@ -37,12 +38,6 @@
 /// A repeatable request is sent to a second endpoint after this many objectives of silence.
 constexpr double silent_objectives = 1.5;
 
-constexpr std::string_view account_requests_metric = "hemlocknotch_gateway_account_requests_total";
-constexpr std::string_view endpoint_calls_metric = "hemlocknotch_gateway_endpoint_calls_total";
-constexpr std::string_view endpoint_failures_metric = "hemlocknotch_gateway_endpoint_failures_total";
-constexpr std::string_view prompt_tokens_metric = "hemlocknotch_gateway_prompt_tokens_total";
-constexpr std::string_view wait_metric = "hemlocknotch_gateway_wait_seconds";
-
 /// Largest answer that is held until it is whole; bounds memory.
 constexpr std::size_t max_held_answer = std::size_t{8} << 20U;
 
@@ -146,9 +141,7 @@
     it.place = placement_of(it.request->fields, options_.expected_output_share);
     it.cost = it.is_model ? it.place.prompt_tokens + options_.output_weight * it.place.output_tokens : 1.0;
     service_of(it.service).note_asked(it, now);
-    if (!it.account.empty()) {
-        port_.record({metric_kind::counter, account_requests_metric, "account", it.account, 1.0});
-    }
+    record_asked(port_, it);
     exchanges_->add_deadline(it, it.ends_at);
     admit(it, now);
 }
@@ -204,7 +197,7 @@
     ++answers_->counters().sends;
     const auto start = calls_->begin(it, endpoint, reports_->gateways(), now);
     service_of(it.service).note_sent(it, now);
-    record_send(it, now);
+    record_sent(port_, it, now);
     if (it.matched->kind == request_kind::safe && it.executions + 1 < it.matched->max_attempts) {
         it.silent_at = now + std::chrono::duration_cast<duration>(it.objective() * silent_objectives);
         exchanges_->add_deadline(it, it.silent_at);
@@ -212,18 +205,6 @@
     port_.start_call(start);
 }
 
-void router::record_send(const exchange& it, instant now)
-{
-    port_.record({metric_kind::histogram, wait_metric, "route", it.matched->name,
-                  std::chrono::duration<double>(now - it.arrived).count()});
-    port_.record({metric_kind::counter, endpoint_calls_metric, "endpoint", it.instance, 1.0});
-    if (it.is_model) {
-        const auto kept = it.place.prompt_tokens - it.pending;
-        port_.record({metric_kind::counter, prompt_tokens_metric, "source", "kept", kept});
-        port_.record({metric_kind::counter, prompt_tokens_metric, "source", "read", it.pending});
-    }
-}
-
 void router::offer_waiting(instant now)
 {
     for (auto& [name, service] : services_) {
@@ -369,7 +350,7 @@
         endpoints_.note_failure(*endpoint, outcome == call_outcome::broken, now);
     }
     const auto was_executed = outcome == call_outcome::broken;
-    port_.record({metric_kind::counter, endpoint_failures_metric, "endpoint", it.instance, 1.0});
+    record_failed_call(port_, it);
     if (port_.wants_log(log_level::warning)) {
         port_.write_log(failed_call_line(it, was_executed));
     }
