Log the age of the registry at each decision, and never leave out a lost dependency

Half the lines of a gateway under load were log-lines-left-out, so that the kept part of its log did not reach back to the fault.

Change: lines on the state of the process have no budget and a reserved part of the buffer; dropped lines are reported at most once a second; request-ended has registry_age_ms; registry-stale and registry-current frame the time in which the registry is older than 0.8 of its bound and give the delay of the event loop; registry-behind and registry-caught-up frame a gap in the updates of other gateways. Counters of failed reads and of applied and ignored updates, and a histogram of the event loop's delay. No decision changes.

--- a/packages/core/include/hemlocknotch/core/log_record.hpp
+++ b/packages/core/include/hemlocknotch/core/log_record.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <hemlocknotch/core/time.hpp>
+
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -23,4 +26,10 @@
     std::vector<log_field> fields;
 };
 
+/// Returns `value` in whole milliseconds, as log fields give it. Thread-safe.
+inline std::string milliseconds_text(duration value)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
 } // namespace hemlocknotch
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -18,6 +18,8 @@
 /// changes must take effect. The rest covers the jitter of reads, one failed read, and the report to other
 /// gateways.
 constexpr double view_age_share = 0.4;
+/// Age at which the registry is logged as stale, as a part of the same time: two refreshes are overdue.
+constexpr double stale_age_share = 0.8;
 /// Time by which the process ends before it would be ended by force.
 constexpr duration stop_margin = std::chrono::milliseconds{700};
 /// File descriptors that are reserved for files and for sockets other than callers' and endpoints'
@@ -117,7 +119,7 @@
         if (auto it = reports_.listen(*settings_.members); !it) {
             return it.error();
         }
-        report_timer_.start(gateway::report_interval(peers_.size()));
+        schedule_report();
     }
     log({log_level::info,
          "started",
@@ -186,9 +188,7 @@
     }
     if (difference.has_endpoints) {
         const auto records = view_.endpoints();
-        if (wants_log(log_level::info)) {
-            log_.write({log_level::info, "endpoints-changed", {{"count", std::to_string(records.size())}}});
-        }
+        log({log_level::info, "endpoints-changed", {{"count", std::to_string(records.size())}}});
         router_.set_endpoints(records, now);
     }
     schedule_router_timer();
@@ -209,7 +209,45 @@
     report.incarnation = incarnation_;
     report.sequence = ++report_sequence_;
     reports_.send(report, peers_);
-    report_timer_.start(gateway::report_interval(peers_.size()));
+    check_registry_age();
+    schedule_report();
+}
+
+void gateway_shell::schedule_report()
+{
+    const auto interval = gateway::report_interval(peers_.size());
+    report_due_ = clock_.now() + interval;
+    report_timer_.start(interval);
+}
+
+void gateway_shell::check_registry_age()
+{
+    const auto now = clock_.now();
+    const auto delay = std::max(duration::zero(), now - report_due_);
+    max_loop_delay_ = std::max(max_loop_delay_, delay);
+    metrics_.record({metric_kind::histogram,
+                     "hemlocknotch_gateway_loop_delay_seconds",
+                     {},
+                     {},
+                     std::chrono::duration<double>(delay).count()});
+    const auto bound = std::min(settings_.drain_bound, settings_.configuration_bound) * stale_age_share;
+    const auto age = now - follower_.current_as_of();
+    if (age <= bound) {
+        if (const auto since = std::exchange(stale_since_, instant::max()); since != instant::max()) {
+            log({log_level::info, "registry-current", {{"after_ms", milliseconds_text(now - since)}}});
+        }
+        max_loop_delay_ = duration::zero();
+        return;
+    }
+    if (stale_since_ == instant::max() && view_.revision() != 0) {
+        stale_since_ = now;
+        log({log_level::warning,
+             "registry-stale",
+             {{"age_ms", milliseconds_text(age)},
+              {"revision", std::to_string(view_.revision())},
+              {"store", follower_.is_reachable() ? "reachable" : "lost"},
+              {"loop_delay_ms", milliseconds_text(max_loop_delay_)}}});
+    }
 }
 
 void gateway_shell::apply_report(const gateway::fleet_report& report)
@@ -268,6 +306,11 @@
     callers_.abort(exchange);
 }
 
+instant gateway_shell::registry_as_of() const
+{
+    return follower_.current_as_of();
+}
+
 void gateway_shell::record(const metric_effect& metric)
 {
     metrics_.record(metric);
@@ -285,9 +328,7 @@
 
 void gateway_shell::log(const log_effect& record)
 {
-    if (log_.try_acquire(record.level)) {
-        log_.write(record);
-    }
+    log_.write_state(record);
 }
 
 void gateway_shell::on_request(gateway::exchange_id exchange,
@@ -335,6 +376,12 @@
     return stop_requested_at_ == instant::max() && router_.has_configuration();
 }
 
+std::uint64_t gateway_shell::configuration_version() const
+{
+    const auto configuration = view_.configuration();
+    return configuration ? configuration->version() : 0;
+}
+
 page gateway_shell::readiness_page(std::string_view path) const
 {
     constexpr int ok = 200;
@@ -388,14 +435,17 @@
     total("hemlocknotch_gateway_resumed_streams_total", it.resumed_streams);
     total("hemlocknotch_gateway_malformed_total", malformed_count_);
     total("hemlocknotch_gateway_registry_calls_total", registry_client_.call_count());
+    const auto& registry = follower_.counters();
+    total("hemlocknotch_gateway_registry_failed_reads_total", registry.failed_reads);
+    total("hemlocknotch_gateway_registry_applied_updates_total", registry.applied_updates);
+    total("hemlocknotch_gateway_registry_updates_after_gap_total", registry.updates_after_gap);
     total("hemlocknotch_gateway_endpoint_connections_opened_total", pool_.opened_count());
     total("hemlocknotch_gateway_log_lines_left_out_total", log_.dropped_count());
     gauge("hemlocknotch_gateway_open_requests", router_.exchange_count());
     gauge("hemlocknotch_gateway_caller_connections", callers_.connection_count());
     gauge("hemlocknotch_gateway_endpoint_connections", pool_.connection_count());
-    gauge("hemlocknotch_gateway_others_heard", last_report_at_.size());
-    gauge("hemlocknotch_gateway_configuration_version",
-          view_.configuration() ? view_.configuration()->version() : 0);
+    gauge("hemlocknotch_gateway_others_heard", others_heard());
+    gauge("hemlocknotch_gateway_configuration_version", configuration_version());
     const std::chrono::duration<double> age = clock_.now() - follower_.current_as_of();
     metrics_.set("hemlocknotch_gateway_registry_age_seconds", age.count());
     return {ok, metrics_.text()};
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -53,6 +53,12 @@
     /// Reported to the load balancer.
     [[nodiscard]] bool is_ready() const;
 
+    /// Returns the number of other gateways whose reports are current.
+    [[nodiscard]] std::size_t others_heard() const { return last_report_at_.size(); }
+
+    /// Returns the version of the configuration in force; 0: none.
+    [[nodiscard]] std::uint64_t configuration_version() const;
+
     /// Logs that the settings were read again. New values take effect with the next start of the process.
     void reload();
 
@@ -70,6 +76,7 @@
     void end_stream(gateway::exchange_id exchange) override;
     void abort(gateway::exchange_id exchange) override;
     void record(const metric_effect& metric) override;
+    [[nodiscard]] instant registry_as_of() const override;
     bool wants_log(log_level level) override;
     void write_log(const log_effect& record) override;
 
@@ -87,6 +94,8 @@
     void schedule_router_timer();
     void continue_stop();
     void send_report();
+    void check_registry_age();
+    void schedule_report();
     void apply_report(const gateway::fleet_report& report);
     void log(const log_effect& record);
     [[nodiscard]] page readiness_page(std::string_view path) const;
@@ -118,6 +127,12 @@
     std::map<std::string, instant, std::less<>> last_report_at_;
     std::uint64_t report_sequence_ = 0;
     timer report_timer_;
+    /// When the report timer is due; it fires later where the event loop is delayed.
+    instant report_due_ = instant::max();
+    /// Longest delay of the event loop since the registry was last current.
+    duration max_loop_delay_{};
+    /// Time at which the registry became stale; `instant::max()`: it is current.
+    instant stale_since_ = instant::max();
     timer router_timer_;
     timer stop_timer_;
     instant stop_requested_at_ = instant::max();
--- a/packages/daemon/src/gateway/nonblocking_log.cpp
+++ b/packages/daemon/src/gateway/nonblocking_log.cpp
@@ -44,17 +44,29 @@
 
 void nonblocking_log::write(const log_effect& record)
 {
-    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+    append(record, max_pending_bytes - reserved_bytes);
+}
+
+void nonblocking_log::write_state(const log_effect& record)
+{
+    append(record, max_pending_bytes);
+}
+
+void nonblocking_log::append(const log_effect& record, std::size_t limit)
+{
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::chrono::system_clock::now().time_since_epoch());
-    auto line = log_line(record, log_format::json, std::to_string(now.count()), instance_);
-    if (dropped_count_ != reported_dropped_count_) {
+    auto line = log_line(record, log_format::json, std::to_string(time.count()), instance_);
+    if (const auto now = now_();
+        dropped_count_ != reported_dropped_count_ && now - drops_reported_at_ >= drop_report_interval) {
         const auto n = std::to_string(dropped_count_ - reported_dropped_count_);
         line += "\n" + log_line({log_level::info, "log-lines-left-out", {{"lines", n}}}, log_format::json,
-                                std::to_string(now.count()), instance_);
+                                std::to_string(time.count()), instance_);
         reported_dropped_count_ = dropped_count_;
+        drops_reported_at_ = now;
     }
     line += '\n';
-    if (pending_.size() + line.size() > max_pending_bytes) {
+    if (pending_.size() + line.size() > limit) {
         ++dropped_count_;
     }
     else {
--- a/packages/daemon/src/gateway/nonblocking_log.hpp
+++ b/packages/daemon/src/gateway/nonblocking_log.hpp
@@ -14,7 +14,8 @@
 
 /// Structured log on a file descriptor, one JSON object a line, that never blocks. Lines that the reader does
 /// not consume are buffered up to a limit and then dropped, and a token bucket limits the rate of each level.
-/// Dropped lines are counted. Used by one thread at a time.
+/// Lines on the state of the process are exempt from the token buckets. Dropped lines are counted. Used by
+/// one thread at a time.
 class nonblocking_log {
 public:
     /// Maximum number of lines per second of each level, from debug to error. Successes are logged at the
@@ -24,6 +25,10 @@
     static constexpr double burst_seconds = 2.0;
     /// Maximum number of bytes that are buffered for a slow reader.
     static constexpr std::size_t max_pending_bytes = std::size_t{128} << 10U;
+    /// Part of the buffer that is reserved for lines on the state of the process.
+    static constexpr std::size_t reserved_bytes = std::size_t{32} << 10U;
+    /// Shortest time between two lines that report dropped ones.
+    static constexpr duration drop_report_interval = std::chrono::seconds{1};
 
     /// Sets `fd` to non-blocking mode. `instance` goes into each line; `now` returns the monotonic time.
     nonblocking_log(int fd, std::string instance, std::function<instant()> now);
@@ -35,6 +40,10 @@
     /// Writes a line that `try_acquire` has admitted, or drops it where the buffer is full.
     void write(const log_effect& record);
 
+    /// Writes a line on the state of the process, such as a lost dependency, whatever the budgets say. Only
+    /// the buffer limits these lines.
+    void write_state(const log_effect& record);
+
     /// Returns the number of lines dropped so far.
     [[nodiscard]] std::uint64_t dropped_count() const { return dropped_count_; }
 
@@ -44,6 +53,7 @@
         instant refilled_at{};
     };
 
+    void append(const log_effect& record, std::size_t limit);
     void flush();
 
     int fd_;
@@ -54,6 +64,7 @@
     std::uint64_t dropped_count_ = 0;
     /// Dropped lines that a "log-lines-left-out" line has reported.
     std::uint64_t reported_dropped_count_ = 0;
+    instant drops_reported_at_{};
 };
 
 } // namespace hemlocknotch::daemon
--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -81,7 +81,7 @@
     const auto now = now_();
     if (needs_full_read_ || update.from_revision > view_.revision()) {
         // Changes in between are missing; this gateway's own next read returns them.
-        return;
+        return note_gap(update);
     }
     if (update.to_revision < view_.revision()) {
         return;
@@ -102,7 +102,9 @@
         read_timer_.start(duration::zero());
         return;
     }
+    ++counters_.applied_updates;
     current_as_of_ = std::max(current_as_of_, now - update.age);
+    note_current("update");
     if (failed_since_ == instant::max()) {
         schedule_read();
     }
@@ -160,6 +162,7 @@
     on_success();
     needs_full_read_ = false;
     current_as_of_ = std::max(current_as_of_, requested_at);
+    note_current("read");
     const auto from = view_.revision();
     auto unpublished =
         is_full_read ? std::vector<gateway::reported_change>{} : view_.significant_changes(answer.changes);
@@ -185,8 +188,34 @@
     publish_(std::move(update));
 }
 
+void registry_follower::note_gap(const gateway::registry_update& update)
+{
+    ++counters_.updates_after_gap;
+    if (behind_since_ != instant::max()) {
+        return;
+    }
+    behind_since_ = now_();
+    log_({log_level::warning,
+          "registry-behind",
+          {{"gateway", update.gateway},
+           {"revision", std::to_string(view_.revision())},
+           {"update_from", std::to_string(update.from_revision)}}});
+}
+
+void registry_follower::note_current(std::string_view source)
+{
+    const auto since = std::exchange(behind_since_, instant::max());
+    if (since == instant::max()) {
+        return;
+    }
+    log_({log_level::info,
+          "registry-caught-up",
+          {{"after_ms", milliseconds_text(now_() - since)}, {"source", std::string{source}}}});
+}
+
 void registry_follower::on_failure(registry_status status)
 {
+    ++counters_.failed_reads;
     if (failed_since_ == instant::max()) {
         failed_since_ = now_();
         log_({log_level::warning,
@@ -211,8 +240,7 @@
     if (outage_duration >= outage_threshold) {
         view_.on_registry_recovered(now_());
     }
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(outage_duration).count();
-    log_({log_level::info, "registry-back", {{"after_ms", std::to_string(ms)}}});
+    log_({log_level::info, "registry-back", {{"after_ms", milliseconds_text(outage_duration)}}});
 }
 
 void registry_follower::schedule_read()
--- a/packages/daemon/src/gateway/registry_follower.hpp
+++ b/packages/daemon/src/gateway/registry_follower.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace hemlocknotch::daemon {
 
@@ -25,6 +26,16 @@
     duration max_age = std::chrono::milliseconds{800};
 };
 
+/// Totals for the metrics page.
+struct registry_follower_counters {
+    /// Reads and watches without a usable answer.
+    std::uint64_t failed_reads = 0;
+    /// Updates of other gateways that were applied.
+    std::uint64_t applied_updates = 0;
+    /// Updates of other gateways that were ignored because changes before them are missing here.
+    std::uint64_t updates_after_gap = 0;
+};
+
 /// Keeps a view of the registry up to date and this gateway registered in it. The gateways share the load of
 /// reading: each sends what it has read to the others. Used on the event loop's thread only.
 class registry_follower {
@@ -57,6 +68,8 @@
 
     [[nodiscard]] bool is_reachable() const { return failed_since_ == instant::max(); }
 
+    [[nodiscard]] const registry_follower_counters& counters() const { return counters_; }
+
 private:
     void read();
     void watch();
@@ -70,6 +83,8 @@
     void join();
     void renew();
     void notify_changed(const gateway::registry_difference& difference);
+    void note_gap(const gateway::registry_update& update);
+    void note_current(std::string_view source);
 
     gateway::registry_client& registry_client_;
     gateway::registry_view& view_;
@@ -93,6 +108,10 @@
     duration retry_delay_{};
     /// The next read is a full one, because nothing is known yet, history was lost or the views differ.
     bool needs_full_read_ = true;
+    /// Time of the first update that was ignored after a gap since the view was last current;
+    /// `instant::max()`: none.
+    instant behind_since_ = instant::max();
+    registry_follower_counters counters_;
     /// Lease of the registration; 0: none.
     std::uint64_t lease_id_ = 0;
 };
--- a/packages/daemon/tests/gateway_parts_test.cpp
+++ b/packages/daemon/tests/gateway_parts_test.cpp
@@ -57,6 +57,53 @@
     ::close(ends[1]);
 }
 
+BOOST_AUTO_TEST_CASE(reports_dropped_log_lines_at_most_once_a_second)
+{
+    std::array<int, 2> ends{};
+    BOOST_REQUIRE(::pipe(ends.data()) == 0);
+    instant now{std::chrono::seconds{1}};
+    nonblocking_log it{ends[1], "g", [&] { return now; }};
+    constexpr int steps = 300;
+    constexpr int steps_per_second = 100;
+    for (int n = 0; n < steps; ++n) {
+        now += std::chrono::milliseconds{1000 / steps_per_second};
+        for (int k = 0; k < 3; ++k) {
+            if (it.try_acquire(log_level::warning)) {
+                it.write({log_level::warning, "request-ended", {}});
+            }
+        }
+    }
+    ::close(ends[1]);
+    std::string text(nonblocking_log::max_pending_bytes, '\0');
+    const auto size = ::read(ends[0], text.data(), text.size());
+    BOOST_REQUIRE(size > 0);
+    ::close(ends[0]);
+    std::size_t reports = 0;
+    for (auto at = text.find("log-lines-left-out"); at != std::string::npos;
+         at = text.find("log-lines-left-out", at + 1)) {
+        ++reports;
+    }
+    BOOST_TEST(it.dropped_count() > 0U);
+    BOOST_TEST(reports >= 1U);
+    BOOST_TEST(reports <= steps / steps_per_second);
+}
+
+BOOST_AUTO_TEST_CASE(a_full_buffer_keeps_room_for_lines_on_the_state_of_the_process)
+{
+    std::array<int, 2> ends{};
+    BOOST_REQUIRE(::pipe(ends.data()) == 0);
+    instant now{std::chrono::seconds{1}};
+    nonblocking_log it{ends[1], "g", [&] { return now; }};
+    while (it.dropped_count() == 0) {
+        now += std::chrono::seconds{1};
+        it.write({log_level::warning, "request-ended", {{"request", std::string(100, 'a')}}});
+    }
+    it.write_state({log_level::warning, "registry-lost", {}});
+    BOOST_TEST(it.dropped_count() == 1U);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
 BOOST_AUTO_TEST_CASE(settings_errors_name_the_path_of_each_faulty_field)
 {
     const auto good = parse_gateway_settings(R"({
--- a/packages/gateway/bench/fleet_nodes.hpp
+++ b/packages/gateway/bench/fleet_nodes.hpp
@@ -129,6 +129,8 @@
 
     void record(const metric_effect& /*metric*/) override {}
 
+    [[nodiscard]] instant registry_as_of() const override { return instant{}; }
+
     bool wants_log(log_level /*level*/) override { return false; }
 
     void write_log(const log_effect& /*record*/) override {}
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -138,6 +138,7 @@
     void expire(exchange& it, instant now);
     void erase(const exchange& it);
     [[nodiscard]] exchange_context context_of(const exchange& it, instant now) const;
+    [[nodiscard]] duration registry_age(instant now) const;
     exchange* find_by_call(call_id call);
 
     router_options options_;
--- a/packages/gateway/include/hemlocknotch/gateway/router_port.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router_port.hpp
@@ -87,6 +87,9 @@
 
     virtual void record(const metric_effect& metric) = 0;
 
+    /// Returns the time as of which the registry is known, for log records; `instant{}`: unknown.
+    [[nodiscard]] virtual instant registry_as_of() const = 0;
+
     /// Returns whether a record of `level` would be written now. Records that are left out are counted.
     virtual bool wants_log(log_level level) = 0;
     virtual void write_log(const log_effect& record) = 0;
--- a/packages/gateway/src/caller_answers.cpp
+++ b/packages/gateway/src/caller_answers.cpp
@@ -106,13 +106,15 @@
     if (!port_.wants_log(level)) {
         return;
     }
-    port_.write_log(request_ended_record(it,
-                                         {.status = status,
-                                          .reason = reason,
-                                          .at = context.now,
-                                          .waiting = context.waiting,
-                                          .configuration_version = context.configuration_version},
-                                         level));
+    port_.write_log(
+        request_ended_record(it,
+                             {.status = status,
+                              .reason = reason,
+                              .at = context.now,
+                              .waiting = context.waiting,
+                              .configuration_version = context.configuration_version,
+                              .registry_age = it.attempts > 0 ? it.registry_age : context.registry_age},
+                             level));
 }
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/caller_answers.hpp
+++ b/packages/gateway/src/caller_answers.hpp
@@ -20,6 +20,8 @@
     std::size_t waiting = 0;
     /// Version of the configuration in force; 0: none.
     std::uint64_t configuration_version = 0;
+    /// Age of the registry now; negative: unknown.
+    duration registry_age{-1};
 };
 
 /// Answers callers, and logs and counts how their requests end. Changes no decision about a request. Used by
--- a/packages/gateway/src/exchange.hpp
+++ b/packages/gateway/src/exchange.hpp
@@ -43,6 +43,8 @@
     /// Number of endpoints that may have executed it.
     unsigned executions = 0;
     unsigned attempts = 0;
+    /// Age of the registry when the last endpoint was chosen; negative: unknown, or none was chosen.
+    duration registry_age{-1};
     std::vector<std::string> tried;
     /// The open call; 0: none.
     call_id call = 0;
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -1,18 +1,15 @@
 #include "exchange_log.hpp"
 
-#include <chrono>
 #include <string>
 
 namespace hemlocknotch::gateway {
-
 log_effect request_ended_record(const exchange& it, const exchange_end& end, log_level level)
 {
-    const auto held = std::chrono::duration_cast<std::chrono::milliseconds>(end.at - it.arrived);
     return {level,
             "request-ended",
             {{"request", std::string{it.id_text()}},
              {"status", std::to_string(end.status)},
-             {"held_ms", std::to_string(held.count())},
+             {"held_ms", milliseconds_text(end.at - it.arrived)},
              {"standing", std::string{to_string(it.placement_input.account_share)}},
              {"waiting", std::to_string(end.waiting)},
              {"reason", std::string{end.reason}},
@@ -21,7 +18,9 @@
              {"endpoint", it.instance},
              {"sends", std::to_string(it.attempts)},
              {"executions", std::to_string(it.executions)},
-             {"configuration", std::to_string(end.configuration_version)}}};
+             {"configuration", std::to_string(end.configuration_version)},
+             {"registry_age_ms",
+              end.registry_age < duration::zero() ? "" : milliseconds_text(end.registry_age)}}};
 }
 
 log_effect call_failed_record(const exchange& it, bool was_reached)
--- a/packages/gateway/src/exchange_log.hpp
+++ b/packages/gateway/src/exchange_log.hpp
@@ -20,6 +20,8 @@
     std::size_t waiting = 0;
     /// Version of the configuration in force; 0: none.
     std::uint64_t configuration_version = 0;
+    /// Age of the registry at the decision that the end follows from; negative: unknown.
+    duration registry_age{-1};
 };
 
 /// Returns the log record for the end of a request.
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -197,6 +197,7 @@
 {
     it.is_waiting = false;
     ++it.attempts;
+    it.registry_age = registry_age(now);
     ++answers_->counters().attempts;
     const auto start = calls_->begin(it, endpoint, reports_->gateways(), now);
     service_of(it.service).note_sent(it, now);
@@ -465,7 +466,14 @@
     const auto service = services_.find(it.service);
     return {.now = now,
             .waiting = service == services_.end() ? 0 : service->second->queue().size(),
-            .configuration_version = configuration_ ? configuration_->version() : 0};
+            .configuration_version = configuration_ ? configuration_->version() : 0,
+            .registry_age = registry_age(now)};
+}
+
+duration router::registry_age(instant now) const
+{
+    const auto as_of = port_.registry_as_of();
+    return as_of == instant{} ? duration{-1} : now - as_of;
 }
 
 instant router::next_due(instant now) const
--- a/packages/gateway/tests/recording_port.hpp
+++ b/packages/gateway/tests/recording_port.hpp
@@ -58,6 +58,8 @@
 
     void record(const metric_effect& metric) override { metrics.push_back(metric); }
 
+    [[nodiscard]] instant registry_as_of() const override { return instant{}; }
+
     bool wants_log(log_level /*level*/) override { return true; }
 
     void write_log(const log_effect& record) override { log_records.push_back(record); }
