--- a/packages/daemon/tests/registry_follower_test.cpp
+++ b/packages/daemon/tests/registry_follower_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/registry_follower.hpp"
+#include "gateway/report_exchange.hpp"
 #include "test_loop.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -96,13 +97,14 @@
                        [](const registry_difference&) {},
                        [](const log_effect&) {},
                        [this](registry_update it) { published.push_back(std::move(it)); },
-                       [] {}}
+                       [this] { ++fetches; }}
         {
         }
 
         scripted_registry_client client;
         registry_view view;
         std::vector<registry_update> published;
+        int fetches = 0;
         registry_follower follower;
     };
 
@@ -117,6 +119,25 @@
         it.client.answer(registry_status::ok, {written("a", 5), written("b", 6)}, 6);
     }
 
+    /// Returns the complete registry as `it` knows it.
+    static registry_update snapshot_of(const member& it)
+    {
+        registry_update out;
+        out.gateway = "g1";
+        out.to_revision = it.view.revision();
+        out.changes = it.view.snapshot();
+        return out;
+    }
+
+    /// Answers the next read of `it` with `changes`, and returns the update that it publishes.
+    registry_update read_and_publish(member& it, std::vector<registry_change> changes, std::uint64_t revision)
+    {
+        BOOST_REQUIRE(wait_for_call(it));
+        it.client.answer(registry_status::ok, std::move(changes), revision);
+        BOOST_REQUIRE(!it.published.empty());
+        return it.published.back();
+    }
+
     test_loop loop;
     instant now{std::chrono::seconds{100}};
     member first{*this, "g1"};
@@ -183,6 +204,50 @@
     BOOST_TEST(second.view.revision() == 6U);
 }
 
+BOOST_AUTO_TEST_CASE(a_gateway_that_the_store_rejects_learns_changes_after_a_lost_update)
+{
+    start(first);
+    start(second);
+    // Lost on the way to the second gateway.
+    read_and_publish(first, {written("c", 7)}, 7);
+    BOOST_REQUIRE(wait_for_call(second));
+    second.client.answer(registry_status::refused);
+    second.follower.apply_update(read_and_publish(first, {removed("a", 8)}, 8));
+    BOOST_TEST(second.fetches >= 1);
+    second.follower.apply_snapshot(snapshot_of(first));
+    BOOST_TEST(second.view.revision() == 8U);
+    BOOST_REQUIRE_EQUAL(second.view.endpoints().size(), 2U);
+    BOOST_TEST(second.view.endpoints()[0].instance == "b");
+    BOOST_TEST(second.view.endpoints()[1].instance == "c");
+}
+
+BOOST_AUTO_TEST_CASE(a_key_written_twice_between_two_reads_does_not_exceed_a_datagram)
+{
+    start(first);
+    auto older = written("c", 7);
+    older.value = std::string(max_datagram_update_bytes * 2 / 3, 'x');
+    auto newer = older;
+    newer.revision = 8;
+    const auto update = read_and_publish(first, {older, newer}, 8);
+    const auto received = decode_update(encode_update(update, max_datagram_update_bytes));
+    BOOST_REQUIRE(received);
+    BOOST_TEST(!received->is_partial);
+    BOOST_REQUIRE_EQUAL(received->changes.size(), 1U);
+    BOOST_TEST(received->changes[0].revision == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(a_removal_takes_effect_at_once_where_only_this_gateway_lost_the_store)
+{
+    start(first);
+    start(second);
+    BOOST_REQUIRE(wait_for_call(second));
+    second.client.answer(registry_status::refused);
+    now += std::chrono::seconds{1};
+    second.follower.apply_update(read_and_publish(first, {removed("a", 7)}, 7));
+    BOOST_REQUIRE_EQUAL(second.view.endpoints().size(), 1U);
+    BOOST_TEST(second.view.endpoints()[0].instance == "b");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
