Report only the last of several changes of a key to other gateways

Cause: an update lists every change of a key since the last read. Two versions of a configuration of 20 KB in one read exceed a datagram, the update is partial, and who cannot reach the store learns nothing after it.

Change: of several changes of one key only the last is reported. Receivers compare revisions of keys, so that the ones in between have no effect on them.

--- a/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
@@ -34,7 +34,8 @@
     registry_difference replace(std::span<const registry_change> changes, std::uint64_t revision,
                                 instant now);
 
-    /// Returns those of `changes`, none of them applied yet, that change more than the age of a registration.
+    /// Returns those of `changes`, none of them applied yet, that change more than the age of a registration;
+    /// of several changes of one key only the last. Precondition: `changes` are in order of revisions.
     [[nodiscard]] std::vector<reported_change>
     significant_changes(std::span<const registry_change> changes) const;
 
--- a/packages/gateway/src/registry_view.cpp
+++ b/packages/gateway/src/registry_view.cpp
@@ -62,8 +62,7 @@
 std::vector<reported_change>
 registry_view::significant_changes(std::span<const registry_change> changes) const
 {
-    std::vector<reported_change> out;
-    std::set<std::string_view> reported;
+    std::map<std::string_view, const registry_change*> reported;
     for (const auto& it : changes) {
         const auto known = entries_.find(it.key);
         const auto is_new = known == entries_.end() || known->second.used_until != instant::max() ||
@@ -71,10 +70,14 @@
         // A change that follows a reported one of the same key is compared with that one, not with
         // `entries_`, so it is always reported.
         if (it.is_removed || is_new || reported.contains(it.key)) {
-            reported.insert(it.key);
-            out.push_back({it.key, it.revision, it.is_removed, it.value});
+            reported[it.key] = &it;
         }
     }
+    std::vector<reported_change> out;
+    out.reserve(reported.size());
+    for (const auto& [key, it] : reported) {
+        out.push_back({it->key, it->revision, it->is_removed, it->value});
+    }
     return out;
 }
 
