Discard idle connections to the store when a call gets no answer

Cause: each call that gets no answer closes its own connection only. The other idle ones, from before the cut, are used one after the other, each until the time limit of 1.5 s.

Change: a call without a complete answer discards the idle connections too; the next call opens a new one.

--- a/packages/coordination/src/http_client.cpp
+++ b/packages/coordination/src/http_client.cpp
@@ -195,7 +195,11 @@
     const std::unique_ptr<exchange> ended = std::move(*it);
     running_.erase(it);
     http_connection_ptr connection = ended->release_connection();
-    if (connection && idle_.size() < max_idle_connections) {
+    if (!connection) {
+        // What broke this connection, such as a partition, may have broken the idle ones too.
+        idle_.clear();
+    }
+    else if (idle_.size() < max_idle_connections) {
         idle_.push_back(std::move(connection));
     }
     // The callback may destroy this client, so no member is used after it.
