Hold back removals after an outage only where the store was away for the fleet

Cause: a gateway whose own calls to the store had failed for 0.5 s held back removals for 2.2 s, at each update of another gateway anew, although the others read the store all the while and no registration had lapsed. An update is up to 1.5 s old; together that exceeds the 3 s (2 s on small sites) within which a leaving endpoint gets nothing more.

Change: an outage is one in which nobody's news arrived. The gateway that reads the store first after it starts the grace time, and reports what is left of it with its updates; the others take it over, also those that had noticed no outage.

New: a_gateway_that_missed_an_outage_holds_back_removals_as_long_as_the_reader; the other tests of the grace time pass unchanged.

--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -86,8 +86,8 @@
     if (update.to_revision < view_.revision()) {
         return;
     }
-    if (failed_since_ != instant::max() && now - failed_since_ >= outage_threshold) {
-        view_.on_registry_recovered(now);
+    if (update.grace > duration::zero()) {
+        view_.extend_grace(now + update.grace - update.age);
     }
     const auto changes = decode(update);
     notify_changed(view_.apply(changes, update.is_partial ? 0 : update.to_revision, now));
@@ -184,6 +184,7 @@
     update.to_revision = view_.revision();
     update.digest = view_.digest();
     update.age = now_() - requested_at;
+    update.grace = view_.remaining_grace(now_());
     update.changes = std::move(changes);
     publish_(std::move(update));
 }
@@ -237,7 +238,9 @@
         return;
     }
     const auto outage_duration = now_() - since;
-    if (outage_duration >= outage_threshold) {
+    // Where other gateways read the registry meanwhile, it was out of reach for this gateway only, and no
+    // registration has lapsed.
+    if (outage_duration >= outage_threshold && current_as_of_ <= since) {
         view_.on_registry_recovered(now_());
     }
     log_({log_level::info, "registry-back", {{"after_ms", milliseconds_text(outage_duration)}}});
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -84,7 +84,8 @@
                            json::binary({it.value.begin(), it.value.end()})});
     }
     return json::to_cbor(json{update_tag, update.gateway, update.from_revision, update.to_revision,
-                              update.digest, update.age.count(), update.is_partial, std::move(changes)});
+                              update.digest, update.age.count(), update.is_partial, std::move(changes),
+                              update.grace.count()});
 }
 
 std::optional<gateway::registry_update> decode_update(std::span<const std::uint8_t> bytes)
@@ -107,6 +108,8 @@
                                    it.at(2).get<bool>(),
                                    std::string{value_bytes.begin(), value_bytes.end()}});
         }
+        // Gateways of earlier versions do not send the grace time.
+        out.grace = duration{value.size() > 8 ? value.at(8).get<std::int64_t>() : 0};
         return out;
     }
     catch (const json::exception&) {
--- a/packages/daemon/tests/gateway_parts_test.cpp
+++ b/packages/daemon/tests/gateway_parts_test.cpp
@@ -158,12 +158,14 @@
     update.from_revision = 5;
     update.to_revision = 9;
     update.age = std::chrono::milliseconds{12};
+    update.grace = std::chrono::milliseconds{1700};
     update.changes = {{"a", 6, false, std::string("\0\xff", 2)}, {"b", 7, true, ""}};
     const auto back = decode_update(encode_update(update, max_datagram_update_bytes));
     BOOST_REQUIRE(back);
     BOOST_TEST(back->from_revision == 5U);
     BOOST_TEST(back->to_revision == 9U);
     BOOST_TEST((back->age == update.age));
+    BOOST_TEST((back->grace == update.grace));
     BOOST_TEST(!back->is_partial);
     BOOST_REQUIRE_EQUAL(back->changes.size(), 2U);
     BOOST_TEST(back->changes[0].value == update.changes[0].value);
--- a/packages/daemon/tests/registry_follower_test.cpp
+++ b/packages/daemon/tests/registry_follower_test.cpp
@@ -248,6 +248,20 @@
     BOOST_TEST(second.view.endpoints()[0].instance == "b");
 }
 
+BOOST_AUTO_TEST_CASE(a_gateway_that_missed_an_outage_holds_back_removals_as_long_as_the_reader)
+{
+    start(first);
+    start(second);
+    BOOST_REQUIRE(wait_for_call(first));
+    first.client.answer(registry_status::unknown);
+    now += std::chrono::seconds{4};
+    second.follower.apply_update(read_and_publish(first, {removed("a", 7)}, 7));
+    BOOST_TEST(second.view.endpoints().size() == 2U);
+    now += registry_view::reregistration_grace;
+    second.view.on_timer(now);
+    BOOST_TEST(second.view.endpoints().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/packages/gateway/include/hemlocknotch/gateway/registry_update.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_update.hpp
@@ -27,6 +27,8 @@
     std::uint64_t digest = 0;
     /// Time since the registry was read.
     duration age{};
+    /// Remaining grace time of registrations that lapsed in an outage of the registry; zero: none.
+    duration grace{};
     /// Some change was too large for the report; receivers have to read it from the registry.
     bool is_partial = false;
     std::vector<reported_change> changes;
--- a/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
@@ -49,6 +49,12 @@
     /// over, removals of endpoints that were ready take no effect.
     void on_registry_recovered(instant now);
 
+    /// Extends the grace time to `until`, as another gateway has reported it. Never shortens it.
+    void extend_grace(instant until);
+
+    /// Returns the remaining grace time at `now`; zero: none.
+    [[nodiscard]] duration remaining_grace(instant now) const;
+
     /// Makes removals final whose grace time is over. `next_due` returns when to call it.
     registry_difference on_timer(instant now);
     [[nodiscard]] instant next_due() const;
--- a/packages/gateway/src/registry_view.cpp
+++ b/packages/gateway/src/registry_view.cpp
@@ -145,7 +145,17 @@
 
 void registry_view::on_registry_recovered(instant now)
 {
-    grace_until_ = now + reregistration_grace;
+    extend_grace(now + reregistration_grace);
+}
+
+void registry_view::extend_grace(instant until)
+{
+    grace_until_ = std::max(grace_until_, until);
+}
+
+duration registry_view::remaining_grace(instant now) const
+{
+    return std::max(duration::zero(), grace_until_ - now);
 }
 
 registry_difference registry_view::on_timer(instant now)
