Date the news of other gateways by when they can have arrived at the latest

Cause: an update states its age when it is sent. The receiver took it as that old when it handled it, and postponed its own read by the whole interval. Where the process gets no processor time the datagram waits in the socket's buffer: news of a second ago count as fresh, and the next own read is due 1.5 s later.

Change: the exchange notes when it last found its socket empty. A datagram that is read later came after that, so that the time since is added to the update's age. It is an upper bound; with some thirty reports a second it adds some hundredths of a second in calm.

--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -117,11 +117,14 @@
     }
 }
 
-report_exchange::report_exchange(event_base* base, report_callback report_received,
-                                 update_callback update_received)
-    : base_{base}, report_received_{std::move(report_received)}, update_received_{std::move(update_received)}
+report_exchange::report_exchange(event_base* base, std::function<instant()> now,
+                                 report_callback report_received, update_callback update_received)
+    : base_{base},
+      now_{std::move(now)},
+      report_received_{std::move(report_received)},
+      update_received_{std::move(update_received)}
 {
-    assert(report_received_ && update_received_);
+    assert(now_ && report_received_ && update_received_);
 }
 
 report_exchange::~report_exchange()
@@ -143,6 +146,7 @@
     }
     event_.reset(event_new(base_, fd_, EV_READ | EV_PERSIST, handle_read, this));
     event_add(event_.get(), nullptr);
+    empty_at_ = now_();
     return {};
 }
 
@@ -177,19 +181,22 @@
 {
     static std::array<std::uint8_t, max_datagram_bytes> buf;
     for (int n = 0; n < max_datagrams_per_read; ++n) {
+        const auto now = now_();
         const auto size = ::recv(fd_, buf.data(), buf.size(), 0);
         if (size <= 0) {
+            empty_at_ = now;
             return;
         }
-        handle_datagram({buf.data(), static_cast<std::size_t>(size)});
+        handle_datagram({buf.data(), static_cast<std::size_t>(size)}, now - empty_at_);
     }
 }
 
-void report_exchange::handle_datagram(std::span<const std::uint8_t> bytes)
+void report_exchange::handle_datagram(std::span<const std::uint8_t> bytes, duration max_wait)
 {
     // The first byte opens the CBOR array; the second one is its first element, the tag of an update.
     if (bytes.size() > 1 && bytes[1] == update_tag) {
-        if (const auto update = decode_update(bytes)) {
+        if (auto update = decode_update(bytes)) {
+            update->age += max_wait;
             update_received_(*update);
         }
         return;
--- a/packages/daemon/src/gateway/report_exchange.hpp
+++ b/packages/daemon/src/gateway/report_exchange.hpp
@@ -44,9 +44,12 @@
     using report_callback = std::function<void(const gateway::fleet_report&)>;
     using update_callback = std::function<void(const gateway::registry_update&)>;
 
-    /// `base` must outlive the exchange. The callbacks are called for each valid message, except reports that
-    /// are not newer than the last one of the same gateway. Precondition: they are not empty.
-    report_exchange(event_base* base, report_callback report_received, update_callback update_received);
+    /// `base` must outlive the exchange; `now` returns the monotonic time. The callbacks are called for each
+    /// valid message, except reports that are not newer than the last one of the same gateway. The age of an
+    /// update includes the longest time for which it can have waited to be read. Precondition: the callbacks
+    /// are not empty.
+    report_exchange(event_base* base, std::function<instant()> now, report_callback report_received,
+                    update_callback update_received);
     ~report_exchange();
 
     report_exchange(const report_exchange&) = delete;
@@ -64,14 +67,17 @@
 private:
     static void handle_read(evutil_socket_t fd, short what, void* self);
     void read();
-    void handle_datagram(std::span<const std::uint8_t> bytes);
+    void handle_datagram(std::span<const std::uint8_t> bytes, duration max_wait);
     void send_bytes(std::span<const std::uint8_t> bytes, std::span<const endpoint_address> addresses) const;
 
     event_base* base_;
+    std::function<instant()> now_;
     report_callback report_received_;
     update_callback update_received_;
     int fd_ = -1;
     event_ptr event_;
+    /// Last time at which no datagram was waiting. Those that are read later arrived after it.
+    instant empty_at_{};
 
     struct newest_report {
         std::uint64_t incarnation = 0;
--- /dev/null
+++ b/packages/daemon/tests/report_exchange_test.cpp
@@ -0,0 +1,77 @@
+#include "gateway/report_exchange.hpp"
+#include "test_loop.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <optional>
+
+namespace hemlocknotch::daemon {
+namespace {
+
+using gateway::fleet_report;
+using gateway::registry_update;
+
+/// Two exchanges on loopback; the first sends to the second.
+struct exchange_fixture {
+    exchange_fixture()
+    {
+        BOOST_REQUIRE(listen(sender, "127.0.0.2:0"));
+        // Ports that the system chooses are not reported back, so that one is tried after the other.
+        for (unsigned port = 20'000; !receiver_address && port < 20'100; ++port) {
+            const auto address = *endpoint_address::parse("127.0.0.3:" + std::to_string(port));
+            if (listen(receiver, address.to_string())) {
+                receiver_address = address;
+            }
+        }
+        BOOST_REQUIRE(receiver_address);
+    }
+
+    static bool listen(report_exchange& it, const std::string& address)
+    {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<bool> {
+                BOOST_LEAF_CHECK(it.listen(*endpoint_address::parse(address)));
+                return true;
+            },
+            [] { return false; });
+    }
+
+    void send(const registry_update& update) { sender.send(update, {{*receiver_address}}); }
+
+    registry_update receive()
+    {
+        BOOST_REQUIRE(loop.run_until([&] { return received.has_value(); }));
+        return *std::exchange(received, std::nullopt);
+    }
+
+    test_loop loop;
+    instant now{std::chrono::seconds{100}};
+    std::optional<registry_update> received;
+    report_exchange sender{loop.base(), [this] { return now; }, [](const fleet_report&) {},
+                           [](const registry_update&) {}};
+    report_exchange receiver{loop.base(), [this] { return now; }, [](const fleet_report&) {},
+                             [this](const registry_update& it) { received = it; }};
+    std::optional<endpoint_address> receiver_address;
+};
+
+BOOST_FIXTURE_TEST_SUITE(report_exchange_suite, exchange_fixture)
+
+BOOST_AUTO_TEST_CASE(an_update_that_waited_to_be_read_does_not_count_as_fresh)
+{
+    registry_update update;
+    update.gateway = "g1";
+    update.age = std::chrono::milliseconds{10};
+    send(update);
+    // The receiver gets no processor time meanwhile.
+    now += std::chrono::seconds{1};
+    BOOST_TEST((receive().age >= std::chrono::milliseconds{1010}));
+    send(update);
+    BOOST_TEST((receive().age == update.age));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace hemlocknotch::daemon
