Ask another gateway for the registry when the store cannot be read

Cause: an update is applied only where none is missing before it. A gap, or an update without room for a large configuration, was made up for by the own read alone; other gateways were asked only at the start of a process.

Change: while the registry cannot be read, each failed call and each update that cannot be applied makes the gateway ask the one it heard of last, or else the seeds, for the registry if it is newer than its own (query after=REVISION, answered 204 where it is not).

New: a_snapshot_leaves_out_removed_endpoints_in_their_grace_time.

--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <charconv>
 #include <limits>
 #include <utility>
 
@@ -78,19 +79,22 @@
                 [this] { return clock_.now(); },
                 [this](const gateway::registry_difference& it) { apply_registry_difference(it); },
                 [this](const log_effect& it) { log(it); },
-                [this](gateway::registry_update it) { reports_.send(std::move(it), peers_); },
-                [this] { fetcher_.fetch(); }},
+                [this](gateway::registry_update it) { send_update(std::move(it)); },
+                [this] { fetcher_.fetch(view_.revision()); }},
       fetcher_{base, settings.seeds,
                [this](const gateway::registry_update& it) { follower_.apply_snapshot(it); }},
       registry_client_{client},
       callers_{base, dialect, max_caller_connections(settings), *this},
       pool_{base, dialect, *this, [this] { return clock_.now(); }},
-      readiness_server_{base, [this](std::string_view path) { return readiness_page(path); }},
-      metrics_server_{base, [this](std::string_view path) { return metrics_page(path); }},
-      registry_server_{base, [this](std::string_view path) { return registry_page(path); }},
+      readiness_server_{
+          base, [this](std::string_view path, std::string_view /*query*/) { return readiness_page(path); }},
+      metrics_server_{
+          base, [this](std::string_view path, std::string_view /*query*/) { return metrics_page(path); }},
+      registry_server_{
+          base, [this](std::string_view path, std::string_view query) { return registry_page(path, query); }},
       reports_{base, [this] { return clock_.now(); },
                [this](const gateway::fleet_report& it) { apply_report(it); },
-               [this](const gateway::registry_update& it) { follower_.apply_update(it); }},
+               [this](const gateway::registry_update& it) { apply_update(it); }},
       report_timer_{base, [this] { send_report(); }},
       router_timer_{base,
                     [this] {
@@ -292,6 +296,22 @@
     }
 }
 
+void gateway_shell::send_update(gateway::registry_update update)
+{
+    if (settings_.registry) {
+        update.registry_page = settings_.registry->to_string();
+    }
+    reports_.send(std::move(update), peers_);
+}
+
+void gateway_shell::apply_update(const gateway::registry_update& update)
+{
+    if (const auto page = endpoint_address::parse(update.registry_page)) {
+        fetcher_.set_latest(*page);
+    }
+    follower_.apply_update(update);
+}
+
 void gateway_shell::apply_report(const gateway::fleet_report& report)
 {
     const auto now = clock_.now();
@@ -442,16 +462,28 @@
     return {unavailable, router_.has_configuration() ? "overloaded\n" : "no configuration yet\n"};
 }
 
-page gateway_shell::registry_page(std::string_view path) const
+page gateway_shell::registry_page(std::string_view path, std::string_view query) const
 {
     constexpr int ok = 200;
+    constexpr int no_content = 204;
     constexpr int not_found = 404;
     if (path != registry_path || view_.revision() == 0) {
         return {not_found, "nothing known\n"};
     }
+    std::uint64_t after = 0;
+    if (query.starts_with(registry_after_query)) {
+        query.remove_prefix(registry_after_query.size());
+        static_cast<void>(std::from_chars(query.data(), query.data() + query.size(), after));
+    }
+    if (view_.revision() <= after) {
+        return {no_content, ""};
+    }
+    const auto now = clock_.now();
     gateway::registry_update update;
     update.gateway = settings_.instance;
     update.to_revision = view_.revision();
+    update.age = now - follower_.current_as_of();
+    update.grace = view_.remaining_grace(now);
     update.changes = view_.snapshot();
     const auto bytes = encode_update(std::move(update), std::numeric_limits<std::size_t>::max());
     return {ok, std::string{bytes.begin(), bytes.end()}};
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -99,11 +99,13 @@
     void finish_request_probe();
     [[nodiscard]] duration request_delay() const;
     void schedule_report();
+    void send_update(gateway::registry_update update);
+    void apply_update(const gateway::registry_update& update);
     void apply_report(const gateway::fleet_report& report);
     void log(const log_effect& record);
     [[nodiscard]] page readiness_page(std::string_view path) const;
     [[nodiscard]] page metrics_page(std::string_view path);
-    [[nodiscard]] page registry_page(std::string_view path) const;
+    [[nodiscard]] page registry_page(std::string_view path, std::string_view query) const;
 
     event_base* base_;
     gateway_settings settings_;
--- a/packages/daemon/src/gateway/page_server.cpp
+++ b/packages/daemon/src/gateway/page_server.cpp
@@ -1,5 +1,6 @@
 #include "page_server.hpp"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -21,7 +22,8 @@
 {
     const auto& that = *static_cast<page_server*>(self);
     const std::string_view target = evhttp_request_get_uri(request);
-    const auto it = that.source_(target.substr(0, target.find('?')));
+    const auto path = target.substr(0, target.find('?'));
+    const auto it = that.source_(path, target.substr(std::min(target.size(), path.size() + 1)));
     const evbuffer_ptr buf{evbuffer_new()};
     evbuffer_add(buf.get(), it.body.data(), it.body.size());
     evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type",
--- a/packages/daemon/src/gateway/page_server.hpp
+++ b/packages/daemon/src/gateway/page_server.hpp
@@ -21,8 +21,8 @@
 /// Serves text pages over HTTP: readiness, metrics and the registry. Used on the event loop's thread only.
 class page_server {
 public:
-    /// Returns the page at `path`, which has no query.
-    using page_source = std::function<page(std::string_view path)>;
+    /// Returns the page at `path` for `query`, which is what follows the question mark of the target.
+    using page_source = std::function<page(std::string_view path, std::string_view query)>;
 
     /// `base` must outlive the server. Precondition: `source` is not empty.
     page_server(event_base* base, page_source source);
--- a/packages/daemon/src/gateway/peer_registry_fetcher.hpp
+++ b/packages/daemon/src/gateway/peer_registry_fetcher.hpp
@@ -5,18 +5,22 @@
 #include <hemlocknotch/gateway/registry_update.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
 namespace hemlocknotch::daemon {
 
-/// Path at which a gateway serves its view of the registry.
+/// Path at which a gateway serves its view of the registry. With the query `after=REVISION` the answer is 204
+/// (no content) where the view has nothing newer.
 inline constexpr std::string_view registry_path = "/registry";
+inline constexpr std::string_view registry_after_query = "after=";
 
-/// Fetches the complete registry from other gateways, one after the other, for a gateway that starts while
-/// the store is unavailable. Used on the event loop's thread only.
+/// Fetches the complete registry from other gateways, one after the other, for a gateway that cannot read it
+/// from the store. Used on the event loop's thread only.
 class peer_registry_fetcher {
 public:
     using fetched_callback = std::function<void(const gateway::registry_update&)>;
@@ -26,11 +30,24 @@
     peer_registry_fetcher(event_base* base, const std::vector<endpoint_address>& gateways,
                           fetched_callback fetched);
 
+    /// Remembers the page of a gateway that was heard of last. It is asked before the ones of the
+    /// constructor.
+    void set_latest(const endpoint_address& address);
+
     /// Requests the registry from the next gateway, unless a request is in progress or no gateway is known.
-    /// `fetched` is called only where the gateway answers with a readable registry.
-    void fetch();
+    /// `fetched` is called only where the gateway answers with a readable registry newer than revision
+    /// `after`.
+    void fetch(std::uint64_t after);
 
 private:
+    http_client& next_client();
+
+    event_base* base_;
+    /// The gateway heard of last, and its address.
+    std::unique_ptr<http_client> latest_client_;
+    std::optional<endpoint_address> latest_;
+    /// The gateway heard of last is not asked again before the others, after it has failed once.
+    bool has_latest_failed_ = false;
     std::vector<std::unique_ptr<http_client>> clients_;
     fetched_callback fetched_;
     std::size_t next_client_ = 0;
--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -92,8 +92,13 @@
     const auto changes = decode(update);
     notify_changed(view_.apply(changes, update.is_partial ? 0 : update.to_revision, now));
     if (update.is_partial) {
-        current_as_of_ = instant{};
-        read_timer_.start(duration::zero());
+        has_partial_update_ = true;
+        if (is_reachable()) {
+            read_timer_.start(duration::zero());
+        }
+        else {
+            fetch_from_peers_();
+        }
         return;
     }
     if (view_.revision() == update.to_revision && view_.digest() != update.digest) {
@@ -105,21 +110,28 @@
     ++counters_.applied_updates;
     current_as_of_ = std::max(current_as_of_, now - update.age);
     note_current("update");
-    if (failed_since_ == instant::max()) {
+    if (is_reachable() && !has_partial_update_) {
         schedule_read();
     }
 }
 
 void registry_follower::apply_snapshot(const gateway::registry_update& update)
 {
-    if (!needs_full_read_ || update.is_partial) {
+    if (update.is_partial || (!needs_full_read_ && update.to_revision <= view_.revision())) {
         return;
     }
+    const auto now = now_();
     log_({log_level::info,
           "registry-learnt-from-gateway",
           {{"gateway", update.gateway}, {"revision", std::to_string(update.to_revision)}}});
     needs_full_read_ = false;
-    notify_changed(view_.replace(decode(update), update.to_revision, now_()));
+    has_partial_update_ = false;
+    current_as_of_ = std::max(current_as_of_, now - update.age);
+    if (update.grace > duration::zero()) {
+        view_.extend_grace(now + update.grace);
+    }
+    note_current("gateway");
+    notify_changed(view_.replace(decode(update), update.to_revision, now));
 }
 
 std::vector<gateway::registry_change> registry_follower::decode(const gateway::registry_update& update) const
@@ -161,6 +173,7 @@
     }
     on_success();
     needs_full_read_ = false;
+    has_partial_update_ = false;
     current_as_of_ = std::max(current_as_of_, requested_at);
     note_current("read");
     const auto from = view_.revision();
@@ -192,6 +205,9 @@
 void registry_follower::note_gap(const gateway::registry_update& update)
 {
     ++counters_.updates_after_gap;
+    if (!is_reachable()) {
+        fetch_from_peers_();
+    }
     if (behind_since_ != instant::max()) {
         return;
     }
@@ -223,9 +239,7 @@
               "registry-lost",
               {{"status", to_text(status)}, {"revision", std::to_string(view_.revision())}}});
     }
-    if (needs_full_read_) {
-        fetch_from_peers_();
-    }
+    fetch_from_peers_();
     retry_delay_ = std::min<duration>(std::max<duration>(retry_delay_ * 2, min_retry_delay), max_retry_delay);
     read_timer_.start(retry_delay_);
 }
--- a/packages/daemon/src/gateway/registry_follower.hpp
+++ b/packages/daemon/src/gateway/registry_follower.hpp
@@ -45,8 +45,9 @@
     /// Sends changes that were read to other gateways.
     using update_callback = std::function<void(gateway::registry_update)>;
 
-    /// `base`, `client` and `view` must outlive the follower. `fetch_from_peers` is called after each failed
-    /// call while a full read is due; what it fetches is passed to `apply_snapshot`.
+    /// `base`, `client` and `view` must outlive the follower. `fetch_from_peers` is called while the registry
+    /// cannot be read, after each failed call and for each update that cannot be applied; what it fetches is
+    /// passed to `apply_snapshot`.
     registry_follower(event_base* base, gateway::registry_client& client, gateway::registry_view& view,
                       const registry_follower_options& options, std::function<instant()> now,
                       changed_callback changed, log_callback log, update_callback publish,
@@ -59,8 +60,8 @@
 
     /// Applies changes that another gateway has read, which postpones this gateway's own next read.
     void apply_update(const gateway::registry_update& update);
-    /// Applies the complete registry as another gateway knows it. Ignored where no full read is due or
-    /// `update` is partial.
+    /// Applies the complete registry as another gateway knows it. Ignored where it is not newer than the
+    /// view, unless a full read is due, or where `update` is partial.
     void apply_snapshot(const gateway::registry_update& update);
 
     /// Returns the time as of which the view is known to be current.
@@ -108,6 +109,8 @@
     duration retry_delay_{};
     /// The next read is a full one, because nothing is known yet, history was lost or the views differ.
     bool needs_full_read_ = true;
+    /// An update had not room for all changes, so that the next read must not be postponed.
+    bool has_partial_update_ = false;
     /// Time of the first update that was ignored after a gap since the view was last current;
     /// `instant::max()`: none.
     instant behind_since_ = instant::max();
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -85,7 +85,7 @@
     }
     return json::to_cbor(json{update_tag, update.gateway, update.from_revision, update.to_revision,
                               update.digest, update.age.count(), update.is_partial, std::move(changes),
-                              update.grace.count()});
+                              update.grace.count(), std::move(update.registry_page)});
 }
 
 std::optional<gateway::registry_update> decode_update(std::span<const std::uint8_t> bytes)
@@ -108,8 +108,11 @@
                                    it.at(2).get<bool>(),
                                    std::string{value_bytes.begin(), value_bytes.end()}});
         }
-        // Gateways of earlier versions do not send the grace time.
-        out.grace = duration{value.size() > 8 ? value.at(8).get<std::int64_t>() : 0};
+        // Gateways of earlier versions send neither the grace time nor the page.
+        if (value.size() > 9) {
+            out.grace = duration{value.at(8).get<std::int64_t>()};
+            out.registry_page = value.at(9).get<std::string>();
+        }
         return out;
     }
     catch (const json::exception&) {
--- a/packages/gateway/include/hemlocknotch/gateway/registry_update.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_update.hpp
@@ -20,6 +20,8 @@
 /// them too.
 struct registry_update {
     std::string gateway;
+    /// Address at which the reporting gateway serves its complete registry; empty: it does not.
+    std::string registry_page;
     /// `changes` holds all relevant changes after `from_revision`, up to and including `to_revision`.
     std::uint64_t from_revision = 0;
     std::uint64_t to_revision = 0;
--- a/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
@@ -62,7 +62,8 @@
     /// Returns the newest revision that was applied. 0: none.
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
-    /// Returns all registry entries, to be sent to a gateway that has not read the registry yet.
+    /// Returns all registry entries, without those that are only held back in a grace time, to be sent to a
+    /// gateway that cannot read the registry itself.
     [[nodiscard]] std::vector<reported_change> snapshot() const;
 
     [[nodiscard]] std::shared_ptr<const routing_configuration> configuration() const;
--- a/packages/gateway/src/registry_view.cpp
+++ b/packages/gateway/src/registry_view.cpp
@@ -189,7 +189,9 @@
 {
     std::vector<reported_change> out;
     for (const auto& [key, it] : entries_) {
-        out.push_back({key, it.revision, false, it.value});
+        if (it.used_until == instant::max()) {
+            out.push_back({key, it.revision, false, it.value});
+        }
     }
     return out;
 }
--- a/packages/gateway/tests/registry_view_test.cpp
+++ b/packages/gateway/tests/registry_view_test.cpp
@@ -100,6 +100,18 @@
     BOOST_TEST(it.endpoints().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_snapshot_leaves_out_removed_endpoints_in_their_grace_time)
+{
+    registry_view it;
+    it.apply(std::vector{endpoint("a", 5), endpoint("b", 6)}, 6, start);
+    it.on_registry_recovered(start);
+    it.apply(std::vector{removed("e/a", 7)}, 7, start);
+    BOOST_TEST(it.endpoints().size() == 2U);
+    const auto snapshot = it.snapshot();
+    BOOST_REQUIRE_EQUAL(snapshot.size(), 1U);
+    BOOST_TEST(snapshot[0].key == "e/b");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
