Send reports and registry updates also to gateways that are heard but not registered

Cause: messages went to registered gateways only.

Change: peer_directory holds the union of the registered gateways and those heard within the last 2 s; messages go to all of them, and all of them count.

--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -31,8 +31,6 @@
 constexpr std::size_t reserved_descriptors = 250;
 /// Part of the remaining descriptors that callers' connections may use; the rest is for endpoints.
 constexpr double caller_descriptor_share = 0.6;
-/// Time after its last report for which the state that a gateway has reported is used.
-constexpr duration report_lifetime = std::chrono::seconds{2};
 constexpr std::string_view metrics_path = "/metrics";
 
 gateway::router_options router_options_of(const gateway_settings& settings, std::uint64_t seed)
@@ -92,9 +90,11 @@
           base, [this](std::string_view path, std::string_view /*query*/) { return metrics_page(path); }},
       registry_server_{
           base, [this](std::string_view path, std::string_view query) { return registry_page(path, query); }},
-      reports_{base, [this] { return clock_.now(); },
-               [this](const gateway::fleet_report& it) { apply_report(it); },
-               [this](const gateway::registry_update& it) { apply_update(it); }},
+      reports_{
+          base, [this] { return clock_.now(); },
+          [this](const gateway::fleet_report& it, const endpoint_address& from) { apply_report(it, from); },
+          [this](const gateway::registry_update& it) { apply_update(it); }},
+      peers_{settings.instance},
       report_timer_{base, [this] { send_report(); }},
       router_timer_{base,
                     [this] {
@@ -178,14 +178,11 @@
     }
     if (difference.has_members) {
         const auto members = view_.members();
-        log({log_level::info, "members-changed", {{"count", std::to_string(members.size())}}});
-        router_.set_gateways(std::max<std::size_t>(1, members.size()));
-        peers_.clear();
-        for (const auto& it : members) {
-            if (it.name != settings_.instance) {
-                peers_.push_back(it.address);
-            }
-        }
+        peers_.set_registered(members);
+        log({log_level::info,
+             "members-changed",
+             {{"count", std::to_string(members.size())}, {"heard", std::to_string(peers_.heard_count())}}});
+        update_gateway_count();
     }
     if (difference.has_configuration) {
         const auto configuration = view_.configuration();
@@ -207,18 +204,18 @@
 void gateway_shell::send_report()
 {
     const auto now = clock_.now();
-    std::erase_if(last_report_at_, [&](const auto& it) {
-        if (now - it.second < report_lifetime) {
-            return false;
-        }
-        router_.remove_gateway(it.first);
-        return true;
-    });
+    const auto silent = peers_.remove_silent(now);
+    for (const auto& it : silent) {
+        router_.remove_gateway(it);
+    }
+    if (!silent.empty()) {
+        update_gateway_count();
+    }
     auto report = router_.create_report(now);
     report.gateway = settings_.instance;
     report.incarnation = incarnation_;
     report.sequence = ++report_sequence_;
-    reports_.send(report, peers_);
+    reports_.send(report, peers_.addresses());
     check_registry_age();
     start_request_probe();
     schedule_report();
@@ -261,7 +258,7 @@
 
 void gateway_shell::schedule_report()
 {
-    const auto interval = gateway::report_interval(peers_.size());
+    const auto interval = gateway::report_interval(peers_.addresses().size());
     report_due_ = clock_.now() + interval;
     report_timer_.start(interval);
 }
@@ -301,7 +298,7 @@
     if (settings_.registry) {
         update.registry_page = settings_.registry->to_string();
     }
-    reports_.send(std::move(update), peers_);
+    reports_.send(std::move(update), peers_.addresses());
 }
 
 void gateway_shell::apply_update(const gateway::registry_update& update)
@@ -312,10 +309,17 @@
     follower_.apply_update(update);
 }
 
-void gateway_shell::apply_report(const gateway::fleet_report& report)
+void gateway_shell::update_gateway_count()
+{
+    router_.set_gateways(peers_.gateway_count());
+}
+
+void gateway_shell::apply_report(const gateway::fleet_report& report, const endpoint_address& from)
 {
     const auto now = clock_.now();
-    last_report_at_.insert_or_assign(report.gateway, now);
+    if (peers_.note_heard(report.gateway, from, now)) {
+        update_gateway_count();
+    }
     router_.apply_report(report, now);
     schedule_router_timer();
 }
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -17,16 +17,15 @@
 #include "gateway_settings.hpp"
 #include "nonblocking_log.hpp"
 #include "page_server.hpp"
+#include "peer_directory.hpp"
 #include "peer_registry_fetcher.hpp"
 #include "registry_follower.hpp"
 #include "report_exchange.hpp"
 
 #include <boost/leaf/result.hpp>
 
-#include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace hemlocknotch::daemon {
 
@@ -54,7 +53,7 @@
     [[nodiscard]] bool is_ready() const;
 
     /// Returns the number of other gateways whose reports are current.
-    [[nodiscard]] std::size_t others_heard() const { return last_report_at_.size(); }
+    [[nodiscard]] std::size_t others_heard() const { return peers_.heard_count(); }
 
     /// Returns the version of the configuration in force; 0: none.
     [[nodiscard]] std::uint64_t configuration_version() const;
@@ -101,7 +100,8 @@
     void schedule_report();
     void send_update(gateway::registry_update update);
     void apply_update(const gateway::registry_update& update);
-    void apply_report(const gateway::fleet_report& report);
+    void apply_report(const gateway::fleet_report& report, const endpoint_address& from);
+    void update_gateway_count();
     void log(const log_effect& record);
     [[nodiscard]] page readiness_page(std::string_view path) const;
     [[nodiscard]] page metrics_page(std::string_view path);
@@ -127,9 +127,7 @@
     page_server metrics_server_;
     page_server registry_server_;
     report_exchange reports_;
-    std::vector<endpoint_address> peers_;
-    /// Time of the last report of each other gateway, by name.
-    std::map<std::string, instant, std::less<>> last_report_at_;
+    peer_directory peers_;
     std::uint64_t report_sequence_ = 0;
     timer report_timer_;
     /// When the report timer is due; it fires later where the event loop is delayed.
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -185,16 +185,21 @@
     static std::array<std::uint8_t, max_datagram_bytes> buf;
     for (int n = 0; n < max_datagrams_per_read; ++n) {
         const auto now = now_();
-        const auto size = ::recv(fd_, buf.data(), buf.size(), 0);
+        sockaddr_storage from{};
+        socklen_t from_length = sizeof from;
+        const auto size =
+            ::recvfrom(fd_, buf.data(), buf.size(), 0, reinterpret_cast<sockaddr*>(&from), &from_length);
         if (size <= 0) {
             empty_at_ = now;
             return;
         }
-        handle_datagram({buf.data(), static_cast<std::size_t>(size)}, now - empty_at_);
+        handle_datagram({buf.data(), static_cast<std::size_t>(size)}, detail::socket_address::decode(from),
+                        now - empty_at_);
     }
 }
 
-void report_exchange::handle_datagram(std::span<const std::uint8_t> bytes, duration max_wait)
+void report_exchange::handle_datagram(std::span<const std::uint8_t> bytes, const endpoint_address& from,
+                                      duration max_wait)
 {
     // The first byte opens the CBOR array; the second one is its first element, the tag of an update.
     if (bytes.size() > 1 && bytes[1] == update_tag) {
@@ -211,7 +216,7 @@
     auto& newest = newest_[report->gateway];
     if (report->incarnation != newest.incarnation || report->sequence > newest.sequence) {
         newest = {report->incarnation, report->sequence};
-        report_received_(*report);
+        report_received_(*report, from);
     }
 }
 
--- a/packages/daemon/src/gateway/report_exchange.hpp
+++ b/packages/daemon/src/gateway/report_exchange.hpp
@@ -41,7 +41,8 @@
 /// Used on the event loop's thread only.
 class report_exchange {
 public:
-    using report_callback = std::function<void(const gateway::fleet_report&)>;
+    /// Takes a report and the address from which it was sent, which is also where its gateway receives.
+    using report_callback = std::function<void(const gateway::fleet_report&, const endpoint_address&)>;
     using update_callback = std::function<void(const gateway::registry_update&)>;
 
     /// `base` must outlive the exchange; `now` returns the monotonic time. The callbacks are called for each
@@ -67,7 +68,8 @@
 private:
     static void handle_read(evutil_socket_t fd, short what, void* self);
     void read();
-    void handle_datagram(std::span<const std::uint8_t> bytes, duration max_wait);
+    void handle_datagram(std::span<const std::uint8_t> bytes, const endpoint_address& from,
+                         duration max_wait);
     void send_bytes(std::span<const std::uint8_t> bytes, std::span<const endpoint_address> addresses) const;
 
     event_base* base_;
--- a/packages/daemon/tests/report_exchange_test.cpp
+++ b/packages/daemon/tests/report_exchange_test.cpp
@@ -49,9 +49,11 @@
     test_loop loop;
     instant now{std::chrono::seconds{100}};
     std::optional<registry_update> received;
-    report_exchange sender{loop.base(), [this] { return now; }, [](const fleet_report&) {},
+    report_exchange sender{loop.base(), [this] { return now; },
+                           [](const fleet_report&, const endpoint_address&) {},
                            [](const registry_update&) {}};
-    report_exchange receiver{loop.base(), [this] { return now; }, [](const fleet_report&) {},
+    report_exchange receiver{loop.base(), [this] { return now; },
+                             [](const fleet_report&, const endpoint_address&) {},
                              [this](const registry_update& it) { received = it; }};
     std::optional<endpoint_address> receiver_address;
 };
--- a/packages/wire/include/hemlocknotch/wire/socket_address.hpp
+++ b/packages/wire/include/hemlocknotch/wire/socket_address.hpp
@@ -15,6 +15,9 @@
     /// Returns the local address of a bound socket. Precondition: `socket` is an IP socket.
     static endpoint_address bound_to(int socket);
 
+    /// Returns an address that a system call has written. Precondition: `storage` is an IP address.
+    static endpoint_address decode(const sockaddr_storage& storage);
+
     /// Returns the address for system calls that read it.
     [[nodiscard]] const sockaddr* get() const { return reinterpret_cast<const sockaddr*>(&storage_); }
 
--- a/packages/wire/src/socket_address.cpp
+++ b/packages/wire/src/socket_address.cpp
@@ -34,6 +34,11 @@
     sockaddr_storage storage{};
     socklen_t length = sizeof(storage);
     getsockname(socket, reinterpret_cast<sockaddr*>(&storage), &length);
+    return decode(storage);
+}
+
+endpoint_address socket_address::decode(const sockaddr_storage& storage)
+{
     std::array<char, INET6_ADDRSTRLEN> host{};
     std::string text;
     if (storage.ss_family == AF_INET6) {
