Recall requests that wait for a connection to an endpoint that leaves

Change: when the registered endpoints change, calls that wait for their connection to a leaving endpoint are taken back and placed anew. Nothing of them has been sent, so that they count neither as a retry nor as a failure of the endpoint. The fuzzer recalls calls in the same way.

--- a/packages/daemon/src/gateway/endpoint_connection.hpp
+++ b/packages/daemon/src/gateway/endpoint_connection.hpp
@@ -53,6 +53,8 @@
     endpoint_connection& operator=(const endpoint_connection&) = delete;
     endpoint_connection& operator=(endpoint_connection&&) = delete;
 
+    [[nodiscard]] bool is_connected() const { return channel_ && channel_->is_connected(); }
+
     [[nodiscard]] bool is_open() const { return channel_ != nullptr; }
 
     [[nodiscard]] const endpoint_address& address() const { return address_; }
--- a/packages/daemon/src/gateway/endpoint_pool.cpp
+++ b/packages/daemon/src/gateway/endpoint_pool.cpp
@@ -82,6 +82,19 @@
     connection->close();
 }
 
+bool endpoint_pool::recall(gateway::call_id call)
+{
+    if (std::erase(unstarted_calls_, call) > 0) {
+        return true;
+    }
+    const auto found = calls_.find(call);
+    if (found == calls_.end() || found->second->is_connected()) {
+        return false;
+    }
+    cancel(call);
+    return true;
+}
+
 void endpoint_pool::on_call_done(endpoint_connection& connection)
 {
     calls_.erase(connection.last_call());
--- a/packages/daemon/src/gateway/endpoint_pool.hpp
+++ b/packages/daemon/src/gateway/endpoint_pool.hpp
@@ -32,6 +32,8 @@
     void start(const gateway::call_start& start);
     /// Ends a call and closes its connection. The sink is not called for the call any more.
     void cancel(gateway::call_id call);
+    /// Cancels a call whose connection is not established yet. Returns false for any other call.
+    bool recall(gateway::call_id call);
 
     [[nodiscard]] std::uint64_t opened_count() const { return opened_count_; }
 
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -346,6 +346,11 @@
     pool_.cancel(call);
 }
 
+bool gateway_shell::recall_call(gateway::call_id call)
+{
+    return pool_.recall(call);
+}
+
 void gateway_shell::reply(gateway::exchange_id exchange, const gateway::answer_head& head,
                           std::string_view body)
 {
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -68,6 +68,7 @@
 private:
     void start_call(const gateway::call_start& start) override;
     void cancel_call(gateway::call_id call) override;
+    bool recall_call(gateway::call_id call) override;
     void reply(gateway::exchange_id exchange, const gateway::answer_head& head,
                std::string_view body) override;
     void begin_stream(gateway::exchange_id exchange, const gateway::answer_head& head) override;
--- a/packages/daemon/tests/endpoint_pool_test.cpp
+++ b/packages/daemon/tests/endpoint_pool_test.cpp
@@ -248,6 +248,17 @@
     BOOST_TEST(recorder.body == "two");
 }
 
+BOOST_AUTO_TEST_CASE(recalls_a_call_only_until_its_connection_is_established)
+{
+    call("1");
+    BOOST_TEST(pool.recall(recorder.last_call));
+    call("1");
+    BOOST_REQUIRE(loop.run_until([&] { return !endpoint.received.empty(); }));
+    BOOST_TEST(!pool.recall(recorder.last_call));
+    BOOST_TEST(endpoint.received.find("POST") == endpoint.received.rfind("POST"));
+    BOOST_TEST(!pool.recall(recorder.last_call + 1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/packages/gateway/bench/fleet_nodes.hpp
+++ b/packages/gateway/bench/fleet_nodes.hpp
@@ -109,6 +109,9 @@
     void start_call(const call_start& start) override;
     void cancel_call(call_id call) override;
 
+    /// Requests leave at once in the model.
+    bool recall_call(call_id /*call*/) override { return false; }
+
     void reply(exchange_id exchange, const answer_head& head, std::string_view body) override;
 
     void begin_stream(exchange_id /*exchange*/, const answer_head& /*head*/) override {}
--- a/packages/gateway/fuzz/fuzz_fleet.cpp
+++ b/packages/gateway/fuzz/fuzz_fleet.cpp
@@ -102,6 +102,19 @@
 
     void cancel_call(call_id call) override { owner_.calls.erase(call); }
 
+    bool recall_call(call_id call) override
+    {
+        const auto found = owner_.calls.find(call);
+        if (found == owner_.calls.end() || found->second.is_executing) {
+            return false;
+        }
+        if (--owner_.attempts[found->second.start.request->fields.id] > 0) {
+            --fleet_.extra_attempts_;
+        }
+        owner_.calls.erase(found);
+        return true;
+    }
+
     void reply(exchange_id exchange, const answer_head& head, std::string_view /*body*/) override
     {
         auto& it = owner_.requests.at(exchange);
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -88,6 +88,8 @@
 
     /// Applies a configuration if it is newer. Open requests keep the one with which they began.
     void set_configuration(std::shared_ptr<const routing_configuration> configuration, instant now);
+    /// Applies the registered endpoints. Requests that wait for a connection to one that leaves are sent
+    /// elsewhere.
     void set_endpoints(std::span<const endpoint_record> records, instant now);
     void set_out_of_service(std::set<std::string, std::less<>> failure_domains);
     /// Sets the number of gateways that share the limits of the fleet. Precondition: at least 1.
@@ -128,6 +130,8 @@
     bool try_send(exchange& it, instant now);
     void offer_waiting(instant now);
     void send(exchange& it, endpoint_state& endpoint, instant now);
+    void recall_from_leaving_endpoints(instant now);
+    void send_again(exchange& it, instant now);
     void enqueue_or_refuse(exchange& it, instant now);
     void handle_failure(exchange& it, call_outcome outcome, instant now);
     void handle_rejection(exchange& it, instant now);
--- a/packages/gateway/include/hemlocknotch/gateway/router_port.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router_port.hpp
@@ -74,6 +74,9 @@
     virtual void start_call(const call_start& start) = 0;
     /// Cancels a call, so that its endpoint stops working on it. The router gets no further events of it.
     virtual void cancel_call(call_id call) = 0;
+    /// Cancels a call of which nothing has been sent to its endpoint. Returns false, and changes nothing,
+    /// where the endpoint may have received a part of the request.
+    virtual bool recall_call(call_id call) = 0;
 
     /// Sends a complete answer.
     virtual void reply(exchange_id exchange, const answer_head& head, std::string_view body) = 0;
--- a/packages/gateway/src/call_table.cpp
+++ b/packages/gateway/src/call_table.cpp
@@ -20,7 +20,7 @@
     assert(it.call == 0);
     it.call = ++last_call_;
     it.instance = endpoint.record.instance;
-    calls_.emplace(it.call, it.id);
+    calls_.emplace(it.call, open_call{it.id, it.instance});
     ++endpoint.running;
     if (it.is_model) {
         add_prompt(it, endpoint, now);
@@ -81,7 +81,19 @@
 exchange_id call_table::exchange_of(call_id call) const
 {
     const auto it = calls_.find(call);
-    return it == calls_.end() ? 0 : it->second;
+    return it == calls_.end() ? 0 : it->second.exchange;
+}
+
+std::vector<exchange_id> call_table::exchanges_at_leaving_endpoints() const
+{
+    std::vector<exchange_id> out;
+    for (const auto& [call, it] : calls_) {
+        const auto* endpoint = endpoints_.find(it.instance);
+        if (endpoint == nullptr || endpoint->record.is_draining) {
+            out.push_back(it.exchange);
+        }
+    }
+    return out;
 }
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/call_table.hpp
+++ b/packages/gateway/src/call_table.hpp
@@ -5,7 +5,9 @@
 #include "exchange.hpp"
 
 #include <cstddef>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace hemlocknotch::gateway {
 
@@ -28,6 +30,9 @@
     /// Ends the open call of `it`, if there is one, and discards its answer.
     void finish(exchange& it);
 
+    /// Returns the exchanges with a call that is open at an endpoint which is draining or gone.
+    [[nodiscard]] std::vector<exchange_id> exchanges_at_leaving_endpoints() const;
+
     /// Returns the exchange of `call`; 0 if the call has ended.
     [[nodiscard]] exchange_id exchange_of(call_id call) const;
 
@@ -36,7 +41,13 @@
 
     endpoint_table& endpoints_;
     double output_weight_;
-    std::unordered_map<call_id, exchange_id> calls_;
+
+    struct open_call {
+        exchange_id exchange = 0;
+        std::string instance;
+    };
+
+    std::unordered_map<call_id, open_call> calls_;
     call_id last_call_ = 0;
 };
 
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -75,10 +75,23 @@
     records_.assign(records.begin(), records.end());
     if (configuration_) {
         endpoints_.set_endpoints(records_, *configuration_, reports_->gateways(), now);
+        recall_from_leaving_endpoints(now);
         offer_waiting(now);
     }
 }
 
+void router::recall_from_leaving_endpoints(instant now)
+{
+    for (const auto id : calls_->exchanges_at_leaving_endpoints()) {
+        auto* it = exchanges_->find(id);
+        assert(it != nullptr);
+        if (port_.recall_call(it->call)) {
+            calls_->finish(*it);
+            send_again(*it, now);
+        }
+    }
+}
+
 void router::set_out_of_service(std::set<std::string, std::less<>> failure_domains)
 {
     endpoints_.set_out_of_service(std::move(failure_domains));
@@ -382,14 +395,18 @@
     }
     ++answers_->counters().retries;
     answers_->counters().resumed_streams += it.is_begun ? 1U : 0U;
-    if (try_send(it, now)) {
-        return true;
-    }
-    it.is_waiting = true;
-    service_of(it.service).add_waiting(it, retry_priority, it.ends_at - min_remaining, now);
+    send_again(it, now);
     return true;
 }
 
+void router::send_again(exchange& it, instant now)
+{
+    if (!try_send(it, now)) {
+        it.is_waiting = true;
+        service_of(it.service).add_waiting(it, retry_priority, it.ends_at - min_remaining, now);
+    }
+}
+
 fleet_report router::create_report(instant now) const
 {
     return reports_->create(services_, now);
--- a/packages/gateway/tests/recording_port.hpp
+++ b/packages/gateway/tests/recording_port.hpp
@@ -36,6 +36,8 @@
 
     void cancel_call(call_id call) override { cancelled.insert(call); }
 
+    bool recall_call(call_id call) override { return unsent.erase(call) > 0; }
+
     void reply(exchange_id exchange, const answer_head& head, std::string_view body) override
     {
         auto& it = answers[exchange];
@@ -66,6 +68,8 @@
 
     std::vector<call_start> calls;
     std::set<call_id> cancelled;
+    /// Calls that wait for their connection.
+    std::set<call_id> unsent;
     std::map<exchange_id, recorded_answer> answers;
     std::vector<log_effect> log_records;
     std::vector<metric_effect> metrics;
--- a/packages/gateway/tests/router_test.cpp
+++ b/packages/gateway/tests/router_test.cpp
@@ -184,6 +184,34 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(does_not_send_to_an_endpoint_that_drains_before_the_connection_is_made)
+{
+    send_request(1, "/unsafe/x");
+    send_request(2, "/unsafe/x");
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
+    const auto first = port.calls[0].instance;
+    BOOST_REQUIRE(port.calls[1].instance != first);
+    port.unsent = {port.calls[0].call, port.calls[1].call};
+    for (auto& record : records) {
+        record.is_draining = record.instance == first;
+    }
+    it.set_endpoints(records, now);
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 3U);
+    BOOST_TEST(port.calls[2].request->fields.id == port.calls[0].request->fields.id);
+    BOOST_TEST(port.calls[2].instance != first);
+    BOOST_TEST(port.unsent.contains(port.calls[1].call));
+}
+
+BOOST_AUTO_TEST_CASE(leaves_a_sent_request_at_an_endpoint_that_drains)
+{
+    send_request(1, "/safe/x");
+    for (auto& record : records) {
+        record.is_draining = record.instance == port.calls[0].instance;
+    }
+    it.set_endpoints(records, now);
+    BOOST_TEST(port.calls.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(refuses_at_once_without_an_endpoint)
 {
     it.set_endpoints({}, now);
