Send no second answer into a stream, and no false refusal, when a retry is rejected

What callers saw: in a stream that had begun (status 200, chunks with events 1 and 2), the head and body of a 503 in place of the next chunk. A safe request that had run at its first endpoint was answered 503, which promises that it has not run.

Cause: when the endpoint of the last attempt says that it did not execute the request, the router refused the request whatever had come before it.

Change: the request ends as unserved. A begun stream is aborted, a request that may have run gets 502, and only one that has not run is refused.

--- a/packages/gateway/fuzz/fuzz_fleet.cpp
+++ b/packages/gateway/fuzz/fuzz_fleet.cpp
@@ -121,8 +121,10 @@
         end(it);
         const auto is_own = head.headers.empty() || head.headers.front().name != "From-Endpoint";
         it.is_answered_not_run = is_own && (head.status == 503 || head.status == 429);
-        const auto is_once = it.kind != request_kind::safe && !it.is_resumable;
-        if (it.is_answered_not_run && is_once && it.executions > 0) {
+        if (it.is_stream_begun) {
+            throw invariant_violation{"a second answer was sent into a stream"};
+        }
+        if (it.is_answered_not_run && it.executions > 0) {
             throw invariant_violation{"the answer states that a request was not executed, but it was"};
         }
     }
@@ -132,6 +134,7 @@
         if (owner_.requests.at(exchange).is_ended) {
             throw invariant_violation{"a stream began after its request had ended"};
         }
+        owner_.requests.at(exchange).is_stream_begun = true;
     }
 
     void send_part(exchange_id exchange, std::string_view bytes) override
--- a/packages/gateway/fuzz/fuzz_fleet.hpp
+++ b/packages/gateway/fuzz/fuzz_fleet.hpp
@@ -49,6 +49,7 @@
         bool is_answered_not_run = false;
         instant ends_at;
         std::uint64_t next_event = 1;
+        bool is_stream_begun = false;
         bool is_last_event_seen = false;
     };
 
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -326,7 +326,7 @@
     }
     calls_->finish(it);
     if (!retry(it, false, now)) {
-        refuse(it, status_unavailable, "endpoint-refused", min_retry_after, now);
+        end_unserved(it, endpoint_refused, it.executions > 0, now);
     }
 }
 
--- a/packages/gateway/src/unserved_end.hpp
+++ b/packages/gateway/src/unserved_end.hpp
@@ -24,6 +24,12 @@
                                               .failed_status = 502,
                                               .failed_reason = "endpoint-broke-off",
                                               .refused_reason = "endpoint-unreachable"};
+/// The last endpoint stated that it did not execute the request, and no other one could take over.
+inline constexpr unserved_end endpoint_refused{.cut_reason = "stream-broken",
+                                               .cut_level = log_level::error,
+                                               .failed_status = 502,
+                                               .failed_reason = "no-endpoint-for-retry",
+                                               .refused_reason = "endpoint-refused"};
 /// No endpoint had a free slot in time.
 inline constexpr unserved_end queue_wait_exceeded{.cut_reason = "stream-broken",
                                                   .cut_level = log_level::error,
--- a/packages/gateway/tests/router_test.cpp
+++ b/packages/gateway/tests/router_test.cpp
@@ -184,6 +184,32 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(sends_no_second_answer_into_a_stream_whose_resumption_is_rejected)
+{
+    send_request(1, "/resume/x");
+    head(port.calls[0], 200, true);
+    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
+    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
+    for (std::size_t n = 1; n < port.calls.size(); ++n) {
+        reject(port.calls[n]);
+    }
+    BOOST_TEST(answer(1).is_aborted);
+    BOOST_TEST(answer(1).status == 200);
+    BOOST_TEST(answer(1).body == "id: 1\ndata: x\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(does_not_state_that_a_request_was_not_executed_when_only_its_retry_is_rejected)
+{
+    send_request(1, "/safe/x");
+    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
+    for (std::size_t n = 1; n < port.calls.size(); ++n) {
+        reject(port.calls[n]);
+    }
+    BOOST_TEST(answer(1).status == 502);
+}
+
 BOOST_AUTO_TEST_CASE(does_not_send_to_an_endpoint_that_drains_before_the_connection_is_made)
 {
     send_request(1, "/unsafe/x");
--- /dev/null
+++ b/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <hemlocknotch/standins/event_loop.hpp>
+#include <hemlocknotch/standins/kept_connection_caller.hpp>
+#include <hemlocknotch/standins/platform_endpoint.hpp>
+#include <hemlocknotch/standins/platform_store.hpp>
+#include <hemlocknotch/standins/relay_route.hpp>
+#include <hemlocknotch/standins/soak_gateway.hpp>
+#include <hemlocknotch/standins/soak_record.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace hemlocknotch::standins {
+
+/// Size and limits of a soak.
+struct soak_options {
+    std::uint64_t seed = 1;
+    int gateways = 4;
+    /// Callers of each gateway.
+    int callers = 4;
+    /// Time for which faults are injected.
+    duration faults_for = std::chrono::seconds{20};
+    /// Time within which a change of the configuration must be in force.
+    duration bound = std::chrono::seconds{2};
+};
+
+/// Runs gateways as separate processes against a store and endpoints of its own, injects faults by signals,
+/// relays and the stand-ins' switches, and checks the promises from what callers and endpoints see. Faults
+/// come in series and overlap. One thread.
+class gateway_soak {
+public:
+    /// Throws std::runtime_error where a process or listener cannot be started.
+    gateway_soak(const soak_options& options, const soak_paths& paths);
+    ~gateway_soak();
+    gateway_soak(const gateway_soak&) = delete;
+    gateway_soak& operator=(const gateway_soak&) = delete;
+    gateway_soak(gateway_soak&&) = delete;
+    gateway_soak& operator=(gateway_soak&&) = delete;
+
+    /// Runs to the end. Returns what was promised and not kept.
+    const std::vector<std::string>& run();
+
+    [[nodiscard]] const soak_record& record() const { return record_; }
+
+    /// Returns the number of faults that were injected.
+    [[nodiscard]] int fault_count() const { return fault_count_; }
+
+private:
+    struct caller_state;
+    struct endpoint_state;
+
+    enum class stage : std::uint8_t { starting, faulty, healing, checking, stopping, done };
+
+    void advance();
+    void enter(stage next);
+    void inject_fault();
+    void inject_process_fault(soak_gateway& it);
+    void inject_link_fault();
+    void inject_store_fault();
+    void inject_endpoint_fault();
+    void change_configuration();
+    /// Undoes a fault after a random time, and at the end of the faults.
+    void undo_later(std::function<void()> undo);
+    void heal();
+    void restart_ended();
+    void send_request(caller_state& it);
+    void handle_answer(caller_state& it, const kept_connection_answer& answer);
+    [[nodiscard]] bool is_in_touch(soak_gateway& it) const;
+    [[nodiscard]] bool is_every_gateway_serving() const;
+    void check_exit_codes();
+    void check_logs();
+    void check_executions();
+    int draw(int n);
+    soak_gateway& draw_gateway();
+
+    soak_options options_;
+    std::minstd_rand random_;
+    event_loop loop_;
+    platform_store store_;
+    soak_record record_;
+    std::vector<std::unique_ptr<endpoint_state>> endpoints_;
+    std::vector<std::unique_ptr<soak_gateway>> gateways_;
+    std::vector<std::unique_ptr<caller_state>> callers_;
+    std::list<std::pair<instant, std::function<void()>>> undos_;
+    timer step_;
+    stage stage_ = stage::starting;
+    instant stage_began_at_{};
+    /// Last time at which no gateway could be sure of the store.
+    instant store_disturbed_at_{};
+    std::uint64_t version_ = 1;
+    bool has_second_key_ = true;
+    int fault_count_ = 0;
+};
+
+} // namespace hemlocknotch::standins
--- a/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
+++ b/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
@@ -40,6 +40,8 @@
 
     [[nodiscard]] const endpoint_address& address() const { return server_.address(); }
 
+    [[nodiscard]] const std::string& instance() const { return instance_; }
+
     /// Returns its registration for `service`.
     [[nodiscard]] std::string registration(const std::string& service,
                                            const std::string& state = "ready") const;
--- a/packages/standins/include/hemlocknotch/standins/relay_route.hpp
+++ b/packages/standins/include/hemlocknotch/standins/relay_route.hpp
@@ -26,9 +26,11 @@
     refuse,
     /// Takes connections and passes nothing on; what was held back is passed on when the mode changes.
     silent,
+    /// Passes on what connections send to the target, and holds back what the target sends.
+    one_way,
 };
 
-/// Reads `pass`, `cut`, `refuse` or `silent`. Returns nothing on any other text.
+/// Reads `pass`, `cut`, `refuse`, `silent` or `one-way`. Returns nothing on any other text.
 std::optional<relay_mode> parse_relay_mode(std::string_view text);
 
 /// One listener whose connections are passed on to one target. One thread.
@@ -70,6 +72,7 @@
 
     static void on_accepted(evconnlistener* listener, int fd, sockaddr* from, int n, void* self);
     void accept(int fd);
+    void apply_mode(const open_connection& it) const;
 
     event_base* base_;
     endpoint_address target_;
--- /dev/null
+++ b/packages/standins/include/hemlocknotch/standins/soak_gateway.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/standins/child_process.hpp>
+#include <hemlocknotch/standins/event_loop.hpp>
+#include <hemlocknotch/standins/relay_route.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hemlocknotch::standins {
+
+/// Where the files and programs of a soak are.
+struct soak_paths {
+    /// The program `hemlocknotchd`.
+    std::string program;
+    /// Directory for settings files and logs.
+    std::string directory;
+};
+
+/// A gateway as a process of its own, with a relay between it and the store. One thread.
+class soak_gateway {
+public:
+    /// Writes the settings file. Gateway `number` listens on the loopback address `host`; `seeds` are the
+    /// addresses of registry pages. Throws std::runtime_error where a file cannot be written.
+    soak_gateway(event_base* base, const soak_paths& paths, int number, const std::string& host,
+                 const std::vector<std::string>& seeds, const endpoint_address& store);
+
+    /// Starts the process. Precondition: it is not running.
+    void start();
+
+    /// Stops in an orderly way: the process finishes what it has read.
+    void stop();
+    void kill();
+    void pause();
+    void resume();
+    void reload();
+
+    /// Returns whether the process runs; false also where it ended by itself.
+    bool is_running() { return process_ && process_->is_running(); }
+
+    [[nodiscard]] bool is_stopping() const { return is_stopping_; }
+
+    [[nodiscard]] bool is_paused() const { return is_paused_; }
+
+    /// Returns whether the process has run without a signal or start since `since`.
+    bool is_undisturbed_since(instant since);
+
+    [[nodiscard]] int exit_code() const { return process_->exit_code(); }
+
+    [[nodiscard]] relay_route& store_link() { return store_link_; }
+
+    [[nodiscard]] const std::string& name() const { return name_; }
+
+    [[nodiscard]] const std::string& log_path() const { return log_path_; }
+
+    [[nodiscard]] endpoint_address callers() const;
+
+    /// Returns the address of the registry page of a gateway at `host`.
+    static std::string registry_page_at(const std::string& host);
+
+private:
+    void disturb(int signal);
+
+    soak_paths paths_;
+    std::string name_;
+    std::string host_;
+    std::string settings_path_;
+    std::string log_path_;
+    relay_route store_link_;
+    std::unique_ptr<child_process> process_;
+    bool is_stopping_ = false;
+    bool is_paused_ = false;
+    instant disturbed_at_{};
+};
+
+} // namespace hemlocknotch::standins
--- /dev/null
+++ b/packages/standins/src/gateway_soak.cpp
@@ -0,0 +1,426 @@
+#include <hemlocknotch/standins/gateway_soak.hpp>
+#include <hemlocknotch/standins/platform_configuration.hpp>
+
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <utility>
+
+namespace hemlocknotch::standins {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const endpoint_address any_port = *endpoint_address::parse("127.0.0.1:0");
+constexpr duration step_interval = milliseconds{20};
+/// A gateway is in touch when it has run for this time without a disturbance.
+constexpr duration contact_time = seconds{3};
+/// Longest time for a start, for healing, and for the end of the processes.
+constexpr duration stage_limit = seconds{30};
+constexpr duration caller_timeout = seconds{4};
+constexpr duration request_pause = milliseconds{30};
+constexpr int max_fault_ms = 3000;
+/// A fault is injected in one of so many steps.
+constexpr int steps_per_fault = 5;
+constexpr int status_ok = 200;
+/// Enough routes that a configuration does not fit a datagram.
+constexpr int many_routes = 300;
+
+std::string host_of(int number)
+{
+    // Soaks that run at the same time use different addresses of the loopback range.
+    constexpr int hosts = 250;
+    return "127.1." + std::to_string(1 + ::getpid() % hosts) + "." + std::to_string(number);
+}
+
+std::string whole_stream()
+{
+    std::string out;
+    for (std::size_t n = 1; n <= platform_endpoint::stream_events; ++n) {
+        out += "id: " + std::to_string(n) + "\ndata: x\n\n";
+    }
+    return out;
+}
+
+std::size_t count_of(const std::string& text, const std::string& word)
+{
+    std::size_t out = 0;
+    for (auto at = text.find(word); at != std::string::npos; at = text.find(word, at + 1)) {
+        ++out;
+    }
+    return out;
+}
+
+} // namespace
+
+/// An endpoint behind a relay, under whose address it is registered.
+struct gateway_soak::endpoint_state {
+    endpoint_state(event_base* base, const std::string& instance, std::string of_service)
+        : service{std::move(of_service)}, endpoint{base, any_port, instance}, link{base, endpoint.address()}
+    {
+    }
+
+    [[nodiscard]] std::string registration(const std::string& state) const
+    {
+        auto out = nlohmann::json::parse(endpoint.registration(service, state));
+        out["address"] = link.address().to_string();
+        return out.dump();
+    }
+
+    std::string service;
+    platform_endpoint endpoint;
+    relay_route link;
+};
+
+/// A caller and its request in progress.
+struct gateway_soak::caller_state {
+    caller_state(gateway_soak& soak, soak_gateway& to)
+        : gateway{to},
+          caller{soak.loop_.base(), to.callers(),
+                 [this, &soak](const kept_connection_answer& it) { soak.handle_answer(*this, it); }},
+          pause{soak.loop_.base(), [this, &soak] { soak.send_request(*this); }}
+    {
+    }
+
+    soak_gateway& gateway;
+    kept_connection_caller caller;
+    timer pause;
+    std::string id;
+    std::string expected_body;
+    bool has_served_since_healing = false;
+};
+
+gateway_soak::gateway_soak(const soak_options& options, const soak_paths& paths)
+    : options_{options},
+      random_{static_cast<std::minstd_rand::result_type>(options.seed)},
+      store_{loop_.base(), any_port},
+      record_{options.bound},
+      step_{loop_.base(), [this] { advance(); }}
+{
+    for (const auto* instance : {"m1", "m2", "p1", "p2", "p3"}) {
+        endpoints_.push_back(
+            std::make_unique<endpoint_state>(loop_.base(), instance, instance[0] == 'm' ? "model" : "plain"));
+        store_.put("servers/" + std::string{instance}, endpoints_.back()->registration("ready"));
+    }
+    store_.put("op/config", create_platform_configuration(version_));
+    record_.note_configuration(has_second_key_, now());
+    const std::vector<std::string> seeds{soak_gateway::registry_page_at(host_of(1)),
+                                         soak_gateway::registry_page_at(host_of(2))};
+    for (int n = 1; n <= options_.gateways; ++n) {
+        gateways_.push_back(
+            std::make_unique<soak_gateway>(loop_.base(), paths, n, host_of(n), seeds, store_.address()));
+        gateways_.back()->start();
+        for (int k = 0; k < options_.callers; ++k) {
+            callers_.push_back(std::make_unique<caller_state>(*this, *gateways_.back()));
+            callers_.back()->pause.start(request_pause);
+        }
+    }
+}
+
+gateway_soak::~gateway_soak() = default;
+
+const std::vector<std::string>& gateway_soak::run()
+{
+    enter(stage::starting);
+    step_.start(step_interval);
+    loop_.run();
+    return record_.violations();
+}
+
+int gateway_soak::draw(int n)
+{
+    return std::uniform_int_distribution<int>{0, n - 1}(random_);
+}
+
+soak_gateway& gateway_soak::draw_gateway()
+{
+    return *gateways_[static_cast<std::size_t>(draw(options_.gateways))];
+}
+
+void gateway_soak::enter(stage next)
+{
+    stage_ = next;
+    stage_began_at_ = now();
+    for (const auto& it : callers_) {
+        it->has_served_since_healing = false;
+    }
+}
+
+void gateway_soak::advance()
+{
+    const auto passed = now() - stage_began_at_;
+    const auto is_late = passed > stage_limit;
+    if (stage_ != stage::stopping) {
+        restart_ended();
+    }
+    switch (stage_) {
+    case stage::starting:
+        if (is_late) {
+            record_.add_violation("the gateways do not serve after their start");
+        }
+        if (is_late || is_every_gateway_serving()) {
+            enter(stage::faulty);
+        }
+        break;
+    case stage::faulty:
+        if (draw(steps_per_fault) == 0) {
+            inject_fault();
+        }
+        while (!undos_.empty() && undos_.front().first <= now()) {
+            undos_.front().second();
+            undos_.pop_front();
+        }
+        if (passed > options_.faults_for) {
+            heal();
+            enter(stage::healing);
+        }
+        break;
+    case stage::healing:
+        if (is_late) {
+            record_.add_violation("not every gateway serves after all faults have ended");
+        }
+        if (is_late || is_every_gateway_serving()) {
+            enter(stage::stopping);
+            for (const auto& it : gateways_) {
+                it->stop();
+            }
+        }
+        break;
+    case stage::stopping:
+        if (is_late) {
+            record_.add_violation("not every gateway ends after SIGTERM");
+        }
+        if (is_late || std::ranges::none_of(gateways_, [](const auto& it) { return it->is_running(); })) {
+            enter(stage::checking);
+        }
+        break;
+    case stage::checking:
+        check_exit_codes();
+        check_logs();
+        check_executions();
+        enter(stage::done);
+        return loop_.stop();
+    case stage::done:
+        return;
+    }
+    step_.start(step_interval);
+}
+
+void gateway_soak::restart_ended()
+{
+    for (const auto& it : gateways_) {
+        if (!it->is_running()) {
+            it->start();
+        }
+    }
+}
+
+bool gateway_soak::is_every_gateway_serving() const
+{
+    return std::ranges::all_of(callers_, [](const auto& it) { return it->has_served_since_healing; });
+}
+
+void gateway_soak::inject_fault()
+{
+    ++fault_count_;
+    switch (draw(8)) {
+    case 0:
+    case 1:
+        return inject_process_fault(draw_gateway());
+    case 2:
+    case 3:
+        return inject_link_fault();
+    case 4:
+        return inject_store_fault();
+    case 5:
+    case 6:
+        return inject_endpoint_fault();
+    default:
+        return change_configuration();
+    }
+}
+
+void gateway_soak::undo_later(std::function<void()> undo)
+{
+    const auto at = now() + milliseconds{1 + draw(max_fault_ms)};
+    const auto position = std::ranges::find_if(undos_, [&](const auto& it) { return it.first > at; });
+    undos_.emplace(position, at, std::move(undo));
+}
+
+void gateway_soak::inject_process_fault(soak_gateway& it)
+{
+    if (it.is_paused()) {
+        return;
+    }
+    switch (draw(4)) {
+    case 0:
+        return it.kill();
+    case 1:
+        it.pause();
+        return undo_later([&it] { it.resume(); });
+    case 2:
+        return it.stop();
+    default:
+        return it.reload();
+    }
+}
+
+void gateway_soak::inject_link_fault()
+{
+    constexpr std::array modes{relay_mode::cut, relay_mode::refuse, relay_mode::silent, relay_mode::one_way};
+    const auto mode = modes.at(static_cast<std::size_t>(draw(static_cast<int>(modes.size()))));
+    const auto is_store_link = draw(2) == 0;
+    auto& link = is_store_link
+                     ? draw_gateway().store_link()
+                     : endpoints_[static_cast<std::size_t>(draw(static_cast<int>(endpoints_.size())))]->link;
+    if (draw(5) == 0) {
+        return link.silence_open();
+    }
+    link.set_mode(mode);
+    undo_later([&link] { link.set_mode(relay_mode::pass); });
+}
+
+void gateway_soak::inject_store_fault()
+{
+    auto& faults = store_.faults;
+    switch (draw(5)) {
+    case 0:
+        faults.refuses_with = draw(2) == 0 ? 503 : 429;
+        break;
+    case 1:
+        faults.is_silent = true;
+        break;
+    case 2:
+        faults.loses_write_answers = true;
+        break;
+    case 3:
+        return store_.compact();
+    default:
+        // The registration of a gateway lapses although it lives.
+        return store_.remove("hemlocknotch/gateways/" + draw_gateway().name());
+    }
+    undo_later([this] {
+        store_.faults = {};
+        store_disturbed_at_ = now();
+    });
+}
+
+void gateway_soak::inject_endpoint_fault()
+{
+    auto& it = *endpoints_[static_cast<std::size_t>(draw(static_cast<int>(endpoints_.size())))];
+    auto& faults = it.endpoint.faults;
+    switch (draw(4)) {
+    case 0:
+        faults.is_full = true;
+        break;
+    case 1:
+        faults.loses_answers = true;
+        break;
+    case 2:
+        faults.breaks_after = 2;
+        break;
+    default:
+        store_.put("servers/" + it.endpoint.instance(), it.registration("draining"));
+        return undo_later(
+            [this, &it] { store_.put("servers/" + it.endpoint.instance(), it.registration("ready")); });
+    }
+    undo_later([&faults] { faults = {}; });
+}
+
+void gateway_soak::change_configuration()
+{
+    has_second_key_ = draw(2) == 0;
+    ++version_;
+    store_.put("op/config",
+               create_platform_configuration(version_, has_second_key_, draw(4) == 0 ? many_routes : 0));
+    record_.note_configuration(has_second_key_, now());
+}
+
+void gateway_soak::heal()
+{
+    for (const auto& [at, undo] : std::exchange(undos_, {})) {
+        undo();
+    }
+}
+
+bool gateway_soak::is_in_touch(soak_gateway& it) const
+{
+    // A gateway that cannot reach the store learns from another one, if that one is not disturbed.
+    const auto since = now() - contact_time;
+    return it.is_undisturbed_since(since) && store_disturbed_at_ < since && store_.faults.refuses_with == 0 &&
+           !store_.faults.is_silent;
+}
+
+void gateway_soak::send_request(caller_state& it)
+{
+    if (stage_ == stage::checking || stage_ == stage::done) {
+        return;
+    }
+    soak_request request;
+    request.kind = static_cast<soak_request_kind>(draw(3));
+    request.gateway = it.gateway.name();
+    request.has_second_key = draw(3) == 0 && stage_ == stage::faulty;
+    request.sent_at = now();
+    request.is_gateway_in_touch = is_in_touch(it.gateway);
+    it.id = record_.add(request);
+    const auto is_stream = request.kind == soak_request_kind::stream;
+    const auto* target = is_stream                                   ? "/stream/x"
+                         : request.kind == soak_request_kind::unsafe ? "/unsafe/x"
+                                                                     : "/safe/x";
+    const auto body = "body of " + it.id;
+    it.expected_body = is_stream ? whole_stream() : body;
+    it.caller.send("POST " + std::string{target} + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + it.id +
+                       "\r\nX-Deadline-Ms: " +
+                       std::to_string(std::chrono::duration_cast<milliseconds>(caller_timeout).count()) +
+                       "\r\nX-Credential: " + (request.has_second_key ? "key-2" : "key-1") +
+                       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+                   caller_timeout + seconds{1});
+}
+
+void gateway_soak::handle_answer(caller_state& it, const kept_connection_answer& answer)
+{
+    if (answer.status != 0) {
+        record_.check_answer(it.id, answer.status, answer.body, it.expected_body);
+    }
+    it.has_served_since_healing = it.has_served_since_healing || answer.status == status_ok;
+    it.pause.start(request_pause);
+}
+
+void gateway_soak::check_exit_codes()
+{
+    for (const auto& it : gateways_) {
+        if (!it->is_running() && it->exit_code() != 0) {
+            record_.add_violation(it->name() + " ended with exit code " + std::to_string(it->exit_code()));
+        }
+    }
+}
+
+void gateway_soak::check_logs()
+{
+    for (const auto& it : gateways_) {
+        std::ifstream file{it->log_path()};
+        const std::string text{std::istreambuf_iterator<char>{file}, {}};
+        if (count_of(text, "\"registry-back\"") > count_of(text, "\"registry-lost\"")) {
+            record_.add_violation(it->name() + ": a line registry-back without its registry-lost");
+        }
+    }
+}
+
+void gateway_soak::check_executions()
+{
+    std::map<std::string, unsigned> total;
+    for (const auto& it : endpoints_) {
+        for (const auto& [id, n] : it->endpoint.executions) {
+            total[id] += n;
+        }
+    }
+    record_.check_executions(total);
+}
+
+} // namespace hemlocknotch::standins
--- a/packages/standins/src/relay_connection.cpp
+++ b/packages/standins/src/relay_connection.cpp
@@ -68,6 +68,13 @@
     }
 }
 
+void relay_connection::set_one_way()
+{
+    set_silent(true);
+    bufferevent_enable(near_.get(), EV_READ);
+    bufferevent_enable(far_.get(), EV_WRITE);
+}
+
 bufferevent* relay_connection::other(const bufferevent* it) const
 {
     return it == near_.get() ? far_.get() : near_.get();
--- a/packages/standins/src/relay_route.cpp
+++ b/packages/standins/src/relay_route.cpp
@@ -27,6 +27,9 @@
     if (text == "silent") {
         return relay_mode::silent;
     }
+    if (text == "one-way") {
+        return relay_mode::one_way;
+    }
     return std::nullopt;
 }
 
@@ -65,7 +68,17 @@
         return;
     }
     for (const open_connection& it : connections_) {
-        it.connection->set_silent(mode == relay_mode::silent || it.is_silenced);
+        apply_mode(it);
+    }
+}
+
+void relay_route::apply_mode(const open_connection& it) const
+{
+    if (mode_ == relay_mode::one_way && !it.is_silenced) {
+        it.connection->set_one_way();
+    }
+    else {
+        it.connection->set_silent(mode_ == relay_mode::silent || it.is_silenced);
     }
 }
 
@@ -92,7 +105,7 @@
     const auto it = std::prev(connections_.end());
     it->connection =
         std::make_unique<relay_connection>(base_, fd, target_, [this, it] { connections_.erase(it); });
-    it->connection->set_silent(mode_ == relay_mode::silent);
+    apply_mode(*it);
 }
 
 } // namespace hemlocknotch::standins
--- a/packages/standins/src/relay_service.cpp
+++ b/packages/standins/src/relay_service.cpp
@@ -74,7 +74,7 @@
     }
     else {
         throw std::runtime_error{"unknown mode '" + text +
-                                 "'; known: pass, cut, refuse, silent, silence-open"};
+                                 "'; known: pass, cut, refuse, silent, one-way, silence-open"};
     }
 }
 
