--- a/packages/standins/include/hemlocknotch/standins/kept_connection_caller.hpp
+++ b/packages/standins/include/hemlocknotch/standins/kept_connection_caller.hpp
@@ -17,9 +17,12 @@
 struct kept_connection_answer {
     /// Status of a complete answer; 0: there was none.
     int status = 0;
-    std::string body;
+    std::string body = {};
     /// The gateway closed the connection after it could have read the request, without a complete answer.
     bool was_closed = false;
+    /// The bytes received are no answer; `received` holds them.
+    bool is_malformed = false;
+    std::string received = {};
 };
 
 /// A caller that sends one request after the other on one connection, and keeps it until the gateway closes
--- a/packages/standins/src/gateway_soak.cpp
+++ b/packages/standins/src/gateway_soak.cpp
@@ -385,7 +385,11 @@
 
 void gateway_soak::handle_answer(caller_state& it, const kept_connection_answer& answer)
 {
-    if (answer.status != 0) {
+    if (answer.is_malformed) {
+        record_.add_violation(it.id + " at " + it.gateway.name() + ": no HTTP answer: '" + answer.received +
+                              "'");
+    }
+    else if (answer.status != 0) {
         record_.check_answer(it.id, answer.status, answer.body, it.expected_body);
     }
     it.has_served_since_healing = it.has_served_since_healing || answer.status == status_ok;
--- a/packages/standins/src/kept_connection_caller.cpp
+++ b/packages/standins/src/kept_connection_caller.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <cassert>
 #include <cctype>
+#include <charconv>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -26,39 +28,60 @@
     return out;
 }
 
-/// Returns the decoded chunks; nothing where the last one has not come.
-std::optional<std::string> decode_chunks(std::string_view text)
+/// How much of a body has come.
+enum class body_state : std::uint8_t { partial, complete, malformed };
+
+/// Reads a number that ends with the line. Returns nothing where it is malformed.
+std::optional<std::size_t> read_number(std::string_view text, int base)
+{
+    std::size_t out = 0;
+    const auto line = text.substr(0, text.find("\r\n"));
+    const auto [end, ec] = std::from_chars(line.data(), line.data() + line.size(), out, base);
+    return ec == std::errc{} && end == line.data() + line.size() ? std::optional{out} : std::nullopt;
+}
+
+/// Appends the decoded chunks to `out`.
+body_state decode_chunks(std::string_view text, std::string& out)
 {
-    std::string out;
+    constexpr int hexadecimal = 16;
     for (;;) {
         const auto end = text.find("\r\n");
         if (end == std::string_view::npos) {
-            return std::nullopt;
+            return body_state::partial;
+        }
+        const auto size = read_number(text, hexadecimal);
+        if (!size) {
+            return body_state::malformed;
         }
-        const auto size = std::stoul(std::string{text.substr(0, end)}, nullptr, 16);
         text.remove_prefix(end + 2);
-        if (text.size() < size + 2) {
-            return std::nullopt;
+        if (text.size() < *size + 2) {
+            return body_state::partial;
         }
-        if (size == 0) {
-            return out;
+        if (*size == 0) {
+            return body_state::complete;
         }
-        out += text.substr(0, size);
-        text.remove_prefix(size + 2);
+        out += text.substr(0, *size);
+        text.remove_prefix(*size + 2);
     }
 }
 
-/// Returns the complete body of an answer with the lower-case `head`; nothing where a part is missing.
-std::optional<std::string> complete_body(std::string_view head, std::string_view rest)
+/// Reads into `out` the body of an answer with the lower-case `head`.
+body_state read_body(std::string_view head, std::string_view rest, std::string& out)
 {
     if (head.find("transfer-encoding: chunked") != std::string_view::npos) {
-        return decode_chunks(rest);
+        return decode_chunks(rest, out);
     }
     constexpr std::string_view name = "content-length: ";
+    constexpr int decimal = 10;
     const auto position = head.find(name);
-    const auto size =
-        position == std::string_view::npos ? 0 : std::stoul(std::string{head.substr(position + name.size())});
-    return rest.size() < size ? std::nullopt : std::optional<std::string>{rest.substr(0, size)};
+    const auto size = position == std::string_view::npos
+                          ? std::optional<std::size_t>{0}
+                          : read_number(head.substr(position + name.size()), decimal);
+    if (!size) {
+        return body_state::malformed;
+    }
+    out = rest.substr(0, *size);
+    return rest.size() < *size ? body_state::partial : body_state::complete;
 }
 
 } // namespace
@@ -122,11 +145,19 @@
         return;
     }
     const auto head = lower_case(std::string_view{input_}.substr(0, position + 2));
-    const auto body = complete_body(head, std::string_view{input_}.substr(position + head_end.size()));
-    if (body) {
-        const auto status = std::stoi(head.substr(status_position));
-        end({status, *body, false}, head.find("connection: close") == std::string::npos);
+    kept_connection_answer answer;
+    const auto state =
+        read_body(head, std::string_view{input_}.substr(position + head_end.size()), answer.body);
+    if (state == body_state::partial) {
+        return;
     }
+    int status = 0;
+    const auto* text = head.data() + status_position;
+    std::from_chars(text, head.data() + head.size(), status);
+    answer.status = status;
+    answer.is_malformed = state == body_state::malformed || status == 0;
+    answer.received = answer.is_malformed ? input_ : "";
+    end(std::move(answer), head.find("connection: close") == std::string::npos);
 }
 
 void kept_connection_caller::on_event(bufferevent* /*from*/, short what, void* self)
@@ -137,7 +168,7 @@
         return;
     }
     if (that.is_waiting_) {
-        that.end({0, "", that.is_connected_}, false);
+        that.end({.was_closed = that.is_connected_}, false);
     }
     else {
         that.connection_.reset();
