--- a/packages/coordination/include/hemlocknotch/coordination/http_client.hpp
+++ b/packages/coordination/include/hemlocknotch/coordination/http_client.hpp
@@ -51,7 +51,8 @@
 };
 
 /// Client of one HTTP/1.1 server. A call has a connection to itself while it is in progress. Connections are
-/// reused, except those that were idle or in use when a call ended without a complete answer. Use it on the event loop's thread only.
+/// reused, except those that were idle or in use when a call ended without a complete answer. Use it on the
+/// event loop's thread only.
 class http_client {
 public:
     using callback = std::function<void(const http_answer&)>;
