--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -21,9 +21,6 @@
 constexpr double view_age_share = 0.4;
 /// Age at which the registry is logged as stale, as a part of the same time: two refreshes are overdue.
 constexpr double stale_age_share = 0.8;
-/// Delay of request events beyond which the load balancer is told to send new connections elsewhere: half of
-/// the time after which callers abandon a request that has not been read.
-constexpr duration max_request_delay = std::chrono::milliseconds{250};
 /// Time by which the process ends before it would be ended by force.
 constexpr duration stop_margin = std::chrono::milliseconds{700};
 /// File descriptors that are reserved for files and for sockets other than callers' and endpoints'
@@ -53,11 +50,17 @@
         1, static_cast<std::size_t>(static_cast<double>(available) * caller_descriptor_share));
 }
 
+/// Returns the part `share` of the shortest time within which changes of the registry must take effect.
+duration part_of_bound(const gateway_settings& settings, double share)
+{
+    return std::chrono::duration_cast<duration>(std::min(settings.drain_bound, settings.configuration_bound) *
+                                                share);
+}
+
 registry_follower_options follower_options_of(const gateway_settings& settings)
 {
-    const auto bound = std::min(settings.drain_bound, settings.configuration_bound);
     return {settings.instance, settings.members.value_or(*settings.callers),
-            std::chrono::duration_cast<duration>(bound * view_age_share)};
+            part_of_bound(settings, view_age_share)};
 }
 
 } // namespace
@@ -102,7 +105,10 @@
                         schedule_router_timer();
                     },
                     event_priority::request},
-      request_probe_{base, [this] { finish_request_probe(); }, event_priority::request},
+      request_delay_{
+          base, [this] { return clock_.now(); },
+          [this](duration it) { record_seconds("hemlocknotch_gateway_request_delay_seconds", it); }},
+      registry_age_{part_of_bound(settings, stale_age_share), [this](const log_effect& it) { log(it); }},
       stop_timer_{base, [this] { continue_stop(); }}
 {
 }
@@ -216,46 +222,10 @@
     report.incarnation = incarnation_;
     report.sequence = ++report_sequence_;
     reports_.send(report, peers_.addresses());
-    check_registry_age();
-    start_request_probe();
+    check_health();
     schedule_report();
 }
 
-void gateway_shell::start_request_probe()
-{
-    if (probe_started_at_ == instant::max()) {
-        probe_started_at_ = clock_.now();
-        request_probe_.activate();
-    }
-    const auto delay = request_delay();
-    if (is_overloaded_ == (delay > max_request_delay)) {
-        return;
-    }
-    is_overloaded_ = !is_overloaded_;
-    log({is_overloaded_ ? log_level::warning : log_level::info,
-         is_overloaded_ ? "requests-read-late" : "requests-read-in-time",
-         {{"delay_ms", milliseconds_text(delay)},
-          {"open_requests", std::to_string(router_.exchange_count())},
-          {"connections", std::to_string(callers_.connection_count())}}});
-}
-
-void gateway_shell::finish_request_probe()
-{
-    last_request_delay_ = clock_.now() - std::exchange(probe_started_at_, instant::max());
-    metrics_.record({metric_kind::histogram,
-                     "hemlocknotch_gateway_request_delay_seconds",
-                     {},
-                     {},
-                     std::chrono::duration<double>(last_request_delay_).count()});
-}
-
-duration gateway_shell::request_delay() const
-{
-    const auto pending =
-        probe_started_at_ == instant::max() ? duration::zero() : clock_.now() - probe_started_at_;
-    return std::max(last_request_delay_, pending);
-}
-
 void gateway_shell::schedule_report()
 {
     const auto interval = gateway::report_interval(peers_.addresses().size());
@@ -263,34 +233,31 @@
     report_timer_.start(interval);
 }
 
-void gateway_shell::check_registry_age()
+void gateway_shell::check_health()
 {
     const auto now = clock_.now();
-    const auto delay = std::max(duration::zero(), now - report_due_);
-    max_loop_delay_ = std::max(max_loop_delay_, delay);
-    metrics_.record({metric_kind::histogram,
-                     "hemlocknotch_gateway_loop_delay_seconds",
-                     {},
-                     {},
-                     std::chrono::duration<double>(delay).count()});
-    const auto bound = std::min(settings_.drain_bound, settings_.configuration_bound) * stale_age_share;
-    const auto age = now - follower_.current_as_of();
-    if (age <= bound) {
-        if (const auto since = std::exchange(stale_since_, instant::max()); since != instant::max()) {
-            log({log_level::info, "registry-current", {{"after_ms", milliseconds_text(now - since)}}});
-        }
-        max_loop_delay_ = duration::zero();
+    const auto loop_delay = std::max(duration::zero(), now - report_due_);
+    record_seconds("hemlocknotch_gateway_loop_delay_seconds", loop_delay);
+    registry_age_.check({.as_of = follower_.current_as_of(),
+                         .revision = view_.revision(),
+                         .is_store_reachable = follower_.is_reachable(),
+                         .loop_delay = loop_delay},
+                        now);
+    request_delay_.start();
+    if (is_overloaded_ == request_delay_.is_late()) {
         return;
     }
-    if (stale_since_ == instant::max() && view_.revision() != 0) {
-        stale_since_ = now;
-        log({log_level::warning,
-             "registry-stale",
-             {{"age_ms", milliseconds_text(age)},
-              {"revision", std::to_string(view_.revision())},
-              {"store", follower_.is_reachable() ? "reachable" : "lost"},
-              {"loop_delay_ms", milliseconds_text(max_loop_delay_)}}});
-    }
+    is_overloaded_ = !is_overloaded_;
+    log({is_overloaded_ ? log_level::warning : log_level::info,
+         is_overloaded_ ? "requests-read-late" : "requests-read-in-time",
+         {{"delay_ms", milliseconds_text(request_delay_.delay())},
+          {"open_requests", std::to_string(router_.exchange_count())},
+          {"connections", std::to_string(callers_.connection_count())}}});
+}
+
+void gateway_shell::record_seconds(std::string_view metric, duration value)
+{
+    metrics_.record({metric_kind::histogram, metric, {}, {}, std::chrono::duration<double>(value).count()});
 }
 
 void gateway_shell::send_update(gateway::registry_update update)
@@ -444,8 +411,7 @@
 
 bool gateway_shell::is_ready() const
 {
-    return stop_requested_at_ == instant::max() && router_.has_configuration() &&
-           request_delay() <= max_request_delay;
+    return stop_requested_at_ == instant::max() && router_.has_configuration() && !request_delay_.is_late();
 }
 
 std::uint64_t gateway_shell::configuration_version() const
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -19,13 +19,16 @@
 #include "page_server.hpp"
 #include "peer_directory.hpp"
 #include "peer_registry_fetcher.hpp"
+#include "registry_age_monitor.hpp"
 #include "registry_follower.hpp"
 #include "report_exchange.hpp"
+#include "request_delay_probe.hpp"
 
 #include <boost/leaf/result.hpp>
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace hemlocknotch::daemon {
 
@@ -94,10 +97,9 @@
     void schedule_router_timer();
     void continue_stop();
     void send_report();
-    void check_registry_age();
-    void start_request_probe();
-    void finish_request_probe();
-    [[nodiscard]] duration request_delay() const;
+    /// Measures the delays of the event loop, and logs what changed in them and in the registry's age.
+    void check_health();
+    void record_seconds(std::string_view metric, duration value);
     void schedule_report();
     void send_update(gateway::registry_update update);
     void apply_update(const gateway::registry_update& update);
@@ -133,17 +135,9 @@
     timer report_timer_;
     /// When the report timer is due; it fires later where the event loop is delayed.
     instant report_due_ = instant::max();
-    /// Longest delay of the event loop since the registry was last current.
-    duration max_loop_delay_{};
-    /// Time at which the registry became stale; `instant::max()`: it is current.
-    instant stale_since_ = instant::max();
     timer router_timer_;
-    /// Fires behind all request events that were ready when it was activated.
-    timer request_probe_;
-    /// Time at which the probe was activated; `instant::max()`: it has fired.
-    instant probe_started_at_ = instant::max();
-    /// Time that the last probe took.
-    duration last_request_delay_{};
+    request_delay_probe request_delay_;
+    registry_age_monitor registry_age_;
     bool is_overloaded_ = false;
     timer stop_timer_;
     instant stop_requested_at_ = instant::max();
--- a/packages/daemon/tests/report_exchange_test.cpp
+++ b/packages/daemon/tests/report_exchange_test.cpp
@@ -32,7 +32,9 @@
     {
         return boost::leaf::try_handle_all(
             [&]() -> boost::leaf::result<bool> {
-                BOOST_LEAF_CHECK(it.listen(*endpoint_address::parse(address)));
+                if (auto listening = it.listen(*endpoint_address::parse(address)); !listening) {
+                    return listening.error();
+                }
                 return true;
             },
             [] { return false; });
--- a/packages/standins/include/hemlocknotch/standins/kept_connection_caller.hpp
+++ b/packages/standins/include/hemlocknotch/standins/kept_connection_caller.hpp
@@ -53,7 +53,7 @@
     static void on_event(bufferevent* from, short what, void* self);
     void connect();
     void read_answer();
-    void end(kept_connection_answer answer, bool keeps_connection);
+    void end(const kept_connection_answer& answer, bool keeps_connection);
 
     event_base* base_;
     endpoint_address gateway_;
--- a/packages/standins/src/child_process.cpp
+++ b/packages/standins/src/child_process.cpp
@@ -21,9 +21,11 @@
 child_process::child_process(const std::vector<std::string>& command, const std::string& log_path)
 {
     assert(!command.empty());
+    auto words = command;
     std::vector<char*> arguments;
-    for (const auto& it : command) {
-        arguments.push_back(const_cast<char*>(it.c_str()));
+    arguments.reserve(words.size() + 1);
+    for (auto& it : words) {
+        arguments.push_back(it.data());
     }
     arguments.push_back(nullptr);
     posix_spawn_file_actions_t actions{};
--- a/packages/standins/src/kept_connection_caller.cpp
+++ b/packages/standins/src/kept_connection_caller.cpp
@@ -157,7 +157,7 @@
     answer.status = status;
     answer.is_malformed = state == body_state::malformed || status == 0;
     answer.received = answer.is_malformed ? input_ : "";
-    end(std::move(answer), head.find("connection: close") == std::string::npos);
+    end(answer, head.find("connection: close") == std::string::npos);
 }
 
 void kept_connection_caller::on_event(bufferevent* /*from*/, short what, void* self)
@@ -175,7 +175,7 @@
     }
 }
 
-void kept_connection_caller::end(kept_connection_answer answer, bool keeps_connection)
+void kept_connection_caller::end(const kept_connection_answer& answer, bool keeps_connection)
 {
     is_waiting_ = false;
     timeout_.stop();
