--- a/packages/daemon/tests/endpoint_pool_test.cpp
+++ b/packages/daemon/tests/endpoint_pool_test.cpp
@@ -113,7 +113,7 @@
 };
 
 struct pool_fixture {
-    void call(const std::string& id, bool is_unrepeatable = false)
+    void call(const std::string& id, bool is_unrepeatable = false, unsigned max_connections = 0)
     {
         auto request = std::make_shared<gateway::caller_request>();
         request->method = "POST";
@@ -132,7 +132,7 @@
                     .remaining = std::chrono::seconds{1},
                     .resume_after = "",
                     .is_unrepeatable = is_unrepeatable,
-                    .max_connections = 0});
+                    .max_connections = max_connections});
     }
 
     bool wait_for_end()
@@ -259,6 +259,20 @@
     BOOST_TEST(!pool.recall(recorder.last_call + 1));
 }
 
+BOOST_AUTO_TEST_CASE(an_idle_connection_that_cannot_be_reused_does_not_use_up_the_limit_of_connections)
+{
+    endpoint.answers = {answer("1", "a"), answer("2", "b")};
+    call("1", false, 1);
+    BOOST_REQUIRE(wait_for_end());
+    // Longer than the idle time after which a request that runs once at most gets a new connection.
+    const auto until = clock.now() + std::chrono::milliseconds{600};
+    BOOST_REQUIRE(loop.run_until([&] { return clock.now() > until; }));
+    call("2", true, 1);
+    BOOST_REQUIRE(wait_for_end());
+    BOOST_TEST((recorder.outcome == gateway::call_outcome::complete));
+    BOOST_TEST(recorder.status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
