Close an idle connection that cannot be reused when the limit of connections is reached

What callers saw: a gateway answered 503, endpoint-unreachable, for as long as the soak waited (30 s), though all endpoints could be reached.

Cause: in a fleet of 60 gateways each one's part of the 100 connections to an endpoint is one. A connection that is idle for longer than the call allows (0.5 s for requests that run once at most) is not reused, and it stays open until the endpoint closes it, which never comes where the connection has gone silent. It counted against the limit, so that no call could open another.

Busy ones are never closed for this.

--- a/packages/daemon/src/gateway/endpoint_pool.cpp
+++ b/packages/daemon/src/gateway/endpoint_pool.cpp
@@ -55,10 +55,19 @@
 
 endpoint_connection* endpoint_pool::open(const gateway::call_start& start)
 {
-    auto& list = by_address_[start.address];
-    if (start.max_connections > 0 && list.size() >= start.max_connections) {
-        return nullptr;
+    if (const auto& open = by_address_[start.address];
+        start.max_connections > 0 && open.size() >= start.max_connections) {
+        // An idle connection that this call cannot reuse would only take the place of a new one.
+        const auto idle = std::ranges::find_if(open, [&](const endpoint_connection* it) {
+            const auto call = calls_.find(it->last_call());
+            return call == calls_.end() || call->second != it;
+        });
+        if (idle == open.end()) {
+            return nullptr;
+        }
+        (*idle)->close();
     }
+    auto& list = by_address_[start.address];
     auto created = std::make_unique<endpoint_connection>(base_, start.address, dialect_, sink_, *this);
     if (!created->is_open()) {
         return nullptr;
