Reserve the loopback addresses of a soak

Cause: a soak took its addresses from its process id modulo 250. The product is not at fault.

Change: a soak reserves its block of addresses by a bound socket and takes the next one if it is in use. No product code changes.

--- a/packages/standins/src/gateway_soak.cpp
+++ b/packages/standins/src/gateway_soak.cpp
@@ -1,7 +1,10 @@
 #include <hemlocknotch/standins/gateway_soak.hpp>
 #include <hemlocknotch/standins/platform_configuration.hpp>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -9,6 +12,7 @@
 #include <fstream>
 #include <iterator>
 #include <map>
+#include <stdexcept>
 #include <utility>
 
 namespace hemlocknotch::standins {
@@ -32,11 +36,50 @@
 /// Enough routes that a configuration does not fit a datagram.
 constexpr int many_routes = 300;
 
+/// A block of loopback addresses that no other soak uses at the same time. It is reserved by a socket that is
+/// bound to one of them.
+class address_block {
+public:
+    address_block()
+    {
+        constexpr int blocks = 250;
+        constexpr std::uint16_t reservation_port = 7400;
+        for (int n = 0; n < blocks; ++n) {
+            number_ = 1 + (::getpid() + n) % blocks;
+            fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            sockaddr_in at{};
+            at.sin_family = AF_INET;
+            at.sin_port = htons(reservation_port);
+            inet_pton(AF_INET, host(254).c_str(), &at.sin_addr);
+            if (::bind(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0) {
+                return;
+            }
+            ::close(fd_);
+        }
+        throw std::runtime_error{"every block of loopback addresses is in use by another soak"};
+    }
+
+    ~address_block() { ::close(fd_); }
+
+    address_block(const address_block&) = delete;
+    address_block(address_block&&) = delete;
+    address_block& operator=(const address_block&) = delete;
+    address_block& operator=(address_block&&) = delete;
+
+    [[nodiscard]] std::string host(int number) const
+    {
+        return "127.1." + std::to_string(number_) + "." + std::to_string(number);
+    }
+
+private:
+    int number_ = 0;
+    int fd_ = -1;
+};
+
 std::string host_of(int number)
 {
-    // Soaks that run at the same time use different addresses of the loopback range.
-    constexpr int hosts = 250;
-    return "127.1." + std::to_string(1 + ::getpid() % hosts) + "." + std::to_string(number);
+    static const address_block block;
+    return block.host(number);
 }
 
 std::string whole_stream()
