Bound what is read of an answer that never ends

Cause: the parser has no limit for the framing of chunks (sizes, extensions, trailers), so that a server which sends these without end filled the memory of the gateway until the request's deadline. Interim answers and answers to other requests were discarded without limit, an event without end was held up to 64 MB, and all held answers together had no bound. The HTTP client for the store and for other gateways took the first interim answer for the answer.

Ruled out: heads (limited by the parser), bodies (64 MB), bytes after a complete answer (close the connection). No health probe is sent, so none can be answered without end.

Change: 64 KB of framing, 1 MB of discarded answers, 256 KB for an event, 8 MB for a held answer, and 32 MB for all, beyond which answers above their even part may not grow. Received bytes that the HTTP client has not parsed are limited by a watermark, and an interim answer counts as none.

--- a/packages/coordination/src/http_client.cpp
+++ b/packages/coordination/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include <hemlocknotch/coordination/http_client.hpp>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -18,6 +19,11 @@
 constexpr std::size_t max_idle_connections = 8;
 constexpr ev_ssize_t max_headers_bytes = ev_ssize_t{64} * 1024;
 constexpr ev_ssize_t max_body_bytes = ev_ssize_t{4} * 1024 * 1024;
+/// Maximum number of received bytes that are not parsed yet. A body with a length is parsed once it is
+/// complete; evhttp has no limit of its own for the framing of chunks.
+constexpr std::size_t max_unparsed_bytes = max_body_bytes + max_headers_bytes;
+/// Answers below this status are interim ones, of which evhttp reports the first as if it were the answer.
+constexpr int first_final_status = 200;
 
 struct event_deleter {
     void operator()(event* value) const { event_free(value); }
@@ -52,7 +58,8 @@
 {
     http_answer answer;
     answer.status = evhttp_request_get_response_code(request);
-    if (answer.status == 0) {
+    if (answer.status < first_final_status) {
+        answer.status = 0;
         return answer;
     }
     evbuffer* body = evhttp_request_get_input_buffer(request);
@@ -177,6 +184,8 @@
     }
     evhttp_connection_set_max_headers_size(connection.get(), max_headers_bytes);
     evhttp_connection_set_max_body_size(connection.get(), max_body_bytes);
+    bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection.get()), EV_READ, 0,
+                             max_unparsed_bytes);
     return connection;
 }
 
--- a/packages/daemon/src/gateway/endpoint_connection.cpp
+++ b/packages/daemon/src/gateway/endpoint_connection.cpp
@@ -23,6 +23,9 @@
 constexpr duration unrepeatable_idle_timeout = std::chrono::milliseconds{500};
 constexpr std::size_t max_header_bytes = std::size_t{64} << 10U;
 constexpr std::uint64_t max_body_bytes = std::uint64_t{64} << 20U;
+/// Maximum number of bytes of interim answers and of answers to other requests that are read for one call:
+/// more than a late second answer has, and little work.
+constexpr std::size_t max_discarded_bytes = std::size_t{1} << 20U;
 constexpr int first_final_status = 200;
 
 bool requires_content_length(std::string_view method)
@@ -83,6 +86,7 @@
     assert(call_ == 0 && channel_ && !is_closed_);
     call_ = start.call;
     last_call_ = start.call;
+    discarded_bytes_ = 0;
     request_id_ = start.request->fields.id;
     is_head_method_ = start.request->method == "HEAD";
     channel_->send(serialize_request(start, dialect_));
@@ -124,13 +128,14 @@
         if (parser_->is_header_done() && !has_head_ && !process_head()) {
             return;
         }
+        discarded_bytes_ += is_discarding_ ? n : 0;
         if (has_head_) {
             forward_body();
         }
         if (call_ == 0) {
             return;
         }
-        if (fault) {
+        if (fault || discarded_bytes_ > max_discarded_bytes) {
             return end_call(call_outcome::broken);
         }
         if (parser_->is_done()) {
@@ -140,6 +145,10 @@
             continue;
         }
         if (n == 0) {
+            // What the parser leaves is the framing of a chunk or a trailer, for which it has no limit.
+            if (input_.size() > max_header_bytes) {
+                end_call(call_outcome::broken);
+            }
             return;
         }
     }
--- a/packages/daemon/src/gateway/endpoint_connection.hpp
+++ b/packages/daemon/src/gateway/endpoint_connection.hpp
@@ -104,6 +104,8 @@
     bool has_head_ = false;
     /// The answer that is being read is discarded: it is an interim one (1xx) or belongs to another request.
     bool is_discarding_ = false;
+    /// Bytes of such answers since the call was sent.
+    std::size_t discarded_bytes_ = 0;
     /// An answer to another request was received; the connection is closed after the call.
     bool has_mismatched_answer_ = false;
     bool is_closed_ = false;
--- a/packages/gateway/include/hemlocknotch/gateway/event_splitter.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/event_splitter.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -9,6 +10,9 @@
 /// that an incomplete one is never passed on. Used by one thread at a time.
 class event_splitter {
 public:
+    /// Maximum size of one event. The text of a few hundred tokens is a hundredth of it.
+    static constexpr std::size_t max_event_bytes = std::size_t{256} << 10U;
+
     /// Appends the next bytes of the body and returns the events that they complete, unchanged. The result is
     /// valid until the next call.
     std::string_view append(std::string_view bytes);
@@ -19,6 +23,12 @@
     /// Returns whether bytes of an incomplete event are held.
     [[nodiscard]] bool has_remainder() const { return !held_.empty(); }
 
+    /// Returns the number of bytes of the incomplete event.
+    [[nodiscard]] std::size_t remainder_size() const { return held_.size(); }
+
+    /// Returns whether the incomplete event is larger than any event may be.
+    [[nodiscard]] bool is_event_too_large() const { return held_.size() > max_event_bytes; }
+
     /// Discards the bytes of an incomplete event; the next bytes begin a new one.
     void drop_remainder() { held_.clear(); }
 
--- a/packages/gateway/src/call_table.cpp
+++ b/packages/gateway/src/call_table.cpp
@@ -76,6 +76,7 @@
     it.head.reset();
     it.is_stream = false;
     it.body.clear();
+    buffers_.release(it);
 }
 
 exchange_id call_table::exchange_of(call_id call) const
--- a/packages/gateway/src/call_table.hpp
+++ b/packages/gateway/src/call_table.hpp
@@ -2,6 +2,7 @@
 
 #include <hemlocknotch/gateway/endpoint_table.hpp>
 
+#include "answer_buffers.hpp"
 #include "exchange.hpp"
 
 #include <cstddef>
@@ -27,6 +28,10 @@
     /// Records that the endpoint has read the prompt of the open call.
     void note_prompt_read(exchange& it);
 
+    /// Returns whether the answer of the open call may hold as many bytes as it does now; if not, it has to
+    /// be given up.
+    [[nodiscard]] bool note_held(exchange& it) { return buffers_.note_held(it); }
+
     /// Ends the open call of `it`, if there is one, and discards its answer.
     void finish(exchange& it);
 
@@ -49,6 +54,7 @@
 
     std::unordered_map<call_id, open_call> calls_;
     call_id last_call_ = 0;
+    answer_buffers buffers_;
 };
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/exchange.hpp
+++ b/packages/gateway/src/exchange.hpp
@@ -58,6 +58,8 @@
     bool is_begun = false;
     std::string body;
     event_splitter events;
+    /// Bytes of the answer that `answer_buffers` counts.
+    std::size_t held_bytes = 0;
 
     [[nodiscard]] duration objective() const
     {
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -38,9 +38,6 @@
 /// Number of objectives without an answer after which a repeatable request is sent to a second endpoint.
 constexpr double attempt_timeout_objectives = 1.5;
 
-/// Largest answer that is buffered until it is complete; bounds memory.
-constexpr std::size_t max_buffered_answer_bytes = std::size_t{8} << 20U;
-
 } // namespace
 
 router::router(const router_options& options, const placement_policy& model_placement,
@@ -280,16 +277,17 @@
         if (const auto events = it->events.append(bytes); !events.empty()) {
             answers_->pass_events(*it, events, now);
         }
-        if (it->pending > 0.0 && it->is_begun) {
-            calls_->note_prompt_read(*it);
-            offer_waiting(now);
-        }
-        return;
     }
-    it->body += bytes;
-    if (it->body.size() > max_buffered_answer_bytes) {
+    else {
+        it->body += bytes;
+    }
+    if (!calls_->note_held(*it)) {
         port_.cancel_call(call);
-        handle_failure(*it, call_outcome::broken, now);
+        return handle_failure(*it, call_outcome::broken, now);
+    }
+    if (it->is_stream && it->pending > 0.0 && it->is_begun) {
+        calls_->note_prompt_read(*it);
+        offer_waiting(now);
     }
 }
 
--- a/packages/gateway/tests/router_test.cpp
+++ b/packages/gateway/tests/router_test.cpp
@@ -389,6 +389,71 @@
     BOOST_TEST(port.calls.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_event_without_end_is_given_up_and_its_endpoint_suspected)
+{
+    send_request(1, "/resume/x");
+    const auto first = port.calls.at(0);
+    head(first, 200, true);
+    it.on_part(first.call, "id: 1\ndata: a\n\n", now);
+    const std::string line(std::size_t{16} << 10U, 'x');
+    for (int n = 0; n < 20 && port.cancelled.empty(); ++n) {
+        it.on_part(first.call, line, now);
+    }
+    BOOST_REQUIRE(port.cancelled.contains(first.call));
+    // The stream goes on at another endpoint, after the last whole event.
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
+    BOOST_TEST(port.calls[1].instance != first.instance);
+    BOOST_TEST(port.calls[1].resume_after == "1");
+    BOOST_TEST(answer(1).body == "id: 1\ndata: a\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(held_answers_are_bounded_each_and_together)
+{
+    constexpr std::size_t part_bytes = std::size_t{256} << 10U;
+    constexpr std::uint64_t count = 40;
+    const std::string part(part_bytes, 'x');
+    for (std::uint64_t n = 1; n <= count; ++n) {
+        send_request(n, "/unsafe/x");
+    }
+    BOOST_REQUIRE(port.calls.size() >= 8U);
+    const auto calls = port.calls;
+    for (const auto& call : calls) {
+        head(call);
+    }
+    // All grow in turn, beyond the largest answer.
+    std::size_t given_up = 0;
+    std::map<call_id, std::size_t> held;
+    for (int round = 0; round < 40; ++round) {
+        for (const auto& call : calls) {
+            if (port.cancelled.contains(call.call)) {
+                held.erase(call.call);
+                continue;
+            }
+            it.on_part(call.call, part, now);
+            held[call.call] += part_bytes;
+            std::size_t total = 0;
+            for (const auto& [id, bytes] : held) {
+                total += port.cancelled.contains(id) ? 0 : bytes;
+            }
+            BOOST_REQUIRE(total <= std::size_t{65} << 20U);
+        }
+    }
+    for (const auto& call : calls) {
+        given_up += port.cancelled.contains(call.call) ? 1 : 0;
+    }
+    BOOST_TEST(given_up == calls.size());
+    // Its caller learns that it may have run. Once the endpoints are trusted again, a small answer passes.
+    BOOST_TEST(answer(1).status == 502);
+    now += std::chrono::seconds{20};
+    it.on_timer(now);
+    send_request(count + 1, "/unsafe/x");
+    const auto last = port.calls.back();
+    head(last);
+    it.on_part(last.call, "abc", now);
+    it.on_end(last.call, call_outcome::complete, now);
+    BOOST_TEST(port.answers[count + 1].status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
