Follow a store that was restored from an older copy

Cause: revisions were compared whatever Store-Era said. After a restore the view ignored the store until its revisions passed the old ones, gateways of both eras contradicted each other, and a lease number that had been assigned again was renewed for its new holder, so that the gateway never registered.

Ruled out: that a 410 alone suffices. A watch from a revision that the restored store has already reached again gets no 410 and misses what lies below it.

Change: the adapter decodes the era of every answer; positions, updates and pages between gateways carry it. A new era begins with a full read. Configurations go by version; a drain, a departure and a failure domain out of service hold until they are written again or their time is over; endpoints that the copy lacks keep the grace time. Leases of earlier eras are neither renewed nor ended; reads and registrations after a restore are spread over the fleet. An update names the configuration in force, so that a process that starts after the restore learns it.

--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -4,7 +4,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <charconv>
 #include <limits>
 #include <utility>
 
@@ -81,7 +80,9 @@
                 [this](const gateway::registry_difference& it) { apply_registry_difference(it); },
                 [this](const log_effect& it) { log(it); },
                 [this](gateway::registry_update it) { send_update(std::move(it)); },
-                [this] { fetcher_.fetch(view_.revision()); }},
+                [this] {
+                    fetcher_.fetch({view_.position(), view_.configuration_version()});
+                }},
       fetcher_{base, settings.seeds,
                [this](const gateway::registry_update& it) { follower_.apply_snapshot(it); }},
       registry_client_{client},
@@ -416,8 +417,7 @@
 
 std::uint64_t gateway_shell::configuration_version() const
 {
-    const auto configuration = view_.configuration();
-    return configuration ? configuration->version() : 0;
+    return view_.configuration_version();
 }
 
 page gateway_shell::readiness_page(std::string_view path) const
@@ -445,17 +445,14 @@
     if (path != registry_path || view_.revision() == 0) {
         return {not_found, "nothing known\n"};
     }
-    std::uint64_t after = 0;
-    if (query.starts_with(registry_after_query)) {
-        query.remove_prefix(registry_after_query.size());
-        static_cast<void>(std::from_chars(query.data(), query.data() + query.size(), after));
-    }
-    if (view_.revision() <= after) {
+    if (!registry_query::parse(query).is_answered_by({view_.position(), view_.configuration_version()})) {
         return {no_content, ""};
     }
     const auto now = clock_.now();
     gateway::registry_update update;
     update.gateway = settings_.instance;
+    update.era = view_.era();
+    update.configuration_version = view_.configuration_version();
     update.to_revision = view_.revision();
     update.age = now - follower_.current_as_of();
     update.grace = view_.remaining_grace(now);
@@ -492,12 +489,14 @@
     total("hemlocknotch_gateway_registry_failed_reads_total", registry.failed_reads);
     total("hemlocknotch_gateway_registry_applied_updates_total", registry.applied_updates);
     total("hemlocknotch_gateway_registry_updates_after_gap_total", registry.updates_after_gap);
+    total("hemlocknotch_gateway_registry_restores_total", registry.restores);
     total("hemlocknotch_gateway_endpoint_connections_opened_total", pool_.opened_count());
     total("hemlocknotch_gateway_log_lines_left_out_total", log_.dropped_count());
     gauge("hemlocknotch_gateway_open_requests", router_.exchange_count());
     gauge("hemlocknotch_gateway_caller_connections", callers_.connection_count());
     gauge("hemlocknotch_gateway_endpoint_connections", pool_.connection_count());
     gauge("hemlocknotch_gateway_others_heard", others_heard());
+    gauge("hemlocknotch_gateway_registry_era", view_.era());
     gauge("hemlocknotch_gateway_configuration_version", configuration_version());
     const std::chrono::duration<double> age = clock_.now() - follower_.current_as_of();
     metrics_.set("hemlocknotch_gateway_registry_age_seconds", age.count());
--- a/packages/daemon/src/gateway/peer_registry_fetcher.hpp
+++ b/packages/daemon/src/gateway/peer_registry_fetcher.hpp
@@ -2,6 +2,7 @@
 
 #include <hemlocknotch/coordination/http_client.hpp>
 #include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/gateway/registry_position.hpp>
 #include <hemlocknotch/gateway/registry_update.hpp>
 
 #include <cstddef>
@@ -9,15 +10,34 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
 namespace hemlocknotch::daemon {
 
-/// Path at which a gateway serves its view of the registry. With the query `after=REVISION` the answer is 204
-/// (no content) where the view has nothing newer.
+/// Path at which a gateway serves its view of the registry. With the query of a `registry_query` the answer
+/// is 204 (no content) where the view has nothing newer.
 inline constexpr std::string_view registry_path = "/registry";
-inline constexpr std::string_view registry_after_query = "after=";
+
+/// What a gateway that asks for the registry knows already.
+struct registry_query {
+    gateway::registry_position position;
+    /// Version of the configuration in force; 0: none.
+    std::uint64_t configuration_version = 0;
+
+    /// Returns the query of the URL.
+    [[nodiscard]] std::string to_string() const;
+
+    /// Parses the query of a URL. What is missing or no number is 0.
+    [[nodiscard]] static registry_query parse(std::string_view text);
+
+    /// Returns whether a gateway at `known` has something newer.
+    [[nodiscard]] bool is_answered_by(const registry_query& known) const
+    {
+        return known.position > position || known.configuration_version > configuration_version;
+    }
+};
 
 /// Fetches the complete registry from other gateways, one after the other, for a gateway that cannot read it
 /// from the store. Used on the event loop's thread only.
@@ -35,9 +55,8 @@
     void set_latest(const endpoint_address& address);
 
     /// Requests the registry from the next gateway, unless a request is in progress or no gateway is known.
-    /// `fetched` is called only where the gateway answers with a readable registry newer than revision
-    /// `after`.
-    void fetch(std::uint64_t after);
+    /// `fetched` is called only where the gateway answers with a readable registry newer than `known`.
+    void fetch(const registry_query& known);
 
 private:
     http_client& next_client();
--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -23,6 +23,10 @@
 /// Time to live of the registration, and the time between renewals, which allows for two failed ones.
 constexpr duration lease_time_to_live = std::chrono::seconds{5};
 constexpr duration lease_renewal_interval = std::chrono::milliseconds{1500};
+/// Time for each gateway of the fleet over which the reads, and the registrations, after a restore are
+/// spread: 500 reads and 200 writes a second, whatever the number of gateways.
+constexpr duration read_spread = std::chrono::milliseconds{2};
+constexpr duration join_spread = std::chrono::milliseconds{10};
 
 std::string to_text(registry_status status)
 {
@@ -57,7 +61,8 @@
       fetch_from_peers_{std::move(fetch_from_peers)},
       read_timer_{base, [this] { needs_full_read_ ? read() : watch(); }},
       lease_timer_{base, [this] { lease_id_ == 0 ? join() : renew(); }},
-      grace_timer_{base, [this] { notify_changed(view_.on_timer(now_())); }}
+      grace_timer_{base, [this] { notify_changed(view_.on_timer(now_())); }},
+      doubt_timer_{base, [this] { check_doubts(); }}
 {
 }
 
@@ -76,8 +81,79 @@
     }
 }
 
+bool registry_follower::accept_era(const registry_answer& answer, bool is_full_read)
+{
+    if (answer.era == 0 || answer.era == view_.era()) {
+        return true;
+    }
+    if (answer.era < view_.era()) {
+        log_({log_level::info, "registry-answer-of-earlier-era", {{"era", std::to_string(answer.era)}}});
+        read_timer_.start(duration::zero());
+        return false;
+    }
+    latest_era_ = std::max(latest_era_, answer.era);
+    if (is_full_read && answer.status == registry_status::ok) {
+        begin_era(answer.era, answer.revision);
+        return true;
+    }
+    needs_full_read_ = true;
+    if (answer.status == registry_status::ok) {
+        read_timer_.start(duration::zero());
+        return false;
+    }
+    return true;
+}
+
+bool registry_follower::accept_era(const gateway::registry_update& update)
+{
+    if (update.era == 0 || update.era == view_.era()) {
+        return true;
+    }
+    if (update.era < view_.era()) {
+        return false;
+    }
+    needs_full_read_ = true;
+    if (update.era > latest_era_) {
+        latest_era_ = update.era;
+        read_timer_.start(draw_spread(read_spread));
+    }
+    if (!is_reachable()) {
+        fetch_from_peers_();
+    }
+    return false;
+}
+
+void registry_follower::begin_era(std::uint64_t era, std::uint64_t revision)
+{
+    const auto is_restore = view_.revision() != 0;
+    if (is_restore) {
+        ++counters_.restores;
+        log_({log_level::warning,
+              "registry-restored",
+              {{"era_before", std::to_string(view_.era())},
+               {"revision_before", std::to_string(view_.revision())},
+               {"era", std::to_string(era)},
+               {"revision", std::to_string(revision)}}});
+    }
+    view_.begin_era(era, now_());
+    latest_era_ = std::max(latest_era_, era);
+    if (is_restore && std::exchange(lease_id_, 0) != 0) {
+        // The number may belong to another lease by now, so the old one is neither renewed nor ended.
+        lease_timer_.start(draw_spread(join_spread));
+    }
+}
+
+duration registry_follower::draw_spread(duration for_each_gateway)
+{
+    const auto longest = for_each_gateway * static_cast<std::int64_t>(view_.members().size());
+    return duration{std::uniform_int_distribution<std::int64_t>{0, longest.count()}(random_)};
+}
+
 void registry_follower::apply_update(const gateway::registry_update& update)
 {
+    if (!accept_era(update)) {
+        return;
+    }
     const auto now = now_();
     if (needs_full_read_ || update.from_revision > view_.revision()) {
         // Changes in between are missing; this gateway's own next read returns them.
@@ -108,6 +184,11 @@
         return;
     }
     ++counters_.applied_updates;
+    if (update.configuration_version > view_.configuration_version()) {
+        // The registry, from which this gateway has read, was restored and has an earlier version than the
+        // one in force.
+        fetch_from_peers_();
+    }
     current_as_of_ = std::max(current_as_of_, now - update.age);
     note_current("update");
     if (is_reachable() && !has_partial_update_) {
@@ -117,9 +198,21 @@
 
 void registry_follower::apply_snapshot(const gateway::registry_update& update)
 {
-    if (update.is_partial || (!needs_full_read_ && update.to_revision <= view_.revision())) {
+    const auto is_of_present_era = update.era == 0 || update.era == view_.era();
+    if (update.is_partial || (!is_of_present_era && update.era < std::max(view_.era(), latest_era_))) {
+        return;
+    }
+    if (is_of_present_era && view_.era() < latest_era_) {
+        return;
+    }
+    const auto is_newer = !is_of_present_era || update.to_revision > view_.revision() ||
+                          update.configuration_version > view_.configuration_version();
+    if (!needs_full_read_ && !is_newer) {
         return;
     }
+    if (!is_of_present_era) {
+        begin_era(update.era, update.to_revision);
+    }
     const auto now = now_();
     log_({log_level::info,
           "registry-learnt-from-gateway",
@@ -132,6 +225,7 @@
     }
     note_current("gateway");
     notify_changed(view_.replace(decode(update), update.to_revision, now));
+    schedule_doubt_check();
 }
 
 std::vector<gateway::registry_change> registry_follower::decode(const gateway::registry_update& update) const
@@ -163,6 +257,10 @@
 
 void registry_follower::handle_answer(registry_answer answer, bool is_full_read, instant requested_at)
 {
+    const auto restores_before = counters_.restores;
+    if (!accept_era(answer, is_full_read)) {
+        return;
+    }
     if (answer.status == registry_status::history_lost) {
         log_({log_level::info, "registry-history-lost", {{"revision", std::to_string(view_.revision())}}});
         needs_full_read_ = true;
@@ -176,15 +274,18 @@
     has_partial_update_ = false;
     current_as_of_ = std::max(current_as_of_, requested_at);
     note_current("read");
-    const auto from = view_.revision();
+    // The others learn of a restore by an update without changes.
+    const auto is_restored = counters_.restores > restores_before;
+    const auto from = is_restored ? answer.revision : view_.revision();
     auto unpublished =
         is_full_read ? std::vector<gateway::reported_change>{} : view_.significant_changes(answer.changes);
     const auto difference = is_full_read ? view_.replace(answer.changes, answer.revision, now_())
                                          : view_.apply(answer.changes, answer.revision, now_());
-    if (!is_full_read) {
+    if (!is_full_read || is_restored) {
         publish(std::move(unpublished), from, requested_at);
     }
     notify_changed(difference);
+    schedule_doubt_check();
     schedule_read();
 }
 
@@ -193,6 +294,8 @@
 {
     gateway::registry_update update;
     update.gateway = options_.instance;
+    update.era = view_.era();
+    update.configuration_version = view_.configuration_version();
     update.from_revision = from_revision;
     update.to_revision = view_.revision();
     update.digest = view_.digest();
@@ -260,6 +363,23 @@
     log_({log_level::info, "registry-back", {{"after_ms", milliseconds_text(outage_duration)}}});
 }
 
+void registry_follower::schedule_doubt_check()
+{
+    if (view_.has_doubtful_endpoints()) {
+        doubt_timer_.start(gateway::registry_view::reregistration_grace);
+    }
+}
+
+void registry_follower::check_doubts()
+{
+    // Other gateways report no rewrite of an unchanged value, which is what resolves a doubt.
+    if (!view_.has_doubtful_endpoints() || !is_reachable()) {
+        return schedule_doubt_check();
+    }
+    needs_full_read_ = true;
+    read_timer_.start(draw_spread(read_spread));
+}
+
 void registry_follower::schedule_read()
 {
     // The gateway with the shortest delay reads for all: the others receive its update before their own delay
@@ -271,24 +391,44 @@
 
 void registry_follower::join()
 {
-    registry_client_.join(
-        options_.instance, options_.members, lease_time_to_live, [this](const registry_answer& answer) {
-            lease_id_ = answer.status == registry_status::ok ? answer.lease : 0;
-            lease_timer_.start(lease_id_ == 0 ? min_retry_delay * 2 : lease_renewal_interval);
-        });
+    if (std::exchange(is_joining_, true)) {
+        return;
+    }
+    registry_client_.join(options_.instance, options_.members, lease_time_to_live,
+                          [this](const registry_answer& answer) { handle_joined(answer); });
+}
+
+void registry_follower::handle_joined(const registry_answer& answer)
+{
+    is_joining_ = false;
+    const auto is_of_present_era = answer.era == 0 || answer.era >= view_.era();
+    const auto is_joined = answer.status == registry_status::ok && is_of_present_era;
+    lease_id_ = is_joined ? answer.lease : 0;
+    const auto is_lost = answer.status == registry_status::lease_lost || !is_of_present_era;
+    lease_timer_.start(is_joined ? lease_renewal_interval
+                       : is_lost ? draw_spread(join_spread)
+                                 : min_retry_delay * 2);
 }
 
 void registry_follower::renew()
 {
-    registry_client_.renew(lease_id_, [this](const registry_answer& answer) {
-        const auto is_lost = answer.status == registry_status::lease_lost;
-        lease_id_ = is_lost ? 0 : lease_id_;
-        lease_timer_.start(is_lost                                ? duration::zero()
-                           : answer.status == registry_status::ok ? lease_renewal_interval
-                                                                  : min_retry_delay * 2);
+    registry_client_.renew(lease_id_, [this, lease = lease_id_](const registry_answer& answer) {
+        handle_renewed(lease, answer);
     });
 }
 
+void registry_follower::handle_renewed(std::uint64_t lease, const registry_answer& answer)
+{
+    if (lease != lease_id_) {
+        return; // The registry was restored meanwhile, and a new registration is due.
+    }
+    const auto is_lost = answer.status == registry_status::lease_lost || answer.era > view_.era();
+    lease_id_ = is_lost ? 0 : lease_id_;
+    lease_timer_.start(is_lost                                ? draw_spread(join_spread)
+                       : answer.status == registry_status::ok ? lease_renewal_interval
+                                                              : min_retry_delay * 2);
+}
+
 void registry_follower::notify_changed(const gateway::registry_difference& difference)
 {
     if (const auto at = view_.next_due(); at != instant::max()) {
--- a/packages/daemon/src/gateway/registry_follower.hpp
+++ b/packages/daemon/src/gateway/registry_follower.hpp
@@ -34,6 +34,8 @@
     std::uint64_t applied_updates = 0;
     /// Updates of other gateways that were ignored because changes before them are missing here.
     std::uint64_t updates_after_gap = 0;
+    /// Restores of the registry from a copy that were noticed.
+    std::uint64_t restores = 0;
 };
 
 /// Keeps a view of the registry up to date and this gateway registered in it. The gateways share the load of
@@ -75,14 +77,27 @@
     void read();
     void watch();
     void handle_answer(gateway::registry_answer answer, bool is_full_read, instant requested_at);
+    /// Compares the era of an answer of the registry with the view's. Returns whether the answer is to be
+    /// handled further.
+    bool accept_era(const gateway::registry_answer& answer, bool is_full_read);
+    /// Handles an era that another gateway reported. Returns whether the update is to be handled further.
+    bool accept_era(const gateway::registry_update& update);
+    void begin_era(std::uint64_t era, std::uint64_t revision);
+    /// Returns a random part of a time that grows with the number of gateways, so that their calls after a
+    /// restore do not all reach the registry at once.
+    duration draw_spread(duration for_each_gateway);
     void on_failure(gateway::registry_status status);
     void on_success();
     void schedule_read();
+    void schedule_doubt_check();
+    void check_doubts();
     [[nodiscard]] std::vector<gateway::registry_change> decode(const gateway::registry_update& update) const;
     void publish(std::vector<gateway::reported_change> changes, std::uint64_t from_revision,
                  instant requested_at);
     void join();
+    void handle_joined(const gateway::registry_answer& answer);
     void renew();
+    void handle_renewed(std::uint64_t lease, const gateway::registry_answer& answer);
     void notify_changed(const gateway::registry_difference& difference);
     void note_gap(const gateway::registry_update& update);
     void note_current(std::string_view source);
@@ -102,6 +117,8 @@
     timer lease_timer_;
     /// Runs until pending removals in the view become final.
     timer grace_timer_;
+    /// Runs until the full read that resolves doubts about endpoints after a restore.
+    timer doubt_timer_;
     instant current_as_of_{};
     /// Time of the first failure since the last successful read; `instant::max()`: none.
     instant failed_since_ = instant::max();
@@ -115,8 +132,11 @@
     /// `instant::max()`: none.
     instant behind_since_ = instant::max();
     registry_follower_counters counters_;
-    /// Lease of the registration; 0: none.
+    /// Lease of the registration, granted in the era of the view; 0: none.
     std::uint64_t lease_id_ = 0;
+    /// Latest era that the registry or another gateway stated; may be above the view's until it is read.
+    std::uint64_t latest_era_ = 0;
+    bool is_joining_ = false;
 };
 
 } // namespace hemlocknotch::daemon
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -85,7 +85,8 @@
     }
     return json::to_cbor(json{update_tag, update.gateway, update.from_revision, update.to_revision,
                               update.digest, update.age.count(), update.is_partial, std::move(changes),
-                              update.grace.count(), std::move(update.registry_page)});
+                              update.grace.count(), std::move(update.registry_page), update.era,
+                              update.configuration_version});
 }
 
 std::optional<gateway::registry_update> decode_update(std::span<const std::uint8_t> bytes)
@@ -108,11 +109,15 @@
                                    it.at(2).get<bool>(),
                                    std::string{value_bytes.begin(), value_bytes.end()}});
         }
-        // Gateways of earlier versions send neither the grace time nor the page.
+        // Gateways of earlier versions send neither the grace time and the page, nor what follows them.
         if (value.size() > 9) {
             out.grace = duration{value.at(8).get<std::int64_t>()};
             out.registry_page = value.at(9).get<std::string>();
         }
+        if (value.size() > 11) {
+            out.era = value.at(10).get<std::uint64_t>();
+            out.configuration_version = value.at(11).get<std::uint64_t>();
+        }
         return out;
     }
     catch (const json::exception&) {
--- a/packages/gateway/fuzz/fuzz_fleet.hpp
+++ b/packages/gateway/fuzz/fuzz_fleet.hpp
@@ -4,6 +4,8 @@
 #include <hemlocknotch/gateway/least_loaded_placement.hpp>
 #include <hemlocknotch/gateway/router.hpp>
 
+#include "invariant_violation.hpp"
+
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -15,11 +17,6 @@
 
 namespace hemlocknotch::gateway {
 
-/// Thrown when an invariant is violated.
-struct invariant_violation {
-    std::string what;
-};
-
 /// Several routers in front of endpoints that at random answer, reject, break off, stay idle, drain and
 /// become cold, with an oracle that knows what was really executed. Used by one thread.
 class fuzz_fleet {
--- a/packages/gateway/include/hemlocknotch/gateway/registry_client.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_client.hpp
@@ -74,6 +74,8 @@
     std::vector<registry_change> changes;
     std::uint64_t revision = 0;
     std::uint64_t lease = 0;
+    /// Era in which the registry answered, also if it did nothing; 0: not stated.
+    std::uint64_t era = 0;
 };
 
 /// The platform's store, as far as the gateway uses it. Each callback is called once, after the call has
@@ -84,8 +86,8 @@
 
     virtual ~registry_client() = default;
 
-    /// Reads all keys, as of some time after the call. A watch from the `revision` of the answer misses no
-    /// change.
+    /// Reads all keys, as of some time after the call and within one era. A watch from the `revision` of the
+    /// answer misses no change of that era.
     virtual void read(callback done) = 0;
 
     /// Returns the changes after `revision`, at once if there are any, otherwise after at most `wait`.
@@ -94,14 +96,16 @@
     /// Decodes a value of `key` that another gateway reported.
     [[nodiscard]] virtual registry_item decode(std::string_view key, std::string_view value) const = 0;
 
-    /// Registers the gateway `name` under a new lease of `time_to_live`.
+    /// Registers the gateway `name` under a new lease of `time_to_live`. The answer is `lease_lost` where the
+    /// registry was restored after it had granted the lease.
     virtual void join(std::string_view name, const endpoint_address& address, duration time_to_live,
                       callback done) = 0;
 
-    /// Renews the lease of `join`.
+    /// Renews the lease of `join`. Precondition: it was granted in the present era; the registry may assign
+    /// the lease numbers of earlier eras to others.
     virtual void renew(std::uint64_t lease, callback done) = 0;
 
-    /// Ends the lease, which removes the registration at once.
+    /// Ends the lease, which removes the registration at once. Precondition: as for `renew`.
     virtual void leave(std::uint64_t lease) = 0;
 
     /// Returns the number of calls to the registry so far.
--- a/packages/gateway/include/hemlocknotch/gateway/registry_update.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_update.hpp
@@ -22,6 +22,8 @@
     std::string gateway;
     /// Address at which the reporting gateway serves its complete registry; empty: it does not.
     std::string registry_page;
+    /// Era of the revisions; 0: not stated.
+    std::uint64_t era = 0;
     /// `changes` holds all relevant changes after `from_revision`, up to and including `to_revision`.
     std::uint64_t from_revision = 0;
     std::uint64_t to_revision = 0;
@@ -33,6 +35,8 @@
     duration grace{};
     /// Some change was too large for the report; receivers have to read it from the registry.
     bool is_partial = false;
+    /// Version of the configuration that the reporting gateway has in force; 0: none, or not stated.
+    std::uint64_t configuration_version = 0;
     std::vector<reported_change> changes;
 };
 
--- a/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/gateway/registry_client.hpp>
+#include <hemlocknotch/gateway/registry_position.hpp>
 #include <hemlocknotch/gateway/registry_update.hpp>
 
 #include <cstdint>
@@ -22,13 +23,35 @@
 };
 
 /// The registry as this gateway knows it, merged from reads, watches and the reports of other gateways. Never
-/// returns to an older revision of a key. Used by one thread at a time.
+/// returns to an older revision of a key.
+///
+/// After the registry has been restored from a copy, it holds older states than this gateway knows until
+/// their writers have written them again. What is in force does not go back meanwhile: see `begin_era`.
+///
+/// Used by one thread at a time.
 class registry_view {
 public:
     /// Time after an outage of the registry within which endpoints whose registrations lapsed during the
     /// outage have registered again.
     static constexpr duration reregistration_grace = std::chrono::milliseconds{2200};
 
+    /// Time for which a failure domain stays out of service though a restored registry lacks the record,
+    /// unless a later change says otherwise.
+    static constexpr duration out_of_service_hold = std::chrono::seconds{10};
+
+    /// Begins a new era, the first read of which is passed to `replace` next. From then on:
+    /// - a configuration is replaced only by a later version;
+    /// - an endpoint that was draining, or had left, when last heard of is not used until it is written
+    /// again;
+    /// - an endpoint that the registry lacks is used until the grace time is over;
+    /// - a failure domain that the registry lacks stays out of service for `out_of_service_hold`.
+    /// Precondition: `era` is above the present one.
+    void begin_era(std::uint64_t era, instant now);
+
+    /// Returns whether the registered state of some endpoint may be older than what was known before the
+    /// restore. A later full read resolves this where the endpoint has written meanwhile.
+    [[nodiscard]] bool has_doubtful_endpoints() const;
+
     /// Replaces the content by `changes`, which holds every key that exists at `revision`; other keys have
     /// been removed.
     registry_difference replace(std::span<const registry_change> changes, std::uint64_t revision,
@@ -62,6 +85,14 @@
     /// Returns the newest revision that was applied. 0: none.
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
+    /// Returns the era of that revision. 0: none was stated.
+    [[nodiscard]] std::uint64_t era() const { return era_; }
+
+    [[nodiscard]] registry_position position() const { return {era_, revision_}; }
+
+    /// Returns the version of the configuration in force. 0: none.
+    [[nodiscard]] std::uint64_t configuration_version() const;
+
     /// Returns all registry entries, without those that are only held back in a grace time, to be sent to a
     /// gateway that cannot read the registry itself.
     [[nodiscard]] std::vector<reported_change> snapshot() const;
@@ -72,16 +103,33 @@
     [[nodiscard]] std::vector<member_item> members() const;
 
 private:
+    /// What was known of an endpoint before the restore and contradicts its registered state.
+    enum class doubt : std::uint8_t { none, was_draining, had_left };
+
+    /// An endpoint as it was known in an earlier era.
+    struct former_endpoint {
+        std::uint64_t revision = 0;
+        bool has_left = false;
+        bool is_draining = false;
+        std::uint64_t started_at_ms = 0;
+    };
+
     struct entry {
+        /// 0: the key was last written in an earlier era.
         std::uint64_t revision = 0;
         registry_item item;
         std::string value;
         /// If the key was removed: the end of the grace time, until which its endpoint is still used.
         instant used_until = instant::max();
+        doubt doubted = doubt::none;
     };
 
     void apply_change(const registry_change& change, instant now, registry_difference& difference);
     void remove(std::map<std::string, entry>::iterator it, instant now, registry_difference& difference);
+    /// Handles a key that is missing in a full read.
+    void remove_missing(std::map<std::string, entry>::iterator it, instant now,
+                        registry_difference& difference);
+    [[nodiscard]] doubt doubt_of(const registry_change& change) const;
     static void mark_changed(const registry_item& item, registry_difference& difference);
 
     std::map<std::string, entry> entries_;
@@ -90,6 +138,10 @@
     std::shared_ptr<const routing_configuration> configuration_;
     std::uint64_t revision_ = 0;
     instant grace_until_{};
+    std::uint64_t era_ = 0;
+    /// Endpoints as known in earlier eras. After the first full read of an era only those that had left and
+    /// are not registered, since a further restore may bring back their registrations.
+    std::map<std::string, former_endpoint> former_;
 };
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/registry_view.cpp
+++ b/packages/gateway/src/registry_view.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cassert>
 
 namespace hemlocknotch::gateway {
 namespace {
@@ -27,6 +28,61 @@
 
 } // namespace
 
+void registry_view::begin_era(std::uint64_t era, instant now)
+{
+    assert(era > era_);
+    if (former_.size() >= max_removals) {
+        former_.clear();
+    }
+    for (const auto& [key, revision] : removed_) {
+        former_[key] = {.revision = revision, .has_left = true, .is_draining = false, .started_at_ms = 0};
+    }
+    for (auto& [key, it] : entries_) {
+        const auto* endpoint = std::get_if<endpoint_item>(&it.item);
+        // Revision 0: not read since an earlier restore, so that `former_` still holds what was known.
+        if (endpoint != nullptr && it.used_until == instant::max() && it.revision != 0) {
+            former_[key] = {.revision = it.revision,
+                            .has_left = it.doubted == doubt::had_left,
+                            .is_draining = endpoint->record.is_draining || it.doubted == doubt::was_draining,
+                            .started_at_ms = endpoint->record.started_at_ms};
+        }
+        if (std::holds_alternative<out_of_service_item>(it.item)) {
+            // The time for writing it again begins anew.
+            it.used_until = instant::max();
+        }
+        it.revision = 0;
+    }
+    removed_.clear();
+    revision_ = 0;
+    era_ = era;
+    if (!entries_.empty()) {
+        extend_grace(now + reregistration_grace);
+    }
+}
+
+registry_view::doubt registry_view::doubt_of(const registry_change& change) const
+{
+    const auto former = former_.find(change.key);
+    const auto* endpoint = std::get_if<endpoint_item>(&change.item);
+    const auto is_first_read = revision_ == 0;
+    // A revision above the known one was assigned later, before or after the restore.
+    if (endpoint == nullptr || !is_first_read || former == former_.end() ||
+        change.revision > former->second.revision) {
+        return doubt::none;
+    }
+    if (former->second.has_left) {
+        return doubt::had_left;
+    }
+    const auto is_known_to_drain = former->second.is_draining && !endpoint->record.is_draining &&
+                                   endpoint->record.started_at_ms <= former->second.started_at_ms;
+    return is_known_to_drain ? doubt::was_draining : doubt::none;
+}
+
+bool registry_view::has_doubtful_endpoints() const
+{
+    return std::ranges::any_of(entries_, [](const auto& it) { return it.second.doubted != doubt::none; });
+}
+
 registry_difference registry_view::replace(std::span<const registry_change> changes, std::uint64_t revision,
                                            instant now)
 {
@@ -38,12 +94,15 @@
     }
     for (auto it = entries_.begin(); it != entries_.end();) {
         const auto next = std::next(it);
+        const auto key = it->first;
         if (!present.contains(it->first) && it->second.revision <= revision) {
-            removed_[it->first] = std::max(removed_[it->first], revision);
-            remove(it, now, difference);
+            remove_missing(it, now, difference);
+            removed_[key] = std::max(removed_[key], revision);
         }
         it = next;
     }
+    std::erase_if(former_,
+                  [&](const auto& it) { return !it.second.has_left || entries_.contains(it.first); });
     revision_ = std::max(revision_, revision);
     return difference;
 }
@@ -66,7 +125,7 @@
     for (const auto& it : changes) {
         const auto known = entries_.find(it.key);
         const auto is_new = known == entries_.end() || known->second.used_until != instant::max() ||
-                            !is_same(known->second.item, it.item);
+                            known->second.doubted != doubt::none || !is_same(known->second.item, it.item);
         // A change that follows a reported one of the same key is compared with that one, not with
         // `entries_`, so it is always reported.
         if (it.is_removed || is_new || reported.contains(it.key)) {
@@ -95,6 +154,16 @@
 void registry_view::apply_change(const registry_change& change, instant now, registry_difference& difference)
 {
     const auto known = entries_.find(change.key);
+    if (const auto* configuration = std::get_if<configuration_item>(&change.item)) {
+        // Versions decide, since the revision of a version changes when the registry is restored.
+        if (configuration_ && configuration->configuration->version() <= configuration_->version()) {
+            return;
+        }
+        configuration_ = configuration->configuration;
+        difference.has_configuration = true;
+        entries_[change.key] = {change.revision, change.item, change.value, instant::max(), doubt::none};
+        return;
+    }
     const auto removed = removed_.find(change.key);
     const auto newest = std::max(known == entries_.end() ? 0 : known->second.revision,
                                  removed == removed_.end() ? 0 : removed->second);
@@ -111,24 +180,22 @@
         }
         return;
     }
-    if (const auto* configuration = std::get_if<configuration_item>(&change.item)) {
-        if (configuration_ && configuration->configuration->version() <= configuration_->version()) {
-            return;
-        }
-        configuration_ = configuration->configuration;
-        difference.has_configuration = true;
+    const auto doubted = doubt_of(change);
+    if (revision_ != 0) {
+        former_.erase(change.key);
     }
     if (known == entries_.end()) {
-        entries_.emplace(change.key, entry{change.revision, change.item, change.value, instant::max()});
+        entries_.emplace(change.key,
+                         entry{change.revision, change.item, change.value, instant::max(), doubted});
         mark_changed(change.item, difference);
         return;
     }
     auto& it = known->second;
-    if (!is_same(it.item, change.item) || it.used_until != instant::max()) {
+    if (!is_same(it.item, change.item) || it.used_until != instant::max() || it.doubted != doubted) {
         mark_changed(it.item, difference);
         mark_changed(change.item, difference);
     }
-    it = {change.revision, change.item, change.value, instant::max()};
+    it = {change.revision, change.item, change.value, instant::max(), doubted};
 }
 
 void registry_view::remove(std::map<std::string, entry>::iterator it, instant now,
@@ -143,6 +210,21 @@
     entries_.erase(it);
 }
 
+void registry_view::remove_missing(std::map<std::string, entry>::iterator it, instant now,
+                                   registry_difference& difference)
+{
+    auto& value = it->second;
+    if (std::holds_alternative<configuration_item>(value.item)) {
+        return;
+    }
+    const auto is_of_earlier_era = value.revision == 0;
+    if (is_of_earlier_era && std::holds_alternative<out_of_service_item>(value.item)) {
+        value.used_until = std::min(value.used_until, now + out_of_service_hold);
+        return;
+    }
+    remove(it, now, difference);
+}
+
 void registry_view::on_registry_recovered(instant now)
 {
     extend_grace(now + reregistration_grace);
@@ -185,6 +267,11 @@
     return configuration_;
 }
 
+std::uint64_t registry_view::configuration_version() const
+{
+    return configuration_ ? configuration_->version() : 0;
+}
+
 std::vector<reported_change> registry_view::snapshot() const
 {
     std::vector<reported_change> out;
@@ -200,9 +287,12 @@
 {
     std::vector<endpoint_record> out;
     for (const auto& [key, it] : entries_) {
-        if (const auto* endpoint = std::get_if<endpoint_item>(&it.item)) {
-            out.push_back(endpoint->record);
+        const auto* endpoint = std::get_if<endpoint_item>(&it.item);
+        if (endpoint == nullptr || it.doubted == doubt::had_left) {
+            continue;
         }
+        out.push_back(endpoint->record);
+        out.back().is_draining = endpoint->record.is_draining || it.doubted == doubt::was_draining;
     }
     return out;
 }
--- a/packages/standins/include/hemlocknotch/standins/platform_store.hpp
+++ b/packages/standins/include/hemlocknotch/standins/platform_store.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,6 +45,19 @@
     /// Forgets all changes up to now, so that watches from before are told that history is lost.
     void compact();
 
+    /// Takes a copy of the complete state, to which `restore` goes back.
+    void take_copy();
+    /// Restores the last copy: every write and lease since then is lost, revisions and lease numbers are
+    /// assigned again, and the era rises by one. Does nothing where there is no copy.
+    void restore();
+    /// Writes again what operators and endpoints wrote between the last copy and the restore: the last state
+    /// of each key.
+    void rewrite_lost();
+
+    [[nodiscard]] std::uint64_t era() const { return era_; }
+
+    [[nodiscard]] std::uint64_t revision() const { return revision_; }
+
     /// Returns whether `key` exists.
     [[nodiscard]] bool contains(const std::string& key) const { return items_.contains(key); }
 
@@ -64,6 +78,16 @@
         item written;
     };
 
+    /// The state that a restore goes back to.
+    struct copy {
+        std::map<std::string, item> items;
+        std::vector<change> history;
+        std::uint64_t revision = 0;
+        std::uint64_t compacted = 0;
+        std::map<std::uint64_t, std::uint64_t> lease_times;
+        std::uint64_t last_lease = 0;
+    };
+
     struct watch {
         std::uint64_t number = 0;
         http_request request;
@@ -72,6 +96,9 @@
         std::unique_ptr<timer> limit;
     };
 
+    void write(const std::string& key, const std::string& value, std::uint64_t lease);
+    void erase(const std::string& key);
+    void start_lease(std::uint64_t lease, std::uint64_t time_to_live_ms);
     void on_request(const http_request& request);
     void on_range(const http_request& request) const;
     void on_watch(const http_request& request);
@@ -94,6 +121,12 @@
     std::uint64_t last_lease_ = 0;
     std::uint64_t last_watch_ = 0;
     std::vector<std::unique_ptr<watch>> watches_;
+    std::uint64_t era_ = 1;
+    std::unique_ptr<copy> copy_;
+    /// Keys written or removed by operators and endpoints since the copy, with their values; without a value:
+    /// removed.
+    std::map<std::string, std::optional<std::string>> written_since_copy_;
+    std::map<std::string, std::optional<std::string>> lost_;
 };
 
 } // namespace hemlocknotch::standins
--- a/packages/standins/src/platform_store.cpp
+++ b/packages/standins/src/platform_store.cpp
@@ -49,6 +49,18 @@
 platform_store::~platform_store() = default;
 
 void platform_store::put(const std::string& key, const std::string& value, std::uint64_t lease)
+{
+    written_since_copy_[key] = value;
+    write(key, value, lease);
+}
+
+void platform_store::remove(const std::string& key)
+{
+    written_since_copy_[key] = std::nullopt;
+    erase(key);
+}
+
+void platform_store::write(const std::string& key, const std::string& value, std::uint64_t lease)
 {
     auto& it = items_[key];
     ++revision_;
@@ -60,7 +72,7 @@
     answer_watches();
 }
 
-void platform_store::remove(const std::string& key)
+void platform_store::erase(const std::string& key)
 {
     if (items_.erase(key) > 0) {
         history_.push_back({++revision_, key, true, {}});
@@ -75,6 +87,44 @@
     answer_watches();
 }
 
+void platform_store::take_copy()
+{
+    copy_ = std::make_unique<copy>(copy{items_, history_, revision_, compacted_, lease_times_, last_lease_});
+    written_since_copy_.clear();
+}
+
+void platform_store::restore()
+{
+    if (!copy_) {
+        return;
+    }
+    ++era_;
+    items_ = copy_->items;
+    history_ = copy_->history;
+    revision_ = copy_->revision;
+    compacted_ = copy_->compacted;
+    last_lease_ = copy_->last_lease;
+    for (auto& [lease, it] : leases_) {
+        it->stop();
+    }
+    leases_.clear();
+    lease_times_.clear();
+    for (const auto& [lease, ms] : copy_->lease_times) {
+        start_lease(lease, ms);
+    }
+    lost_ = std::exchange(written_since_copy_, {});
+    for (const auto& it : std::exchange(watches_, {})) {
+        it->request.drop();
+    }
+}
+
+void platform_store::rewrite_lost()
+{
+    for (const auto& [key, value] : std::exchange(lost_, {})) {
+        value ? write(key, *value, 0) : erase(key);
+    }
+}
+
 json platform_store::describe(const std::string& key, const item& value)
 {
     return {{"key", key},
@@ -89,6 +139,7 @@
     if (faults.is_silent) {
         return;
     }
+    request.add_answer_header("Store-Era", std::to_string(era_));
     if (faults.refuses_with != 0) {
         return request.reply(faults.refuses_with, "");
     }
@@ -147,7 +198,7 @@
 bool platform_store::answer_watch(const http_request& request, std::string_view prefix, std::uint64_t after,
                                   bool is_due) const
 {
-    if (after < compacted_) {
+    if (after < compacted_ || after > revision_) {
         request.reply(gone, "");
         return true;
     }
@@ -188,13 +239,13 @@
     }
     for (const auto& it : body.value("puts", json::array())) {
         const auto lease = it.value("lease", std::uint64_t{0});
-        if (lease != 0 && !leases_.contains(lease)) {
+        if (lease != 0 && !lease_times_.contains(lease)) {
             return request.reply(not_found, "");
         }
-        put(it.at("key").get<std::string>(), from_base64(it.at("value").get<std::string>()), lease);
+        write(it.at("key").get<std::string>(), from_base64(it.at("value").get<std::string>()), lease);
     }
     for (const auto& it : body.value("remove", json::array())) {
-        remove(it.get<std::string>());
+        erase(it.get<std::string>());
     }
     if (faults.loses_write_answers) {
         return request.drop();
@@ -208,9 +259,7 @@
     if (path == "/v1/kv-lease") {
         const auto ms = json::parse(request.body()).at("ttl-ms").get<std::uint64_t>();
         const auto lease = ++last_lease_;
-        lease_times_[lease] = ms;
-        leases_[lease] = std::make_unique<timer>(base_, [this, lease] { end_lease(lease); });
-        leases_[lease]->start(std::chrono::milliseconds{ms});
+        start_lease(lease, ms);
         return request.reply_json(ok, {{"lease", lease}, {"ttl-ms", ms}});
     }
     const auto is_keep = path.starts_with("/v1/kv-keep/");
@@ -218,7 +267,7 @@
         return request.reply(not_found, "");
     }
     const auto lease = last_number(path);
-    if (!leases_.contains(lease)) {
+    if (!lease_times_.contains(lease)) {
         return request.reply(not_found, "");
     }
     if (is_keep) {
@@ -227,7 +276,14 @@
     else {
         end_lease(lease);
     }
-    request.reply_json(ok, {{"ttl-ms", lease_times_[lease]}});
+    request.reply_json(ok, {{"ttl-ms", is_keep ? lease_times_[lease] : 0}});
+}
+
+void platform_store::start_lease(std::uint64_t lease, std::uint64_t time_to_live_ms)
+{
+    lease_times_[lease] = time_to_live_ms;
+    leases_[lease] = std::make_unique<timer>(base_, [this, lease] { end_lease(lease); });
+    leases_[lease]->start(std::chrono::milliseconds{time_to_live_ms});
 }
 
 void platform_store::end_lease(std::uint64_t lease)
@@ -239,7 +295,7 @@
         }
     }
     for (const auto& it : keys) {
-        remove(it);
+        erase(it);
     }
     if (const auto it = leases_.find(lease); it != leases_.end()) {
         it->second->stop();
