Bound the nesting of what another gateway sends

Cause: an update of the registry was read by the library's own CBOR parser, which recurses at each level. A page of 4 MB of arrays in arrays did not end within 100 seconds in the test.

Ruled out: a datagram, whose 65,507 levels passed; reports, whose reader stops at an array that no report has.

Change: the bounded reader of the links, moved to the public headers of wire, reads updates too.

--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -1,5 +1,6 @@
 #include "report_exchange.hpp"
 
+#include <hemlocknotch/wire/cbor_reader.hpp>
 #include <hemlocknotch/wire/socket_address.hpp>
 
 #include "../start_error.hpp"
@@ -92,10 +93,12 @@
 std::optional<gateway::registry_update> decode_update(std::span<const std::uint8_t> bytes)
 {
     try {
-        const auto value = json::from_cbor(bytes.begin(), bytes.end());
-        if (!value.is_array() || value.empty() || value.at(0) != update_tag) {
+        const auto item =
+            hemlocknotch::detail::read_cbor({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+        if (!item || !item->is_array() || item->empty() || item->at(0) != update_tag) {
             return std::nullopt;
         }
+        const auto& value = *item;
         gateway::registry_update out;
         out.gateway = value.at(1).get<std::string>();
         out.from_revision = value.at(2).get<std::uint64_t>();
--- a/packages/daemon/tests/report_exchange_test.cpp
+++ b/packages/daemon/tests/report_exchange_test.cpp
@@ -5,7 +5,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace hemlocknotch::daemon {
 namespace {
@@ -75,6 +77,43 @@
     BOOST_TEST((receive().age == update.age));
 }
 
+BOOST_AUTO_TEST_CASE(a_message_of_nested_arrays_is_dropped)
+{
+    // As long as a datagram, and as a page of another gateway.
+    for (const std::size_t size : {65'507, 4 << 20}) {
+        // An array of ten elements, the tag of an update, and an array in an array until the end.
+        std::vector<std::uint8_t> bytes(size, 0x81);
+        bytes[0] = 0x8a;
+        bytes[1] = 0x01;
+        BOOST_TEST(!decode_update(bytes).has_value());
+        BOOST_TEST(!decode_report(bytes).has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_datagram_that_is_cut_or_damaged_is_dropped_or_read_whole)
+{
+    registry_update update;
+    update.gateway = "g1";
+    update.era = 3;
+    update.configuration_version = 7;
+    update.changes = {{"e/a", 5, false, "value"}, {"e/b", 6, true, ""}};
+    const auto bytes = encode_update(update, max_datagram_update_bytes);
+    const auto whole = decode_update(bytes);
+    BOOST_REQUIRE(whole);
+    BOOST_TEST(whole->era == 3U);
+    BOOST_TEST(whole->configuration_version == 7U);
+    BOOST_TEST(whole->changes.size() == 2U);
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        BOOST_TEST(!decode_update({bytes.data(), n}).has_value());
+        for (const std::uint8_t value : {0x00, 0x1b, 0x5f, 0x7f, 0x80, 0x9f, 0xbf, 0xf6, 0xfb, 0xff}) {
+            auto damaged = bytes;
+            damaged[n] = value;
+            static_cast<void>(decode_update(damaged));
+            static_cast<void>(decode_report(damaged));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/packages/wire/src/cbor_reader.cpp
+++ b/packages/wire/src/cbor_reader.cpp
@@ -1,4 +1,4 @@
-#include "cbor_reader.hpp"
+#include <hemlocknotch/wire/cbor_reader.hpp>
 
 #include <cstddef>
 #include <utility>
--- a/packages/wire/src/message_codec.cpp
+++ b/packages/wire/src/message_codec.cpp
@@ -1,6 +1,6 @@
+#include <hemlocknotch/wire/cbor_reader.hpp>
 #include <hemlocknotch/wire/message_codec.hpp>
 
-#include "cbor_reader.hpp"
 #include "message_decoder.hpp"
 #include "message_encoder.hpp"
 #include "message_items.hpp"
