Do not reuse a connection after a failure without a request id

Cause: the id tells a late second copy of an answer from the answer of the next call. A failure without an id is accepted as the answer of the call in progress, so that a late copy of one, such as a 503 that says 'not executed', would have ended the next call on that connection with a false verdict.

Ruled out: copies with an id (discarded), copies that arrive between two calls (the connection is closed).

Change: a connection is closed after an answer without an id.

Measured: a_connection_is_not_used_again_after_a_failure_without_an_id failed before and passes now.

--- a/packages/daemon/src/gateway/endpoint_connection.cpp
+++ b/packages/daemon/src/gateway/endpoint_connection.cpp
@@ -167,9 +167,13 @@
     const auto is_success = status < 300;
     if (parsed_fields.request_id != request_id_ && (is_success || !parsed_fields.request_id.empty())) {
         is_discarding_ = true;
-        has_mismatched_answer_ = true;
+        is_reusable_after_call_ = false;
         return true;
     }
+    if (parsed_fields.request_id.empty()) {
+        // A second copy of it, late, would be taken for the answer of the next call.
+        is_reusable_after_call_ = false;
+    }
     read_keep_alive(fields);
     gateway::answer_head head{status, {}};
     head.headers.reserve(fields.size());
@@ -207,7 +211,7 @@
     }
     const auto call = std::exchange(call_, 0);
     // An endpoint that answered before it read the complete body would parse the rest as the next request.
-    if (is_keep_alive && input_.empty() && !has_mismatched_answer_ && channel_->pending_bytes() == 0) {
+    if (is_keep_alive && input_.empty() && is_reusable_after_call_ && channel_->pending_bytes() == 0) {
         idle_since_ = owner_.now();
         owner_.on_call_done(*this);
     }
--- a/packages/daemon/src/gateway/endpoint_connection.hpp
+++ b/packages/daemon/src/gateway/endpoint_connection.hpp
@@ -37,8 +37,8 @@
 };
 
 /// HTTP/1.1 connection to an endpoint that serves one call at a time. An answer that carries the id of
-/// another request is read and discarded. A connection that received such an answer, or bytes while no call
-/// was in progress, is not used for another call. Used on the event loop's thread only.
+/// another request is read and discarded. A connection that received such an answer, one without an id, or
+/// bytes while no call was in progress, is not used for another call. Used on the event loop's thread only.
 class endpoint_connection final : public channel_sink {
 public:
     /// Starts to connect. `is_open` returns false where no socket could be opened. `base`, `dialect`, `sink`
@@ -106,8 +106,8 @@
     bool is_discarding_ = false;
     /// Bytes of such answers since the call was sent.
     std::size_t discarded_bytes_ = 0;
-    /// An answer to another request was received; the connection is closed after the call.
-    bool has_mismatched_answer_ = false;
+    /// False once an answer to another request, or one without an id, was received.
+    bool is_reusable_after_call_ = true;
     bool is_closed_ = false;
     /// Idle time after which the connection is not used again.
     duration idle_timeout_;
--- a/packages/daemon/tests/endpoint_pool_test.cpp
+++ b/packages/daemon/tests/endpoint_pool_test.cpp
@@ -273,6 +273,32 @@
     BOOST_TEST(recorder.status == 200);
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_is_not_used_again_after_a_failure_without_an_id)
+{
+    // A second copy of it could arrive as the answer of the next call, which nothing would tell apart.
+    endpoint.answers = {"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", answer("2", "two")};
+    call("1");
+    BOOST_REQUIRE(wait_for_end());
+    BOOST_TEST(recorder.status == 503);
+    call("2");
+    BOOST_REQUIRE(wait_for_end());
+    BOOST_TEST(recorder.body == "two");
+    BOOST_TEST(endpoint.accepted == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_second_copy_of_an_answer_does_not_reach_the_next_call)
+{
+    // Arrives after the next call was sent, right before its answer.
+    endpoint.answers = {answer("1", "one"), answer("1", "one") + answer("2", "two")};
+    call("1");
+    BOOST_REQUIRE(wait_for_end());
+    call("2");
+    BOOST_REQUIRE(wait_for_end());
+    BOOST_TEST((recorder.outcome == gateway::call_outcome::complete));
+    BOOST_TEST(recorder.body == "two");
+    BOOST_TEST(endpoint.accepted == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
