Serve at a planned stop what has arrived and is not read yet

Cause: when the listener was closed at a stop, the kernel reset the connections that waited to be accepted, and connections whose next request lay unread in the socket were taken for idle and closed without an answer. Their close timer was started anew every 200 ms, so that callers that keep their side open held the process until its grace time was over.

Ruled out: requests that are being read or served (kept until their end).

Change: waiting connections are accepted before the listener is closed, a connection with unread bytes counts as busy, and its close timer starts once.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -292,7 +292,10 @@
 
 void caller_connection::close_if_idle()
 {
-    if (!is_closed_ && !is_serving() && !parser_ && input_.empty()) {
+    const auto is_idle =
+        !is_closed_ && !is_closing_after_answer_ && !is_serving() && !parser_ && input_.empty();
+    // A request that has arrived and is not read yet is served.
+    if (is_idle && !channel_->has_unread_bytes()) {
         is_closing_after_answer_ = true;
         channel_->close_when_drained();
         timer_.start(close_timeout);
--- a/packages/daemon/src/gateway/caller_server.cpp
+++ b/packages/daemon/src/gateway/caller_server.cpp
@@ -55,17 +55,22 @@
     return detail::socket_address::bound_to(fd);
 }
 
-void caller_server::handle_accept(evutil_socket_t listener, short /*what*/, void* self)
+void caller_server::handle_accept(evutil_socket_t /*listener*/, short /*what*/, void* self)
 {
-    auto& that = *static_cast<caller_server*>(self);
+    static_cast<caller_server*>(self)->accept_waiting();
+}
+
+void caller_server::accept_waiting()
+{
+    const auto listener = evconnlistener_get_fd(listener_.get());
     for (;;) {
         const auto fd = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd >= 0) {
-            that.accept(fd);
+            accept(fd);
         }
         else if (errno != EINTR && errno != ECONNABORTED) {
             if (errno != EAGAIN && errno != EWOULDBLOCK) {
-                that.sink_.on_malformed(0, "accept-failed");
+                sink_.on_malformed(0, "accept-failed");
             }
             return;
         }
@@ -90,8 +95,12 @@
 
 void caller_server::close_idle_connections()
 {
-    accept_event_.reset();
-    listener_.reset();
+    if (listener_) {
+        // The kernel resets the connections that are still queued when the listener is closed.
+        accept_waiting();
+        accept_event_.reset();
+        listener_.reset();
+    }
     std::vector<caller_connection*> all;
     all.reserve(connections_.size());
     for (const auto& [it, owned] : connections_) {
--- a/packages/daemon/src/gateway/caller_server.hpp
+++ b/packages/daemon/src/gateway/caller_server.hpp
@@ -94,6 +94,7 @@
     void on_busy(caller_connection& connection) override;
 
 private:
+    void accept_waiting();
     static void handle_accept(evutil_socket_t listener, short what, void* self);
     void accept(int fd);
     /// Ends the exchange and returns its connection; null where the caller has disconnected.
--- a/packages/daemon/src/gateway/socket_channel.cpp
+++ b/packages/daemon/src/gateway/socket_channel.cpp
@@ -113,6 +113,12 @@
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+bool socket_channel::has_unread_bytes() const
+{
+    char next = 0;
+    return fd_ >= 0 && ::recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void socket_channel::pause_reading()
 {
     if (fd_ >= 0) {
--- a/packages/daemon/src/gateway/socket_channel.hpp
+++ b/packages/daemon/src/gateway/socket_channel.hpp
@@ -69,6 +69,9 @@
     /// is called.
     [[nodiscard]] bool has_peer_closed() const;
 
+    /// Returns whether bytes have arrived that were not passed to the sink yet.
+    [[nodiscard]] bool has_unread_bytes() const;
+
     /// Stop and resume reading, so that TCP flow control slows down a peer that sends faster than its bytes
     /// can be processed.
     void pause_reading();
--- a/packages/daemon/tests/caller_server_test.cpp
+++ b/packages/daemon/tests/caller_server_test.cpp
@@ -10,6 +10,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -62,6 +66,49 @@
     unsigned short port = 0;
 };
 
+/// A caller whose bytes are in the sockets before the server's loop runs again.
+class blocking_client {
+public:
+    explicit blocking_client(unsigned short port) : fd_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)}
+    {
+        const auto to =
+            detail::socket_address::of(*endpoint_address::parse("127.0.0.1:" + std::to_string(port)));
+        BOOST_REQUIRE(::connect(fd_, to.get(), static_cast<socklen_t>(to.length())) == 0);
+    }
+
+    ~blocking_client() { ::close(fd_); }
+
+    blocking_client(const blocking_client&) = delete;
+    blocking_client(blocking_client&&) = delete;
+    blocking_client& operator=(const blocking_client&) = delete;
+    blocking_client& operator=(blocking_client&&) = delete;
+
+    void send(const std::string& bytes) const
+    {
+        BOOST_REQUIRE(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                      static_cast<ssize_t>(bytes.size()));
+    }
+
+    /// Returns what has arrived so far.
+    std::string receive()
+    {
+        std::array<char, 4096> buf{};
+        ssize_t n = 0;
+        while ((n = ::recv(fd_, buf.data(), buf.size(), MSG_DONTWAIT)) > 0) {
+            received_.append(buf.data(), static_cast<std::size_t>(n));
+        }
+        is_closed_ = is_closed_ || n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+        return received_;
+    }
+
+    [[nodiscard]] bool is_closed() const { return is_closed_; }
+
+private:
+    int fd_;
+    std::string received_;
+    bool is_closed_ = false;
+};
+
 const std::string head = "POST /a/b HTTP/1.1\r\nHost: h\r\nId: 1\r\n";
 
 BOOST_FIXTURE_TEST_SUITE(caller_server_suite, server_fixture)
@@ -304,6 +351,50 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_stop_serves_connections_that_wait_to_be_accepted)
+{
+    recorder.server = &server;
+    server.begin_stop();
+    std::vector<std::unique_ptr<blocking_client>> clients;
+    for (int n = 0; n < 20; ++n) {
+        clients.push_back(std::make_unique<blocking_client>(port));
+        clients.back()->send(head + "Content-Length: 3\r\n\r\nabc");
+    }
+    server.close_idle_connections();
+    for (const auto& it : clients) {
+        BOOST_REQUIRE(loop.run_until([&] { return it->receive().ends_with("abc") || it->is_closed(); }));
+        BOOST_TEST(it->receive().starts_with("HTTP/1.1 200 "));
+        BOOST_TEST(it->receive().ends_with("abc"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stop_serves_a_request_that_has_arrived_on_an_idle_connection)
+{
+    recorder.server = &server;
+    blocking_client client{port};
+    client.send(head + "Content-Length: 3\r\n\r\none");
+    BOOST_REQUIRE(loop.run_until([&] { return client.receive().ends_with("one"); }));
+    server.begin_stop();
+    client.send(head + "Content-Length: 3\r\n\r\ntwo");
+    server.close_idle_connections();
+    BOOST_REQUIRE(loop.run_until([&] { return client.receive().ends_with("two") || client.is_closed(); }));
+    BOOST_TEST(client.receive().ends_with("two"));
+}
+
+BOOST_AUTO_TEST_CASE(an_idle_connection_ends_though_the_stop_asks_again_and_again)
+{
+    // The caller does not close its side.
+    blocking_client client{port};
+    BOOST_REQUIRE(loop.run_until([&] { return server.connection_count() == 1; }));
+    server.begin_stop();
+    const auto began = std::chrono::steady_clock::now();
+    BOOST_TEST(loop.run_until([&] {
+        server.close_idle_connections();
+        return server.connection_count() == 0;
+    }));
+    BOOST_TEST((std::chrono::steady_clock::now() - began < std::chrono::seconds{15}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
