--- a/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
+++ b/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
@@ -4,6 +4,7 @@
 #include <hemlocknotch/standins/event_loop.hpp>
 #include <hemlocknotch/standins/http_server.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <list>
@@ -21,6 +22,8 @@
     bool loses_answers = false;
     /// Streams break off after so many events; 0: they do not.
     std::size_t breaks_after = 0;
+    /// Time between two events of a stream.
+    duration event_interval = std::chrono::milliseconds{5};
 };
 
 /// Stand-in of one endpoint on the users' platform: streams events on `/stream/`, else answers with the
--- a/packages/standins/src/platform_endpoint.cpp
+++ b/packages/standins/src/platform_endpoint.cpp
@@ -11,7 +11,6 @@
 constexpr int ok = 200;
 constexpr int misdirected = 421;
 constexpr int unavailable = 503;
-constexpr std::chrono::milliseconds event_interval{5};
 
 } // namespace
 
@@ -24,7 +23,7 @@
           faults{stream_faults},
           pace{base, [this] { step(); }}
     {
-        pace.start(event_interval);
+        pace.start(faults.event_interval);
     }
 
     void step()
@@ -43,7 +42,7 @@
             answer->finish();
             return;
         }
-        pace.start(event_interval);
+        pace.start(faults.event_interval);
     }
 
     std::unique_ptr<response_stream> answer;
