Place requests of plain services at random among endpoints with room

Cause: the least loaded endpoint was chosen by loads up to 1.2 s old, for requests that run 60 ms, and the first by name where loads are equal.

--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/gateway/affinity_placement.hpp>
-#include <hemlocknotch/gateway/least_loaded_placement.hpp>
+#include <hemlocknotch/gateway/random_placement.hpp>
 #include <hemlocknotch/gateway/registry_client.hpp>
 #include <hemlocknotch/gateway/registry_view.hpp>
 #include <hemlocknotch/gateway/request_fields.hpp>
@@ -118,7 +118,7 @@
     nonblocking_log log_;
     metrics metrics_;
     gateway::affinity_placement model_placement_;
-    gateway::least_loaded_placement plain_placement_;
+    gateway::random_placement plain_placement_;
     gateway::router router_;
     gateway::registry_view view_;
     registry_follower follower_;
--- a/packages/gateway/bench/fleet_nodes.hpp
+++ b/packages/gateway/bench/fleet_nodes.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <hemlocknotch/gateway/least_loaded_placement.hpp>
+#include <hemlocknotch/gateway/random_placement.hpp>
 
 #include "fleet_model.hpp"
 
@@ -154,7 +154,7 @@
     }
 
     fleet_model& fleet_;
-    least_loaded_placement plain_;
+    random_placement plain_;
     std::unordered_map<exchange_id, std::shared_ptr<caller>> callers_;
     std::unordered_map<call_id, engine_node*> engine_of_call_;
     exchange_id last_exchange_ = 0;
--- a/packages/gateway/fuzz/fuzz_fleet.hpp
+++ b/packages/gateway/fuzz/fuzz_fleet.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/gateway/affinity_placement.hpp>
-#include <hemlocknotch/gateway/least_loaded_placement.hpp>
+#include <hemlocknotch/gateway/random_placement.hpp>
 #include <hemlocknotch/gateway/router.hpp>
 
 #include "invariant_violation.hpp"
@@ -78,7 +78,7 @@
     std::mt19937_64 random_;
     instant now_{std::chrono::seconds{1000}};
     affinity_placement model_placement_{affinity_options{}};
-    least_loaded_placement plain_placement_;
+    random_placement plain_placement_;
     std::shared_ptr<const routing_configuration> configuration_;
     std::map<std::string, endpoint_record> endpoints_;
     std::set<std::string, std::less<>> out_of_service_;
--- a/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
@@ -51,6 +51,8 @@
     double endpoint_tokens_per_second = 0.0;
     /// Tokens that are expected to be generated.
     double output_tokens = 0.0;
+    /// Random number of this request and attempt, for policies that draw.
+    std::uint64_t draw = 0;
 };
 
 /// Result of a placement decision.
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -12,6 +12,8 @@
 #include "service_admission.hpp"
 #include "unserved_end.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cassert>
 #include <chrono>
@@ -194,6 +196,7 @@
     auto& service = service_of(it.service);
     it.placement_input.endpoint_tokens_per_second = service.endpoint_rate(*it.configuration, states.size());
     it.placement_input.account_share = service.share_state_of(it, now);
+    it.placement_input.draw = XXH64(it.id_text().data(), it.id_text().size(), options_.seed + it.attempts);
     const auto& policy = it.is_model ? model_placement_ : plain_placement_;
     const auto chosen = policy.choose(it.placement_input, loads);
     if (!chosen.endpoint) {
--- a/packages/gateway/tests/router_fixture.hpp
+++ b/packages/gateway/tests/router_fixture.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/gateway/affinity_placement.hpp>
-#include <hemlocknotch/gateway/least_loaded_placement.hpp>
+#include <hemlocknotch/gateway/random_placement.hpp>
 #include <hemlocknotch/gateway/router.hpp>
 
 #include "recording_port.hpp"
@@ -123,7 +123,7 @@
     instant now{std::chrono::seconds{100}};
     recording_port port;
     affinity_placement model_placement{affinity_options{}};
-    least_loaded_placement plain_placement;
+    random_placement plain_placement;
     router it{router_options{}, model_placement, plain_placement, port};
     std::vector<endpoint_record> records;
 };
