Read the store once for each gateway after an update that exceeds a datagram

A partial update made every gateway read at once, each of these reads was published as a partial update again, and each of them made every gateway read again, known or not.

Change: changes that exceed a datagram together are sent in several, by revision, of which only the last has the hash of the keys.

Measured: registry_reading_suite, 30 gateways: 60 reads for a change of 100 KB where 30 are needed, and 30 for changes of 120 KB in all, before; both bounds (40 and 10) hold now.

--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -159,8 +159,9 @@
         // Changes in between are missing; this gateway's own next read returns them.
         return note_gap(update);
     }
-    if (update.to_revision < view_.revision()) {
-        return;
+    if (update.to_revision < view_.revision() ||
+        (update.is_partial && update.to_revision == view_.revision())) {
+        return; // Everything up to there is known.
     }
     if (update.grace > duration::zero()) {
         view_.extend_grace(now + update.grace - update.age);
@@ -170,14 +171,15 @@
     if (update.is_partial) {
         has_partial_update_ = true;
         if (is_reachable()) {
-            read_timer_.start(duration::zero());
+            // All other gateways have to read what the update left out, too.
+            read_timer_.start(draw_spread(read_spread));
         }
         else {
             fetch_from_peers_();
         }
         return;
     }
-    if (view_.revision() == update.to_revision && view_.digest() != update.digest) {
+    if (update.digest != 0 && view_.revision() == update.to_revision && view_.digest() != update.digest) {
         log_({log_level::warning, "registry-views-differ", {{"gateway", update.gateway}}});
         needs_full_read_ = true;
         read_timer_.start(duration::zero());
@@ -271,7 +273,8 @@
     }
     on_success();
     needs_full_read_ = false;
-    has_partial_update_ = false;
+    // What a partial update left out is read by all gateways.
+    const auto is_read_by_all = std::exchange(has_partial_update_, false);
     current_as_of_ = std::max(current_as_of_, requested_at);
     note_current("read");
     // The others learn of a restore by an update without changes.
@@ -281,7 +284,7 @@
         is_full_read ? std::vector<gateway::reported_change>{} : view_.significant_changes(answer.changes);
     const auto difference = is_full_read ? view_.replace(answer.changes, answer.revision, now_())
                                          : view_.apply(answer.changes, answer.revision, now_());
-    if (!is_full_read || is_restored) {
+    if (is_restored || (!is_full_read && !is_read_by_all)) {
         publish(std::move(unpublished), from, requested_at);
     }
     notify_changed(difference);
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <cerrno>
@@ -31,6 +32,12 @@
 /// Maximum number of datagrams that are read per event, so that a flood of them does not delay requests.
 constexpr int max_datagrams_per_read = 64;
 
+/// Returns the estimated number of bytes of an encoded change.
+std::size_t size_of(const gateway::reported_change& it)
+{
+    return it.key.size() + it.value.size() + change_overhead_bytes;
+}
+
 /// Rounds to whole tokens, which CBOR encodes in fewer bytes than a floating-point number.
 std::uint64_t round_tokens(double value)
 {
@@ -76,7 +83,7 @@
     auto changes = json::array();
     std::size_t size = 0;
     for (auto& it : update.changes) {
-        size += it.key.size() + it.value.size() + change_overhead_bytes;
+        size += size_of(it);
         if (size > max_bytes) {
             update.is_partial = true;
             break;
@@ -90,6 +97,33 @@
                               update.configuration_version});
 }
 
+std::vector<std::vector<std::uint8_t>> encode_updates(gateway::registry_update update, std::size_t max_bytes)
+{
+    std::vector<std::vector<std::uint8_t>> out;
+    auto changes = std::exchange(update.changes, {});
+    std::ranges::sort(changes, {}, &gateway::reported_change::revision);
+    auto part = update;
+    part.digest = 0;
+    std::size_t size = 0;
+    for (auto& it : changes) {
+        const auto change_size = size_of(it);
+        if (size + change_size > max_bytes && !part.changes.empty()) {
+            part.to_revision = part.changes.back().revision;
+            const auto next_from = part.to_revision;
+            out.push_back(encode_update(part, max_bytes));
+            part.changes.clear();
+            part.from_revision = next_from;
+            size = 0;
+        }
+        size += change_size;
+        part.changes.push_back(std::move(it));
+    }
+    part.to_revision = update.to_revision;
+    part.digest = update.digest;
+    out.push_back(encode_update(std::move(part), max_bytes));
+    return out;
+}
+
 std::optional<gateway::registry_update> decode_update(std::span<const std::uint8_t> bytes)
 {
     try {
@@ -169,7 +203,9 @@
 
 void report_exchange::send(gateway::registry_update update, std::span<const endpoint_address> addresses) const
 {
-    send_bytes(encode_update(std::move(update), max_datagram_update_bytes), addresses);
+    for (const auto& it : encode_updates(std::move(update), max_datagram_update_bytes)) {
+        send_bytes(it, addresses);
+    }
 }
 
 void report_exchange::send_bytes(std::span<const std::uint8_t> bytes,
--- a/packages/daemon/src/gateway/report_exchange.hpp
+++ b/packages/daemon/src/gateway/report_exchange.hpp
@@ -29,6 +29,11 @@
 /// exceed `max_bytes`, and then marks the update as partial. Thread-safe.
 std::vector<std::uint8_t> encode_update(gateway::registry_update update, std::size_t max_bytes);
 
+/// Encodes an update as datagrams, each with at most `max_bytes` of changes, which receivers apply one after
+/// the other. Only the last one has the hash of the keys. A change that does not fit by itself is left out;
+/// the datagram that ends with it is marked as partial. Thread-safe.
+std::vector<std::vector<std::uint8_t>> encode_updates(gateway::registry_update update, std::size_t max_bytes);
+
 /// Maximum number of bytes of changes in a datagram. A configuration of many routes exceeds it and is read
 /// from the store.
 inline constexpr std::size_t max_datagram_update_bytes = 32'000;
--- /dev/null
+++ b/packages/daemon/tests/registry_reading_test.cpp
@@ -0,0 +1,185 @@
+#include "gateway/registry_follower.hpp"
+#include "gateway/report_exchange.hpp"
+#include "process_clock.hpp"
+#include "test_loop.hpp"
+#include "timer.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hemlocknotch::daemon {
+namespace {
+
+using namespace gateway;
+
+/// A registry that many gateways read.
+struct shared_registry {
+    void write(const std::string& key, std::size_t value_bytes)
+    {
+        changes.push_back({key, ++revision, false, out_of_service_item{key}, std::string(value_bytes, 'x')});
+    }
+
+    std::vector<registry_change> changes;
+    std::uint64_t revision = 1;
+    std::uint64_t calls = 0;
+};
+
+/// Answers reads and watches of a shared registry a millisecond later. Registrations are not answered.
+class shared_registry_client final : public registry_client {
+public:
+    shared_registry_client(event_base* base, shared_registry& registry)
+        : registry_{registry}, answers_{base, [this] { answer(); }}
+    {
+    }
+
+    void read(callback done) override { watch(0, {}, std::move(done)); }
+
+    void watch(std::uint64_t revision, duration /*wait*/, callback done) override
+    {
+        ++registry_.calls;
+        pending_.emplace_back(revision, std::move(done));
+        answers_.start(std::chrono::milliseconds{1});
+    }
+
+    [[nodiscard]] registry_item decode(std::string_view key, std::string_view /*value*/) const override
+    {
+        return out_of_service_item{std::string{key}};
+    }
+
+    void join(std::string_view /*name*/, const endpoint_address& /*at*/, duration /*ttl*/,
+              callback /*done*/) override
+    {
+    }
+
+    void renew(std::uint64_t /*lease*/, callback /*done*/) override {}
+
+    void leave(std::uint64_t /*lease*/) override {}
+
+    [[nodiscard]] std::uint64_t call_count() const override { return 0; }
+
+private:
+    void answer()
+    {
+        for (auto& [after, done] : std::exchange(pending_, {})) {
+            registry_answer out;
+            out.status = registry_status::ok;
+            out.revision = registry_.revision;
+            for (const auto& it : registry_.changes) {
+                if (it.revision > after) {
+                    out.changes.push_back(it);
+                }
+            }
+            done(std::move(out));
+        }
+    }
+
+    shared_registry& registry_;
+    timer answers_;
+    std::vector<std::pair<std::uint64_t, callback>> pending_;
+};
+
+/// Gateways that send each other what they read, as datagrams.
+struct reading_fleet {
+    static constexpr std::size_t size = 30;
+
+    struct member {
+        member(reading_fleet& fleet, std::size_t number)
+            : client{fleet.loop.base(), fleet.registry},
+              follower{fleet.loop.base(),
+                       client,
+                       view,
+                       {"g" + std::to_string(number), *endpoint_address::parse("127.0.0.1:1"),
+                        std::chrono::milliseconds{800}},
+                       [&fleet] { return fleet.clock.now(); },
+                       [](const registry_difference&) {},
+                       [](const log_effect&) {},
+                       [this, &fleet](registry_update it) { fleet.send(*this, std::move(it)); },
+                       [] {}}
+        {
+        }
+
+        shared_registry_client client;
+        registry_view view;
+        registry_follower follower;
+    };
+
+    reading_fleet()
+    {
+        registry.write("a", 10);
+        for (std::size_t n = 0; n < size; ++n) {
+            members.push_back(std::make_unique<member>(*this, n));
+            members.back()->follower.start();
+        }
+        BOOST_REQUIRE(wait_until_current());
+        // The reads of the start are over once a whole interval has passed.
+        run_for(std::chrono::milliseconds{1200});
+    }
+
+    void send(const member& from, registry_update update)
+    {
+        for (const auto& bytes : encode_updates(std::move(update), max_datagram_update_bytes)) {
+            BOOST_TEST(bytes.size() <= 65'507U);
+            for (const auto& it : members) {
+                if (it.get() != &from) {
+                    it->follower.apply_update(*decode_update(bytes));
+                }
+            }
+        }
+    }
+
+    bool wait_until_current()
+    {
+        return loop.run_until([&] {
+            return std::ranges::all_of(
+                members, [&](const auto& it) { return it->view.revision() == registry.revision; });
+        });
+    }
+
+    void run_for(duration time)
+    {
+        const auto until = clock.now() + time;
+        BOOST_REQUIRE(loop.run_until([&] { return clock.now() >= until; }));
+    }
+
+    test_loop loop;
+    process_clock clock;
+    shared_registry registry;
+    std::vector<std::unique_ptr<member>> members;
+};
+
+BOOST_FIXTURE_TEST_SUITE(registry_reading_suite, reading_fleet)
+
+BOOST_AUTO_TEST_CASE(a_change_larger_than_a_datagram_is_read_once_by_each_gateway)
+{
+    registry.calls = 0;
+    registry.write("b", 100'000);
+    BOOST_REQUIRE(wait_until_current());
+    run_for(std::chrono::milliseconds{500});
+    // One read finds it, each of the others reads it, and some read at the same time as the first.
+    BOOST_TEST(registry.calls <= size + 10);
+}
+
+BOOST_AUTO_TEST_CASE(many_changes_that_exceed_a_datagram_together_are_read_by_few)
+{
+    registry.calls = 0;
+    for (int n = 0; n < 60; ++n) {
+        registry.write("c" + std::to_string(n), 2'000);
+    }
+    BOOST_REQUIRE(wait_until_current());
+    BOOST_TEST(registry.calls <= 10U);
+    for (const auto& it : members) {
+        BOOST_TEST(it->view.out_of_service().size() == 61U);
+        BOOST_TEST(it->view.digest() == members[0]->view.digest());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace hemlocknotch::daemon
--- a/packages/gateway/include/hemlocknotch/gateway/registry_update.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_update.hpp
@@ -27,7 +27,8 @@
     /// `changes` holds all relevant changes after `from_revision`, up to and including `to_revision`.
     std::uint64_t from_revision = 0;
     std::uint64_t to_revision = 0;
-    /// Hash of the keys that the reporting gateway knows after the changes.
+    /// Hash of the keys that the reporting gateway knows after the changes. Zero: not stated, since a further
+    /// update follows that continues this one.
     std::uint64_t digest = 0;
     /// Time since the registry was read.
     duration age{};
