Wait before reading again after an answer of an earlier era

Cause: read as a newcomer: an answer of an earlier era led to another read at once. Should the store ever state a lower era than another gateway did, each answer would have led to the next read within a round trip.

--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -88,7 +88,7 @@
     }
     if (answer.era < view_.era()) {
         log_({log_level::info, "registry-answer-of-earlier-era", {{"era", std::to_string(answer.era)}}});
-        read_timer_.start(duration::zero());
+        read_timer_.start(min_retry_delay);
         return false;
     }
     latest_era_ = std::max(latest_era_, answer.era);
