Test that a restore is read, and registered after, once by each gateway

Cause: own keys and leases are to be written again without a herd.

Change: the fleet of registry_reading_test restores its registry: 30 gateways read everything once each, and register once each.

--- a/packages/daemon/tests/registry_reading_test.cpp
+++ b/packages/daemon/tests/registry_reading_test.cpp
@@ -6,10 +6,12 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -18,19 +20,40 @@
 
 using namespace gateway;
 
+constexpr std::string_view member_prefix = "m/";
+
+registry_item item_of(std::string_view key)
+{
+    if (key.starts_with(member_prefix)) {
+        return member_item{std::string{key.substr(member_prefix.size())},
+                           *endpoint_address::parse("127.0.0.1:1")};
+    }
+    return out_of_service_item{std::string{key}};
+}
+
 /// A registry that many gateways read.
 struct shared_registry {
     void write(const std::string& key, std::size_t value_bytes)
     {
-        changes.push_back({key, ++revision, false, out_of_service_item{key}, std::string(value_bytes, 'x')});
+        changes.push_back({key, ++revision, false, item_of(key), std::string(value_bytes, 'x')});
+    }
+
+    /// Goes back to a copy without the registrations of gateways.
+    void restore()
+    {
+        ++era;
+        std::erase_if(changes, [](const auto& it) { return it.key.starts_with(member_prefix); });
+        revision = changes.empty() ? 1 : changes.back().revision;
     }
 
     std::vector<registry_change> changes;
     std::uint64_t revision = 1;
+    std::uint64_t era = 1;
     std::uint64_t calls = 0;
+    std::uint64_t joins = 0;
 };
 
-/// Answers reads and watches of a shared registry a millisecond later. Registrations are not answered.
+/// Answers reads, watches and registrations at a shared registry a millisecond later. Renewals get no answer.
 class shared_registry_client final : public registry_client {
 public:
     shared_registry_client(event_base* base, shared_registry& registry)
@@ -49,12 +72,15 @@
 
     [[nodiscard]] registry_item decode(std::string_view key, std::string_view /*value*/) const override
     {
-        return out_of_service_item{std::string{key}};
+        return item_of(key);
     }
 
-    void join(std::string_view /*name*/, const endpoint_address& /*at*/, duration /*ttl*/,
-              callback /*done*/) override
+    void join(std::string_view name, const endpoint_address& /*at*/, duration /*ttl*/, callback done) override
     {
+        ++registry_.joins;
+        registry_.write(std::string{member_prefix} + std::string{name}, 10);
+        joined_.push_back(std::move(done));
+        answers_.start(std::chrono::milliseconds{1});
     }
 
     void renew(std::uint64_t /*lease*/, callback /*done*/) override {}
@@ -66,10 +92,18 @@
 private:
     void answer()
     {
+        for (auto& done : std::exchange(joined_, {})) {
+            registry_answer out;
+            out.status = registry_status::ok;
+            out.lease = registry_.joins;
+            out.era = registry_.era;
+            done(std::move(out));
+        }
         for (auto& [after, done] : std::exchange(pending_, {})) {
             registry_answer out;
             out.status = registry_status::ok;
             out.revision = registry_.revision;
+            out.era = registry_.era;
             for (const auto& it : registry_.changes) {
                 if (it.revision > after) {
                     out.changes.push_back(it);
@@ -82,6 +116,7 @@
     shared_registry& registry_;
     timer answers_;
     std::vector<std::pair<std::uint64_t, callback>> pending_;
+    std::vector<callback> joined_;
 };
 
 /// Gateways that send each other what they read, as datagrams.
@@ -173,9 +208,28 @@
     }
     BOOST_REQUIRE(wait_until_current());
     BOOST_TEST(registry.calls <= 10U);
+    const auto first = members[0]->view.digest();
     for (const auto& it : members) {
         BOOST_TEST(it->view.out_of_service().size() == 61U);
-        BOOST_TEST(it->view.digest() == members[0]->view.digest());
+        BOOST_TEST(it->view.digest() == first);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_restore_is_read_and_answered_by_a_registration_once_by_each_gateway)
+{
+    BOOST_REQUIRE_EQUAL(registry.joins, size);
+    registry.calls = 0;
+    registry.joins = 0;
+    registry.restore();
+    BOOST_REQUIRE(loop.run_until([&] { return registry.joins >= size; }));
+    BOOST_REQUIRE(wait_until_current());
+    // Each reads everything once; the reads of two further intervals come on top.
+    BOOST_TEST(registry.calls <= size + 15);
+    BOOST_TEST(registry.joins == size);
+    for (const auto& it : members) {
+        BOOST_TEST(it->view.era() == 2U);
+        BOOST_TEST(it->view.members().size() == size);
+        BOOST_TEST(it->follower.counters().restores == 1U);
     }
 }
 
