Log which prompt parts an endpoint was working on when it cut its calls

The logs of the incident could not tell its hypotheses apart: no line named the prompt of a failed call or how long it ran, and the lines were left out where many endpoints ended. call-failed gives ran_ms and the shared parts; endpoint-cut-calls, one line for each end of an endpoint and outside the budgets, gives the parts of the calls of which no event had arrived. No decision changes. Test: an_endpoint_that_cuts_calls_is_logged_with_the_prompt_parts_that_it_had_not_answered.

--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -365,6 +365,11 @@
     log_.write(record);
 }
 
+void gateway_shell::write_state_log(const log_effect& record)
+{
+    log_.write_state(record);
+}
+
 void gateway_shell::log(const log_effect& record)
 {
     log_.write_state(record);
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -82,6 +82,7 @@
     [[nodiscard]] instant registry_as_of() const override;
     bool wants_log(log_level level) override;
     void write_log(const log_effect& record) override;
+    void write_state_log(const log_effect& record) override;
 
     void on_request(gateway::exchange_id exchange,
                     std::shared_ptr<const gateway::caller_request> request) override;
--- a/packages/gateway/bench/fleet_nodes.hpp
+++ b/packages/gateway/bench/fleet_nodes.hpp
@@ -138,6 +138,8 @@
 
     void write_log(const log_effect& /*record*/) override {}
 
+    void write_state_log(const log_effect& /*record*/) override {}
+
     /// Schedules the next call of the router's `on_timer`.
     void arm();
 
--- a/packages/gateway/fuzz/fuzz_fleet.cpp
+++ b/packages/gateway/fuzz/fuzz_fleet.cpp
@@ -170,6 +170,8 @@
 
     void write_log(const log_effect& /*record*/) override {}
 
+    void write_state_log(const log_effect& /*record*/) override {}
+
 private:
     request_record& find(const std::string& id)
     {
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -136,6 +136,8 @@
     void handle_failure(exchange& it, call_outcome outcome, instant now);
     void handle_rejection(exchange& it, instant now);
     void handle_complete_answer(exchange& it, instant now);
+    /// Logs what the endpoint `instance` was working on for this gateway when it broke off a call.
+    void log_cut_calls(std::string_view instance);
     bool retry(exchange& it, bool was_executed, instant now);
     void finish_stream(exchange& it, instant now);
     void end_unserved(exchange& it, const unserved_end& end, bool may_have_run, instant now);
--- a/packages/gateway/include/hemlocknotch/gateway/router_port.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router_port.hpp
@@ -96,6 +96,9 @@
     /// Returns whether a record of `level` would be written now. Records that are left out are counted.
     virtual bool wants_log(log_level level) = 0;
     virtual void write_log(const log_effect& record) = 0;
+    /// Writes a record on the state of the fleet, without taking it from the budget of its level. For rare
+    /// events only.
+    virtual void write_state_log(const log_effect& record) = 0;
 };
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/call_table.cpp
+++ b/packages/gateway/src/call_table.cpp
@@ -20,6 +20,8 @@
     assert(it.call == 0);
     it.call = ++last_call_;
     it.instance = endpoint.record.instance;
+    it.sent_at = now;
+    it.first_event_at = instant::max();
     calls_.emplace(it.call, open_call{it.id, it.instance});
     ++endpoint.running;
     if (it.is_model) {
@@ -85,6 +87,17 @@
     return it == calls_.end() ? 0 : it->second.exchange;
 }
 
+std::vector<exchange_id> call_table::exchanges_at(std::string_view instance) const
+{
+    std::vector<exchange_id> out;
+    for (const auto& [call, it] : calls_) {
+        if (it.instance == instance) {
+            out.push_back(it.exchange);
+        }
+    }
+    return out;
+}
+
 std::vector<exchange_id> call_table::exchanges_at_leaving_endpoints() const
 {
     std::vector<exchange_id> out;
--- a/packages/gateway/src/call_table.hpp
+++ b/packages/gateway/src/call_table.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -38,6 +39,9 @@
     /// Returns the exchanges with a call that is open at an endpoint which is draining or gone.
     [[nodiscard]] std::vector<exchange_id> exchanges_at_leaving_endpoints() const;
 
+    /// Returns the exchanges with a call that is open at the endpoint `instance`.
+    [[nodiscard]] std::vector<exchange_id> exchanges_at(std::string_view instance) const;
+
     /// Returns the exchange of `call`; 0 if the call has ended.
     [[nodiscard]] exchange_id exchange_of(call_id call) const;
 
--- a/packages/gateway/src/exchange.hpp
+++ b/packages/gateway/src/exchange.hpp
@@ -49,6 +49,9 @@
     /// The open call; 0: none.
     call_id call = 0;
     std::string instance;
+    /// When the last call was started, and when the first complete event of its answer arrived.
+    instant sent_at;
+    instant first_event_at = instant::max();
     /// Prompt tokens of this request that the endpoint has not read yet.
     double pending = 0.0;
     std::optional<answer_head> head;
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -1,8 +1,42 @@
 #include "exchange_log.hpp"
 
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdint>
 #include <string>
+#include <vector>
 
 namespace hemlocknotch::gateway {
+namespace {
+
+/// Maximum number of prompt parts in one record.
+constexpr std::size_t max_logged_parts = 16;
+
+/// Returns the ids in hexadecimal notation, separated by commas.
+std::string part_ids_text(std::span<const std::uint64_t> ids)
+{
+    std::string out;
+    for (const auto id : ids.first(std::min(ids.size(), max_logged_parts))) {
+        std::array<char, 16> buf{};
+        const auto end = std::to_chars(buf.data(), buf.data() + buf.size(), id, 16).ptr;
+        out += out.empty() ? "" : ",";
+        out.append(buf.data(), end);
+    }
+    return out;
+}
+
+void append_part_ids(const exchange& it, std::vector<std::uint64_t>& ids)
+{
+    for (const auto& part : it.placement_input.shared_parts) {
+        if (std::ranges::find(ids, part.id) == ids.end()) {
+            ids.push_back(part.id);
+        }
+    }
+}
+
+} // namespace
+
 log_effect request_ended_record(const exchange& it, const exchange_end& end, log_level level)
 {
     return {level,
@@ -23,15 +57,37 @@
               end.registry_age < duration::zero() ? "" : milliseconds_text(end.registry_age)}}};
 }
 
-log_effect call_failed_record(const exchange& it, bool was_reached)
+log_effect call_failed_record(const exchange& it, bool was_reached, instant now)
 {
+    std::vector<std::uint64_t> parts;
+    append_part_ids(it, parts);
     return {log_level::warning,
             "call-failed",
             {{"request", std::string{it.id_text()}},
              {"endpoint", it.instance},
              {"outcome", was_reached ? "broken" : "not-connected"},
              {"events", it.events.last_id()},
-             {"sends", std::to_string(it.attempts)}}};
+             {"sends", std::to_string(it.attempts)},
+             {"ran_ms", milliseconds_text(now - it.sent_at)},
+             {"parts", part_ids_text(parts)}}};
+}
+
+log_effect endpoint_cut_calls_record(std::string_view instance, std::span<const exchange* const> open)
+{
+    std::vector<std::uint64_t> parts;
+    std::size_t unanswered = 0;
+    for (const auto* it : open) {
+        if (it->first_event_at == instant::max()) {
+            ++unanswered;
+            append_part_ids(*it, parts);
+        }
+    }
+    return {log_level::warning,
+            "endpoint-cut-calls",
+            {{"endpoint", std::string{instance}},
+             {"open_calls", std::to_string(open.size())},
+             {"unanswered", std::to_string(unanswered)},
+             {"unanswered_parts", part_ids_text(parts)}}};
 }
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/exchange_log.hpp
+++ b/packages/gateway/src/exchange_log.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string_view>
 
 namespace hemlocknotch::gateway {
@@ -27,7 +28,11 @@
 /// Returns the log record for the end of a request.
 log_effect request_ended_record(const exchange& it, const exchange_end& end, log_level level);
 
-/// Returns the log record for a call without a complete answer.
-log_effect call_failed_record(const exchange& it, bool was_reached);
+/// Returns the log record for a call without a complete answer that ended at `now`.
+log_effect call_failed_record(const exchange& it, bool was_reached, instant now);
+
+/// Returns the log record for an endpoint that broke off a call while `open`, all calls to it, were open. It
+/// names the shared prompt parts of those of which no event had arrived.
+log_effect endpoint_cut_calls_record(std::string_view instance, std::span<const exchange* const> open);
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -278,6 +278,7 @@
     }
     if (it->is_stream) {
         if (const auto events = it->events.append(bytes); !events.empty()) {
+            it->first_event_at = std::min(it->first_event_at, now);
             answers_->pass_events(*it, events, now);
         }
     }
@@ -365,13 +366,16 @@
 
 void router::handle_failure(exchange& it, call_outcome outcome, instant now)
 {
+    const auto was_executed = outcome == call_outcome::broken;
     if (auto* endpoint = endpoints_.find(it.instance)) {
-        endpoints_.note_failure(*endpoint, outcome == call_outcome::broken, now);
+        if (was_executed && endpoint->consecutive_failures == 0) {
+            log_cut_calls(it.instance);
+        }
+        endpoints_.note_failure(*endpoint, was_executed, now);
     }
-    const auto was_executed = outcome == call_outcome::broken;
     record_failed_call(port_, it);
     if (port_.wants_log(log_level::warning)) {
-        port_.write_log(call_failed_record(it, was_executed));
+        port_.write_log(call_failed_record(it, was_executed, now));
     }
     calls_->finish(it);
     it.events.drop_remainder();
@@ -383,6 +387,15 @@
     offer_waiting(now);
 }
 
+void router::log_cut_calls(std::string_view instance)
+{
+    std::vector<const exchange*> open;
+    for (const auto id : calls_->exchanges_at(instance)) {
+        open.push_back(exchanges_->find(id));
+    }
+    port_.write_state_log(endpoint_cut_calls_record(instance, open));
+}
+
 bool router::retry(exchange& it, bool was_executed, instant now)
 {
     if (!it.may_retry(was_executed) || it.ends_at - now < min_remaining) {
--- a/packages/gateway/tests/recording_port.hpp
+++ b/packages/gateway/tests/recording_port.hpp
@@ -2,6 +2,8 @@
 
 #include <hemlocknotch/gateway/router_port.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 #include <string>
@@ -66,6 +68,8 @@
 
     void write_log(const log_effect& record) override { log_records.push_back(record); }
 
+    void write_state_log(const log_effect& record) override { log_records.push_back(record); }
+
     std::vector<call_start> calls;
     std::set<call_id> cancelled;
     /// Calls that wait for their connection.
@@ -74,6 +78,15 @@
     std::vector<log_effect> log_records;
     std::vector<metric_effect> metrics;
 
+    /// Returns the recorded log lines with the event `name`.
+    [[nodiscard]] std::vector<log_effect> lines(std::string_view name) const
+    {
+        std::vector<log_effect> out;
+        std::ranges::copy_if(log_records, std::back_inserter(out),
+                             [&](const log_effect& it) { return it.event == name; });
+        return out;
+    }
+
     /// Returns the sum of the recorded values of metric `name` with `label`.
     [[nodiscard]] double total(std::string_view name, std::string_view label) const
     {
--- a/packages/gateway/tests/router_test.cpp
+++ b/packages/gateway/tests/router_test.cpp
@@ -78,6 +78,32 @@
     BOOST_TEST(answer(2).status == 502);
 }
 
+BOOST_AUTO_TEST_CASE(an_endpoint_that_cuts_calls_is_logged_with_the_prompt_parts_that_it_had_not_answered)
+{
+    const auto value = [](const log_effect& line, std::string_view name) {
+        const auto found = std::ranges::find(line.fields, name, &log_field::name);
+        return found == line.fields.end() ? std::string{} : found->value;
+    };
+    send_request(1, "/stream/x");
+    send_request(2, "/stream/x");
+    BOOST_REQUIRE_EQUAL(port.calls[1].instance, port.calls[0].instance);
+    head(port.calls[0], 200, true);
+    it.on_part(port.calls[0].call, "id: 1\ndata: a\n\n", now);
+    now += milliseconds{30};
+    it.on_end(port.calls[1].call, call_outcome::broken, now);
+    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    const auto lines = port.lines("endpoint-cut-calls");
+    BOOST_REQUIRE_EQUAL(lines.size(), 1U);
+    BOOST_TEST(value(lines[0], "endpoint") == port.calls[0].instance);
+    BOOST_TEST(value(lines[0], "open_calls") == "2");
+    BOOST_TEST(value(lines[0], "unanswered") == "1");
+    BOOST_TEST(value(lines[0], "unanswered_parts") == "1");
+    const auto failures = port.lines("call-failed");
+    BOOST_REQUIRE_EQUAL(failures.size(), 2U);
+    BOOST_TEST(value(failures[0], "parts") == "1");
+    BOOST_TEST(value(failures[0], "ran_ms") == "30");
+}
+
 BOOST_AUTO_TEST_CASE(passes_on_a_failure_when_the_retry_fails_too)
 {
     send_request(1, "/safe/x");
