--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -32,6 +32,7 @@
 gateway::router_options router_options_of(const gateway_settings& settings, std::uint64_t seed)
 {
     gateway::router_options out;
+    out.gateway = settings.instance;
     out.retries = {settings.retry_ratio, settings.retry_reserve};
     out.seed = seed;
     out.wait_share = settings.wait_share;
@@ -86,6 +87,7 @@
       fetcher_{base, settings.seeds,
                [this](const gateway::registry_update& it) { follower_.apply_snapshot(it); }},
       registry_client_{client},
+      part_blocks_{client, router_.prompt_parts()},
       callers_{base, dialect, max_caller_connections(settings), *this},
       pool_{base, dialect, *this, [this] { return clock_.now(); }},
       readiness_server_{
@@ -200,6 +202,9 @@
         callers_.set_limits(configuration->document().limits);
         router_.set_configuration(configuration, now);
     }
+    if (difference.has_part_blocks) {
+        router_.set_registered_part_blocks(view_.part_blocks(), difference.lifted_parts, now);
+    }
     if (difference.has_endpoints) {
         const auto records = view_.endpoints();
         log({log_level::info, "endpoints-changed", {{"count", std::to_string(records.size())}}});
@@ -223,6 +228,7 @@
     report.incarnation = incarnation_;
     report.sequence = ++report_sequence_;
     reports_.send(report, peers_.addresses());
+    part_blocks_.update(now);
     check_health();
     schedule_report();
 }
@@ -234,6 +240,13 @@
     report_timer_.start(interval);
 }
 
+void gateway_shell::send_urgent_report()
+{
+    if (router_.prompt_parts().take_urgency()) {
+        report_timer_.start(duration::zero());
+    }
+}
+
 void gateway_shell::check_health()
 {
     const auto now = clock_.now();
@@ -294,6 +307,7 @@
 
 void gateway_shell::schedule_router_timer()
 {
+    send_urgent_report();
     const auto now = clock_.now();
     const auto at = router_.next_due(now);
     if (at == instant::max()) {
@@ -407,6 +421,7 @@
 void gateway_shell::on_part(gateway::call_id call, std::string_view bytes)
 {
     router_.on_part(call, bytes, clock_.now());
+    send_urgent_report();
 }
 
 void gateway_shell::on_end(gateway::call_id call, gateway::call_outcome outcome)
@@ -500,6 +515,7 @@
     gauge("hemlocknotch_gateway_open_requests", router_.exchange_count());
     gauge("hemlocknotch_gateway_caller_connections", callers_.connection_count());
     gauge("hemlocknotch_gateway_endpoint_connections", pool_.connection_count());
+    gauge("hemlocknotch_gateway_blocked_prompt_parts", router_.prompt_parts().blocked_count(clock_.now()));
     gauge("hemlocknotch_gateway_others_heard", others_heard());
     gauge("hemlocknotch_gateway_registry_era", view_.era());
     gauge("hemlocknotch_gateway_configuration_version", configuration_version());
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -17,6 +17,7 @@
 #include "gateway_settings.hpp"
 #include "nonblocking_log.hpp"
 #include "page_server.hpp"
+#include "part_block_registrar.hpp"
 #include "peer_directory.hpp"
 #include "peer_registry_fetcher.hpp"
 #include "registry_age_monitor.hpp"
@@ -102,6 +103,8 @@
     void check_health();
     void record_seconds(std::string_view metric, duration value);
     void schedule_report();
+    /// Sends a report at once where another gateway should not have to wait for it.
+    void send_urgent_report();
     void send_update(gateway::registry_update update);
     void apply_update(const gateway::registry_update& update);
     void apply_report(const gateway::fleet_report& report, const endpoint_address& from);
@@ -125,6 +128,7 @@
     registry_follower follower_;
     peer_registry_fetcher fetcher_;
     gateway::registry_client& registry_client_;
+    part_block_registrar part_blocks_;
     caller_server callers_;
     endpoint_pool pool_;
     page_server readiness_server_;
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -64,8 +64,19 @@
         of_service.push_back(round_tokens(it.rates.requested));
         of_service.push_back(round_tokens(it.rates.served));
     }
-    return json::to_cbor(
-        json{report.gateway, report.incarnation, report.sequence, std::move(endpoints), std::move(accounts)});
+    json out{report.gateway, report.incarnation, report.sequence, std::move(endpoints), std::move(accounts)};
+    if (!report.prompt_parts.parts.empty() || !report.prompt_parts.sound.empty()) {
+        auto parts = json::array();
+        for (const auto& it : report.prompt_parts.parts) {
+            parts.push_back(it.part);
+            parts.push_back(it.block);
+            parts.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(it.blocked_for).count());
+            parts.push_back(it.endpoints);
+        }
+        out.push_back(std::move(parts));
+        out.push_back(report.prompt_parts.sound);
+    }
+    return json::to_cbor(out);
 }
 
 std::optional<gateway::fleet_report> decode_report(std::span<const std::uint8_t> bytes)
--- a/packages/daemon/src/gateway/report_sax_handler.cpp
+++ b/packages/daemon/src/gateway/report_sax_handler.cpp
@@ -1,5 +1,6 @@
 #include "report_sax_handler.hpp"
 
+#include <chrono>
 #include <limits>
 #include <utility>
 
@@ -9,6 +10,10 @@
 /// Number of fields of an endpoint, and of an account.
 constexpr std::size_t endpoint_field_count = 4;
 constexpr std::size_t account_field_count = 3;
+/// Index of the endpoints among the fields of a prompt part.
+constexpr std::size_t part_endpoints_field = 3;
+/// Maximum remaining time of a block: a day.
+constexpr std::uint64_t max_blocked_ms = 86'400'000;
 
 } // namespace
 
@@ -51,9 +56,35 @@
         entry_field_ = (entry_field_ + 1) % account_field_count;
         return true;
     }
+    if (is_in_parts()) {
+        return take_part_field(value);
+    }
+    if (is_in_sound_parts()) {
+        report_.prompt_parts.sound.push_back(value);
+        return true;
+    }
     return false;
 }
 
+bool report_sax_handler::take_part_field(std::uint64_t value)
+{
+    auto& parts = report_.prompt_parts.parts;
+    if (entry_field_ == 0) {
+        parts.emplace_back().part = value;
+    }
+    else if (entry_field_ == 1 && value <= std::numeric_limits<unsigned>::max()) {
+        parts.back().block = static_cast<unsigned>(value);
+    }
+    else if (entry_field_ == 2 && value <= max_blocked_ms) {
+        parts.back().blocked_for = std::chrono::milliseconds{value};
+    }
+    else {
+        return false;
+    }
+    ++entry_field_;
+    return true;
+}
+
 bool report_sax_handler::number_float(number_float_t /*value*/, const string_t& /*text*/)
 {
     return false;
@@ -66,6 +97,10 @@
         ++top_field_;
         return true;
     }
+    if (is_in_part_endpoints()) {
+        report_.prompt_parts.parts.back().endpoints.push_back(std::move(value));
+        return true;
+    }
     if (entry_field_ != 0) {
         return false;
     }
@@ -109,11 +144,15 @@
 bool report_sax_handler::start_array(std::size_t /*size*/)
 {
     ++depth_;
-    return depth_ == 1 || is_in_endpoints() || is_in_accounts();
+    return depth_ == 1 || is_in_endpoints() || is_in_accounts() || is_in_parts() || is_in_sound_parts() ||
+           (is_in_part_endpoints() && entry_field_ == part_endpoints_field);
 }
 
 bool report_sax_handler::end_array()
 {
+    if (is_in_part_endpoints()) {
+        entry_field_ = 0;
+    }
     if (entry_field_ != 0) {
         return false;
     }
--- a/packages/daemon/src/gateway/report_sax_handler.hpp
+++ b/packages/daemon/src/gateway/report_sax_handler.hpp
@@ -12,11 +12,16 @@
 /// SAX handler that builds a report while it is parsed, without a tree of JSON values: in a large fleet a
 /// gateway receives some 80 reports of a hundred fields and more each second. Layout of a report: an array of
 /// the gateway's name, incarnation, sequence number, a flat array of the endpoints' fields, and an object
-/// that maps each service to a flat array of its accounts' fields. A handler reads one report only.
+/// that maps each service to a flat array of its accounts' fields; where anything is known against prompt
+/// parts, also a flat array of the parts' fields, of which the last is an array of endpoints, and an array of
+/// parts that are sound. A handler reads one report only.
 class report_sax_handler final : public nlohmann::json_sax<nlohmann::json> {
 public:
     /// Returns whether a complete report has been read.
-    [[nodiscard]] bool is_complete() const { return top_field_ == top_field_count && depth_ == 0; }
+    [[nodiscard]] bool is_complete() const
+    {
+        return depth_ == 0 && (top_field_ == parts_field || top_field_ == top_field_count);
+    }
 
     [[nodiscard]] gateway::fleet_report& report() { return report_; }
 
@@ -37,21 +42,32 @@
                      const nlohmann::detail::exception& error) override;
 
 private:
-    /// Number of elements of the outermost array, and the indices of two of them.
-    static constexpr std::size_t top_field_count = 5;
+    /// Number of elements of the outermost array, and the indices of some of them.
+    static constexpr std::size_t top_field_count = 7;
     static constexpr std::size_t endpoints_field = 3;
     static constexpr std::size_t accounts_field = 4;
+    static constexpr std::size_t parts_field = 5;
+    static constexpr std::size_t sound_parts_field = 6;
 
     [[nodiscard]] bool is_in_endpoints() const { return depth_ == 2 && top_field_ == endpoints_field; }
 
     [[nodiscard]] bool is_in_accounts() const { return depth_ == 3 && top_field_ == accounts_field; }
 
+    [[nodiscard]] bool is_in_parts() const { return depth_ == 2 && top_field_ == parts_field; }
+
+    [[nodiscard]] bool is_in_part_endpoints() const { return depth_ == 3 && top_field_ == parts_field; }
+
+    [[nodiscard]] bool is_in_sound_parts() const { return depth_ == 2 && top_field_ == sound_parts_field; }
+
+    /// Takes the next field of a prompt part. Returns false where it is out of range.
+    bool take_part_field(std::uint64_t value);
+
     gateway::fleet_report report_;
     /// Number of arrays and objects that are open.
     std::size_t depth_ = 0;
     /// Index of the next element of the outermost array, or of the one that is being read.
     std::size_t top_field_ = 0;
-    /// Index of the next field within an endpoint or account.
+    /// Index of the next field within an endpoint, account or prompt part.
     std::size_t entry_field_ = 0;
     /// Service whose accounts are being read.
     std::string service_;
--- a/packages/daemon/tests/registry_follower_test.cpp
+++ b/packages/daemon/tests/registry_follower_test.cpp
@@ -91,6 +91,13 @@
         std::exchange(renewal_, nullptr)(std::move(out));
     }
 
+    void write_block(const gateway::part_block& /*block*/, duration /*time_to_live*/,
+                     callback /*done*/) override
+    {
+    }
+
+    void remove_block(std::uint64_t /*part*/, callback /*done*/) override {}
+
     [[nodiscard]] std::uint64_t call_count() const override { return 0; }
 
     [[nodiscard]] bool has_pending_call() const { return !answers_.empty(); }
--- a/packages/daemon/tests/registry_reading_test.cpp
+++ b/packages/daemon/tests/registry_reading_test.cpp
@@ -90,6 +90,13 @@
 
     void leave(std::uint64_t /*lease*/) override {}
 
+    void write_block(const gateway::part_block& /*block*/, duration /*time_to_live*/,
+                     callback /*done*/) override
+    {
+    }
+
+    void remove_block(std::uint64_t /*part*/, callback /*done*/) override {}
+
     [[nodiscard]] std::uint64_t call_count() const override { return 0; }
 
 private:
--- a/packages/daemon/tests/report_exchange_test.cpp
+++ b/packages/daemon/tests/report_exchange_test.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace hemlocknotch::daemon {
@@ -77,6 +78,45 @@
     BOOST_TEST((receive().age == update.age));
 }
 
+BOOST_AUTO_TEST_CASE(a_report_tells_what_is_known_against_prompt_parts)
+{
+    fleet_report report;
+    report.gateway = "g1";
+    report.prompt_parts.parts = {{7, {"e1", "e2"}, 0, {}},
+                                 {0xfedcba9876543210, {}, 2, std::chrono::milliseconds{1500}}};
+    report.prompt_parts.sound = {8, 9};
+    const auto read = decode_report(encode_report(report));
+    BOOST_REQUIRE(read.has_value());
+    const auto& parts = read->prompt_parts.parts;
+    BOOST_REQUIRE_EQUAL(parts.size(), 2U);
+    BOOST_TEST(parts[0].part == 7U);
+    BOOST_TEST(parts[0].endpoints == report.prompt_parts.parts[0].endpoints,
+               boost::test_tools::per_element());
+    BOOST_TEST(parts[1].part == 0xfedcba9876543210);
+    BOOST_TEST(parts[1].block == 2U);
+    BOOST_TEST((parts[1].blocked_for == std::chrono::milliseconds{1500}));
+    BOOST_TEST(read->prompt_parts.sound == report.prompt_parts.sound, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_report_with_damaged_prompt_parts_is_dropped_or_read_whole)
+{
+    fleet_report report;
+    report.gateway = "g1";
+    report.prompt_parts.parts = {{7, {"e1", "e2"}, 1, std::chrono::milliseconds{1500}}};
+    report.prompt_parts.sound = {8};
+    const auto bytes = encode_report(report);
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        BOOST_TEST(!decode_report(std::span{bytes}.first(n)).has_value());
+        for (const auto value : {0x00, 0x60, 0x80, 0xa0, 0xff}) {
+            auto damaged = bytes;
+            damaged[n] = static_cast<std::uint8_t>(value);
+            if (const auto read = decode_report(damaged)) {
+                BOOST_TEST(read->prompt_parts.parts.size() <= bytes.size());
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_message_of_nested_arrays_is_dropped)
 {
     // As long as a datagram, and as a page of another gateway.
--- a/packages/gateway/include/hemlocknotch/gateway/fleet_report.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/fleet_report.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <hemlocknotch/gateway/part_report.hpp>
 #include <hemlocknotch/gateway/share_meter.hpp>
 
 #include <cstddef>
@@ -38,6 +39,7 @@
     std::uint64_t sequence = 0;
     std::vector<endpoint_report> endpoints;
     std::vector<account_report> accounts;
+    part_reports prompt_parts;
 };
 
 /// Returns the time between two reports of a gateway that sends them to `others` gateways. Thread-safe.
--- /dev/null
+++ b/packages/gateway/include/hemlocknotch/gateway/part_report.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <hemlocknotch/core/time.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hemlocknotch::gateway {
+
+/// What one gateway knows against a prompt part.
+struct part_report {
+    std::uint64_t part = 0;
+    /// Endpoints that the gateway saw end while they worked on a request with the part.
+    std::vector<std::string> endpoints;
+    /// Number of the last block of the part, from 1; 0: none.
+    unsigned block = 0;
+    /// Remaining time of that block.
+    duration blocked_for{};
+};
+
+/// What one gateway reports of prompt parts.
+struct part_reports {
+    std::vector<part_report> parts;
+    /// Parts that were suspected and are sound.
+    std::vector<std::uint64_t> sound;
+};
+
+} // namespace hemlocknotch::gateway
--- /dev/null
+++ b/packages/gateway/include/hemlocknotch/gateway/prompt_part_breaker.hpp
@@ -0,0 +1,189 @@
+#pragma once
+
+#include <hemlocknotch/core/time.hpp>
+#include <hemlocknotch/gateway/part_block.hpp>
+#include <hemlocknotch/gateway/part_report.hpp>
+#include <hemlocknotch/gateway/request_fields.hpp>
+#include <hemlocknotch/gateway/waiting_queue.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hemlocknotch::gateway {
+
+/// Whether a request may be sent to an endpoint.
+enum class part_verdict : std::uint8_t {
+    allowed,
+    /// It may be sent, as the only request with a suspected part.
+    trial,
+    /// It has a part that is suspected of crashing endpoints, and another request is the trial.
+    suspected,
+    /// It has a part that crashed the endpoint of a trial, too.
+    blocked,
+};
+
+/// Returned by `prompt_part_breaker::decide`.
+struct part_decision {
+    part_verdict verdict = part_verdict::allowed;
+    /// The part that it follows from; 0: none.
+    std::uint64_t part = 0;
+    /// Time after which another attempt may succeed.
+    duration retry_after{};
+
+    [[nodiscard]] bool is_permitted() const
+    {
+        return verdict == part_verdict::allowed || verdict == part_verdict::trial;
+    }
+};
+
+/// A change of what is believed of a prompt part.
+struct part_event {
+    enum class kind : std::uint8_t { suspected, blocked, cleared, lifted };
+
+    kind what = kind::suspected;
+    std::uint64_t part = 0;
+    /// Endpoints that ended on the part.
+    std::vector<std::string> endpoints;
+    /// Number of the block, from 1; 0 if it was not blocked.
+    unsigned block = 0;
+    /// The other gateway that reported the change; empty if this one decided it.
+    std::string source;
+};
+
+/// Circuit breaker (Nygard, "Release It!", 2007) for each shared part of prompts: stops requests whose prompt
+/// crashes the endpoints that answer it, before they reach one endpoint after the other.
+///
+/// An end of an endpoint counts against the shared parts of the requests that it had not begun to answer, or
+/// only just. A sound run of a request with the part anywhere in the fleet clears it, so parts that many
+/// requests share are cleared within milliseconds. A part with ends of two endpoints is suspected: a gateway
+/// sends one request with it at a time, as a trial, and the gateways may begin trials one after the other, in
+/// the order of rendezvous hashing of the part. If a trial ends its endpoint too, the part is blocked for all
+/// gateways, the first time for a short time.
+///
+/// No I/O and no clock; used by one thread at a time.
+class prompt_part_breaker {
+public:
+    /// Number of endpoints that have to end for a part to be suspected, and to be blocked.
+    static constexpr std::size_t suspicion_ends = 2;
+    static constexpr std::size_t block_ends = 3;
+    /// Time after the last end until the next trial. Endpoints of one failure domain end together, which says
+    /// nothing against a part.
+    static constexpr duration trial_delay = std::chrono::milliseconds{500};
+    /// Time from which one gateway after the other may begin a trial, and the longest time for all of them.
+    static constexpr duration trial_step = std::chrono::seconds{1};
+    static constexpr duration max_trial_spread = std::chrono::seconds{10};
+    /// Duration of the first block, after which one trial follows, and of later ones.
+    static constexpr duration first_block_time = std::chrono::seconds{10};
+    static constexpr duration block_time = std::chrono::minutes{10};
+    /// Time after its first event from which an answer that goes on counts as a sound run.
+    static constexpr duration sound_run_time = std::chrono::milliseconds{250};
+    /// Time for which an end counts.
+    static constexpr duration evidence_lifetime = std::chrono::minutes{10};
+    /// Time that a caller with a suspected part is told to wait: some trials.
+    static constexpr duration suspicion_retry_time = std::chrono::seconds{1};
+    /// Maximum number of parts with a state; bounds memory.
+    static constexpr std::size_t max_parts = 1024;
+    /// Maximum number of shared parts of one prompt that are considered, the last ones.
+    static constexpr std::size_t max_parts_per_prompt = 32;
+    /// Maximum number of parts, and of endpoints for each, in a report.
+    static constexpr std::size_t max_reported_parts = 64;
+    static constexpr std::size_t max_reported_ends = 8;
+
+    /// `own_name` is the name under which this gateway reports.
+    explicit prompt_part_breaker(std::string own_name);
+
+    /// Replaces the names of the other gateways whose reports are current.
+    void set_others(const std::set<std::string, std::less<>>& names);
+
+    /// Returns whether nothing is known against any part, so that all requests are allowed.
+    [[nodiscard]] bool is_idle() const { return parts_.empty(); }
+
+    /// Decides on the request `exchange` with the shared parts `parts`.
+    [[nodiscard]] part_decision decide(exchange_id exchange, std::span<const prompt_part> parts,
+                                       instant now) const;
+
+    /// Records that the request was sent. If it has suspected parts, it is their trial until `note_done`.
+    void note_sent(exchange_id exchange, std::span<const prompt_part> parts);
+    /// Records that the call of the request has ended, however it did.
+    void note_done(exchange_id exchange, std::span<const prompt_part> parts);
+
+    /// Records that the endpoint `instance` ended before a sound run of the request. Call before `note_done`.
+    void note_end(exchange_id exchange, std::span<const prompt_part> parts, std::string_view instance,
+                  instant now);
+    /// Records a sound run of a request with `parts`.
+    void note_sound(std::span<const prompt_part> parts, instant now);
+
+    /// Returns what this gateway knows against parts, and which ones it has cleared, for the others.
+    [[nodiscard]] part_reports create_report(instant now);
+    /// Applies the report of another gateway.
+    void apply_report(std::string_view gateway, const part_reports& report, instant now);
+    /// Removes what `gateway` has reported of ends. Blocks stay.
+    void remove_gateway(std::string_view gateway);
+
+    /// Applies the blocks in the registry. Those of `lifted` were removed from it.
+    void set_registered(std::span<const part_block> blocks, std::span<const std::uint64_t> lifted,
+                        instant now);
+    /// Returns the blocks that this gateway has to write to the registry.
+    [[nodiscard]] std::vector<part_block> blocks_to_register(instant now) const;
+    /// Returns the parts whose blocks this gateway has to remove from the registry, each once.
+    [[nodiscard]] std::vector<std::uint64_t> take_blocks_to_remove();
+
+    /// Returns the changes since the last call.
+    [[nodiscard]] std::vector<part_event> take_events();
+    /// Returns whether a change of this gateway should be reported without delay, once for each change.
+    [[nodiscard]] bool take_urgency();
+
+    /// Return the number of parts that anything is known against, and of those that are blocked.
+    [[nodiscard]] std::size_t part_count() const { return parts_.size(); }
+
+    [[nodiscard]] std::size_t blocked_count(instant now) const;
+
+private:
+    struct part_state {
+        /// Endpoints that this gateway saw end, each with the time.
+        std::map<std::string, instant, std::less<>> ends;
+        /// Ends that other gateways have reported, by their names.
+        std::map<std::string, std::vector<std::string>, std::less<>> reported_ends;
+        /// When the last end was recorded or reported, or the last block began.
+        instant changed_at{};
+        unsigned block = 0;
+        instant blocked_until{};
+        /// Number of the block in the registry; 0: none.
+        unsigned registered_block = 0;
+        /// The request that is the trial; 0: none.
+        exchange_id trial = 0;
+    };
+
+    using state_map = std::map<std::uint64_t, part_state>;
+
+    [[nodiscard]] static std::set<std::string_view> endpoints_of(const part_state& it);
+    [[nodiscard]] static bool is_suspected(const part_state& it);
+    /// Returns the time after which this gateway is the next to act on `part`, if no other one has.
+    [[nodiscard]] duration turn_of(std::uint64_t part) const;
+    part_state& find_or_add(std::uint64_t part, instant now);
+    void set_block(std::uint64_t part, part_state& it, unsigned block, duration remaining, instant now,
+                   std::string_view source);
+    void add_event(part_event::kind what, std::uint64_t part, const part_state& it, std::string_view source);
+    void clear(std::uint64_t part, part_event::kind what, std::string_view source);
+    void remove_outdated(instant now);
+
+    std::string own_name_;
+    /// This gateway and the others whose reports are current.
+    std::vector<std::string> gateways_;
+    state_map parts_;
+    /// Parts that this gateway has cleared or seen lifted, with the time. Older reports do not restore them.
+    std::map<std::uint64_t, instant> sound_;
+    std::map<std::uint64_t, instant> lifted_;
+    std::vector<std::uint64_t> blocks_to_remove_;
+    std::vector<part_event> events_;
+    bool is_urgent_ = false;
+};
+
+} // namespace hemlocknotch::gateway
--- a/packages/gateway/include/hemlocknotch/gateway/registry_client.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_client.hpp
@@ -2,6 +2,7 @@
 
 #include <hemlocknotch/core/time.hpp>
 #include <hemlocknotch/gateway/endpoint_record.hpp>
+#include <hemlocknotch/gateway/part_block.hpp>
 #include <hemlocknotch/gateway/routing_configuration.hpp>
 
 #include <cstdint>
@@ -41,8 +42,8 @@
     std::string fault;
 };
 
-using registry_item =
-    std::variant<unreadable_item, configuration_item, endpoint_item, out_of_service_item, member_item>;
+using registry_item = std::variant<unreadable_item, configuration_item, endpoint_item, out_of_service_item,
+                                   member_item, part_block>;
 
 /// One key of the registry that was written or removed.
 struct registry_change {
@@ -108,6 +109,12 @@
     /// Ends the lease, which removes the registration at once. Precondition: as for `renew`.
     virtual void leave(std::uint64_t lease) = 0;
 
+    /// Writes a block of a prompt part, which the registry removes after `time_to_live`.
+    virtual void write_block(const part_block& block, duration time_to_live, callback done) = 0;
+
+    /// Removes the block of a prompt part.
+    virtual void remove_block(std::uint64_t part, callback done) = 0;
+
     /// Returns the number of calls to the registry so far.
     [[nodiscard]] virtual std::uint64_t call_count() const = 0;
 };
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -24,13 +24,18 @@
 class caller_answers;
 class exchange_table;
 class fleet_reports;
+class prompt_part_breaker;
 class service_admission;
 struct exchange;
 struct exchange_context;
+struct part_block;
+struct part_decision;
 struct unserved_end;
 
 /// Settings of the router.
 struct router_options {
+    /// Name under which this gateway reports to the others.
+    std::string gateway;
     retry_bound retries;
     /// Drawn at random by each gateway, so that gateways do not act in lockstep.
     std::uint64_t seed = 0;
@@ -113,6 +118,13 @@
     /// Removes the load that `gateway` has reported: it left the fleet or its reports no longer arrive.
     void remove_gateway(std::string_view gateway);
 
+    /// Applies the blocks of prompt parts that are in the registry. Those of `lifted` were removed from it.
+    void set_registered_part_blocks(std::span<const part_block> blocks, std::span<const std::uint64_t> lifted,
+                                    instant now);
+
+    /// Returns what is known against prompt parts.
+    [[nodiscard]] prompt_part_breaker& prompt_parts() { return *parts_; }
+
     /// Handles everything that is due at `now`.
     void on_timer(instant now);
     /// Returns when `on_timer` is to be called next.
@@ -143,6 +155,16 @@
     void end_unserved(exchange& it, const unserved_end& end, bool may_have_run, instant now);
     void refuse(exchange& it, int status, std::string_view reason, duration retry_after, instant now);
     void expire(exchange& it, instant now);
+    void finish_call(exchange& it);
+    [[nodiscard]] part_decision decide_parts(const exchange& it, instant now) const;
+    void refuse_part(exchange& it, const part_decision& decision, instant now);
+    /// Records a call that its endpoint cut, if it may have ended on the prompt.
+    void note_cut(const exchange& it, instant now);
+    void note_sound_run(const exchange& it, instant now);
+    /// Logs what changed in the knowledge of prompt parts, and ends the requests that may not be sent any
+    /// more.
+    void apply_part_events(instant now);
+    void end_restricted_requests(instant now);
     void erase(const exchange& it);
     [[nodiscard]] exchange_context context_of(const exchange& it, instant now) const;
     [[nodiscard]] duration registry_age(instant now) const;
@@ -160,6 +182,7 @@
     std::unique_ptr<exchange_table> exchanges_;
     std::unique_ptr<caller_answers> answers_;
     std::unique_ptr<call_table> calls_;
+    std::unique_ptr<prompt_part_breaker> parts_;
     std::map<std::string, std::unique_ptr<service_admission>, std::less<>> services_;
 };
 
--- a/packages/gateway/src/caller_answers.cpp
+++ b/packages/gateway/src/caller_answers.cpp
@@ -47,8 +47,8 @@
     log_end(it, it.head->status, "answered", log_level::debug, context);
 }
 
-void caller_answers::refuse(const exchange& it, int status, std::string_view reason, duration retry_after,
-                            const exchange_context& context)
+void caller_answers::refuse(const exchange& it, int status, std::string_view reason,
+                            const retry_advice& advice, const exchange_context& context)
 {
     ++counters_.refused;
     port_.record({metric_kind::counter, "hemlocknotch_refusals_total", "code", std::string{reason}, 1.0});
@@ -56,7 +56,7 @@
         port_.record({metric_kind::counter, "hemlocknotch_gateway_account_refusals_total", "account",
                       it.account, 1.0});
     }
-    reply_own(it, status, reason, retry_after, context);
+    reply_own(it, status, reason, advice, context);
 }
 
 void caller_answers::end_unserved(const exchange& it, const unserved_end& end, bool may_have_run,
@@ -82,13 +82,15 @@
     log_end(it, 0, "caller-left", log_level::debug, context);
 }
 
-void caller_answers::reply_own(const exchange& it, int status, std::string_view reason, duration retry_after,
-                               const exchange_context& context)
+void caller_answers::reply_own(const exchange& it, int status, std::string_view reason,
+                               const retry_advice& advice, const exchange_context& context)
 {
     answer_head head{status, {{"Content-Type", "text/plain"}}};
-    if (retry_after > duration::zero()) {
+    if (advice.wait > duration::zero()) {
+        const auto& caller_timeout = it.request->fields.caller_timeout;
         head.headers.push_back(
-            {"Retry-After", retry_after_text(it.id_text(), retry_after, it.request->fields.caller_timeout)});
+            {"Retry-After", advice.is_exact ? exact_retry_after_text(advice.wait)
+                                            : retry_after_text(it.id_text(), advice.wait, caller_timeout)});
     }
     log_end(it, status, reason, status < first_server_error ? log_level::info : log_level::warning, context);
     port_.reply(it.id, head, std::string{reason} + "\n");
--- a/packages/gateway/src/caller_answers.hpp
+++ b/packages/gateway/src/caller_answers.hpp
@@ -24,6 +24,18 @@
     duration registry_age{-1};
 };
 
+/// When a caller may try again.
+struct retry_advice {
+    retry_advice(duration value) : wait{value} {} // NOLINT(google-explicit-constructor)
+
+    retry_advice(duration value, bool is_known) : wait{value}, is_exact{is_known} {}
+
+    /// Zero: not stated.
+    duration wait;
+    /// The time is known, so that it is neither spread nor limited to what callers accept.
+    bool is_exact = false;
+};
+
 /// Answers callers, and logs and counts how their requests end. Changes no decision about a request. Used by
 /// one thread at a time.
 class caller_answers {
@@ -38,9 +50,8 @@
     /// Ends a stream as complete.
     void end_stream(const exchange& it, const exchange_context& context);
 
-    /// Answers that the request was not executed and will not be. `retry_after` is when the caller may try
-    /// again; zero: not given.
-    void refuse(const exchange& it, int status, std::string_view reason, duration retry_after,
+    /// Answers that the request was not executed and will not be.
+    void refuse(const exchange& it, int status, std::string_view reason, const retry_advice& advice,
                 const exchange_context& context);
     /// Ends a request that could not be served.
     void end_unserved(const exchange& it, const unserved_end& end, bool may_have_run,
@@ -53,7 +64,7 @@
     [[nodiscard]] const router_counters& counters() const { return counters_; }
 
 private:
-    void reply_own(const exchange& it, int status, std::string_view reason, duration retry_after,
+    void reply_own(const exchange& it, int status, std::string_view reason, const retry_advice& advice,
                    const exchange_context& context);
     void record_time(const exchange& it, std::string_view name, instant now);
     void log_end(const exchange& it, int status, std::string_view reason, log_level level,
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -90,4 +90,33 @@
              {"unanswered_parts", part_ids_text(parts)}}};
 }
 
+log_effect part_changed_record(const part_event& it)
+{
+    const auto name_of = [](part_event::kind what) {
+        switch (what) {
+        case part_event::kind::suspected:
+            return "prompt-part-suspected";
+        case part_event::kind::blocked:
+            return "prompt-part-blocked";
+        case part_event::kind::cleared:
+            return "prompt-part-cleared";
+        case part_event::kind::lifted:
+            break;
+        }
+        return "prompt-part-block-lifted";
+    };
+    std::string endpoints;
+    for (const auto& instance : it.endpoints) {
+        endpoints += endpoints.empty() ? "" : ",";
+        endpoints += instance;
+    }
+    return {log_level::warning,
+            name_of(it.what),
+            {{"part", part_ids_text(std::array{it.part})},
+             {"ends", std::to_string(it.endpoints.size())},
+             {"endpoints", std::move(endpoints)},
+             {"block", std::to_string(it.block)},
+             {"source", it.source}}};
+}
+
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/exchange_log.hpp
+++ b/packages/gateway/src/exchange_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/core/log_record.hpp>
+#include <hemlocknotch/gateway/prompt_part_breaker.hpp>
 
 #include "exchange.hpp"
 
@@ -35,4 +36,7 @@
 /// names the shared prompt parts of those of which no event had arrived.
 log_effect endpoint_cut_calls_record(std::string_view instance, std::span<const exchange* const> open);
 
+/// Returns the log record for a change of what is believed of a prompt part.
+log_effect part_changed_record(const part_event& it);
+
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/exchange_table.cpp
+++ b/packages/gateway/src/exchange_table.cpp
@@ -1,5 +1,6 @@
 #include "exchange_table.hpp"
 
+#include <algorithm>
 #include <cassert>
 
 namespace hemlocknotch::gateway {
@@ -18,6 +19,18 @@
     return it == exchanges_.end() ? nullptr : it->second.get();
 }
 
+std::vector<exchange_id> exchange_table::find_all(const std::function<bool(const exchange&)>& matches) const
+{
+    std::vector<exchange_id> out;
+    for (const auto& [id, it] : exchanges_) {
+        if (matches(*it)) {
+            out.push_back(id);
+        }
+    }
+    std::ranges::sort(out);
+    return out;
+}
+
 void exchange_table::add_deadline(const exchange& it, instant at)
 {
     deadlines_.emplace(at, it.id);
--- a/packages/gateway/src/exchange_table.hpp
+++ b/packages/gateway/src/exchange_table.hpp
@@ -3,6 +3,7 @@
 #include "exchange.hpp"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -20,6 +21,10 @@
     /// Returns the request `id`; null if it has ended.
     exchange* find(exchange_id id);
 
+    /// Returns the requests for which `matches` returns true.
+    [[nodiscard]] std::vector<exchange_id>
+    find_all(const std::function<bool(const exchange&)>& matches) const;
+
     /// Adds a deadline for `it`. It is removed together with the request.
     void add_deadline(const exchange& it, instant at);
 
--- a/packages/gateway/src/fleet_reports.cpp
+++ b/packages/gateway/src/fleet_reports.cpp
@@ -53,7 +53,7 @@
     return out;
 }
 
-void fleet_reports::apply_load(const fleet_report& report)
+bool fleet_reports::apply_load(const fleet_report& report)
 {
     std::vector<reported_endpoint_load> loads;
     loads.reserve(report.endpoints.size());
@@ -61,8 +61,9 @@
         loads.push_back({it.instance, {it.pending_tokens, it.running, it.tokens_per_second}});
     }
     endpoints_.set_peer_load(report.gateway, loads);
-    reporting_.insert(report.gateway);
+    const auto is_new = reporting_.insert(report.gateway).second;
     update_non_reporting_gateways();
+    return is_new;
 }
 
 void fleet_reports::remove(std::string_view gateway)
--- a/packages/gateway/src/fleet_reports.hpp
+++ b/packages/gateway/src/fleet_reports.hpp
@@ -30,12 +30,15 @@
 
     [[nodiscard]] std::size_t gateways() const { return gateways_; }
 
+    /// Returns the names of the other gateways whose reports are current.
+    [[nodiscard]] const std::set<std::string, std::less<>>& others() const { return reporting_; }
+
     /// Returns the report of this gateway; the sender fills in name, incarnation and sequence.
     [[nodiscard]] fleet_report create(const admission_map& services, instant now) const;
 
     /// Applies the reported load of another gateway. The rates of accounts in the report are left to the
-    /// caller.
-    void apply_load(const fleet_report& report);
+    /// caller. Returns whether the gateway did not report until now.
+    bool apply_load(const fleet_report& report);
 
     /// Removes the load that `gateway` has reported.
     void remove(std::string_view gateway);
--- a/packages/gateway/src/registry_view.cpp
+++ b/packages/gateway/src/registry_view.cpp
@@ -207,6 +207,9 @@
         return;
     }
     mark_changed(value.item, difference);
+    if (const auto* block = std::get_if<part_block>(&value.item); block != nullptr && value.revision != 0) {
+        difference.lifted_parts.push_back(block->part);
+    }
     entries_.erase(it);
 }
 
@@ -319,12 +322,24 @@
     return out;
 }
 
+std::vector<part_block> registry_view::part_blocks() const
+{
+    std::vector<part_block> out;
+    for (const auto& [key, it] : entries_) {
+        if (const auto* block = std::get_if<part_block>(&it.item)) {
+            out.push_back(*block);
+        }
+    }
+    return out;
+}
+
 void registry_view::mark_changed(const registry_item& item, registry_difference& difference)
 {
     difference.has_endpoints = difference.has_endpoints || std::holds_alternative<endpoint_item>(item);
     difference.has_out_of_service =
         difference.has_out_of_service || std::holds_alternative<out_of_service_item>(item);
     difference.has_members = difference.has_members || std::holds_alternative<member_item>(item);
+    difference.has_part_blocks = difference.has_part_blocks || std::holds_alternative<part_block>(item);
 }
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/retry_after.cpp
+++ b/packages/gateway/src/retry_after.cpp
@@ -25,4 +25,9 @@
     return std::to_string(out.count());
 }
 
+std::string exact_retry_after_text(duration wait)
+{
+    return std::to_string(std::chrono::duration<double>(wait).count());
+}
+
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -1,3 +1,4 @@
+#include <hemlocknotch/gateway/prompt_part_breaker.hpp>
 #include <hemlocknotch/gateway/router.hpp>
 
 #include "call_table.hpp"
@@ -52,7 +53,8 @@
       reports_{std::make_unique<fleet_reports>(endpoints_)},
       exchanges_{std::make_unique<exchange_table>()},
       answers_{std::make_unique<caller_answers>(port)},
-      calls_{std::make_unique<call_table>(endpoints_, options_.output_weight)}
+      calls_{std::make_unique<call_table>(endpoints_, options_.output_weight)},
+      parts_{std::make_unique<prompt_part_breaker>(options_.gateway)}
 {
 }
 
@@ -85,7 +87,7 @@
         auto* it = exchanges_->find(id);
         assert(it != nullptr);
         if (port_.recall_call(it->call)) {
-            calls_->finish(*it);
+            finish_call(*it);
             send_again(*it, now);
         }
     }
@@ -162,6 +164,9 @@
 
 void router::admit(exchange& it, instant now)
 {
+    if (const auto decision = decide_parts(it, now); !decision.is_permitted()) {
+        return refuse_part(it, decision, now);
+    }
     auto& service = service_of(it.service);
     if (service.queue().is_empty() && try_send(it, now)) {
         return;
@@ -190,6 +195,9 @@
 
 bool router::try_send(exchange& it, instant now)
 {
+    if (!decide_parts(it, now).is_permitted()) {
+        return false;
+    }
     std::vector<endpoint_state*> states;
     const auto loads =
         endpoints_.loads_of(it.service, now, it.tried, it.placement_input.shared_parts, states);
@@ -214,6 +222,7 @@
     ++answers_->counters().attempts;
     const auto start = calls_->begin(it, endpoint, reports_->gateways(), now);
     service_of(it.service).note_sent(it, now);
+    parts_->note_sent(it.id, it.placement_input.shared_parts);
     record_attempt(port_, it, now);
     if (it.matched->kind == request_kind::safe && it.executions + 1 < it.matched->max_attempts) {
         it.attempt_timeout_at =
@@ -247,7 +256,7 @@
     answers_->note_disconnected(it, context_of(it, now));
     if (it.call != 0) {
         port_.cancel_call(it.call);
-        calls_->finish(it);
+        finish_call(it);
     }
     erase(it);
     offer_waiting(now);
@@ -280,6 +289,9 @@
         if (const auto events = it->events.append(bytes); !events.empty()) {
             it->first_event_at = std::min(it->first_event_at, now);
             answers_->pass_events(*it, events, now);
+            if (now - it->first_event_at >= prompt_part_breaker::sound_run_time) {
+                note_sound_run(*it, now);
+            }
         }
     }
     else {
@@ -302,9 +314,12 @@
         return;
     }
     auto& it = *found;
+    if (outcome == call_outcome::broken || (it.is_stream && it.events.has_remainder())) {
+        note_cut(it, now);
+    }
     if (outcome != call_outcome::complete || !it.head) {
         handle_failure(it, outcome == call_outcome::complete ? call_outcome::broken : outcome, now);
-        return;
+        return apply_part_events(now);
     }
     if (it.answer.is_not_executed || it.head->status == status_misdirected) {
         handle_rejection(it, now);
@@ -313,11 +328,12 @@
         handle_complete_answer(it, now);
     }
     else if (it.events.has_remainder()) {
-        return handle_failure(it, call_outcome::broken, now);
+        handle_failure(it, call_outcome::broken, now);
     }
     else {
         finish_stream(it, now);
     }
+    apply_part_events(now);
     offer_waiting(now);
 }
 
@@ -326,7 +342,7 @@
     if (auto* endpoint = endpoints_.find(it.instance)) {
         endpoint_table::note_rejection(*endpoint, it.head->status == status_misdirected, now);
     }
-    calls_->finish(it);
+    finish_call(it);
     if (!retry(it, false, now)) {
         end_unserved(it, endpoint_refused, it.executions > 0, now);
     }
@@ -335,6 +351,9 @@
 void router::handle_complete_answer(exchange& it, instant now)
 {
     const auto is_failure = it.head->status >= first_server_error;
+    if (!is_failure) {
+        note_sound_run(it, now);
+    }
     if (auto* endpoint = endpoints_.find(it.instance)) {
         is_failure ? endpoints_.note_failure(*endpoint, true, now) : endpoints_.note_success(*endpoint);
     }
@@ -342,7 +361,7 @@
         // Kept for the caller in case no other endpoint does better.
         const auto head = *it.head;
         auto body = std::move(it.body);
-        calls_->finish(it);
+        finish_call(it);
         if (retry(it, true, now)) {
             return;
         }
@@ -350,7 +369,7 @@
         it.body = std::move(body);
     }
     answers_->pass_complete(it, context_of(it, now));
-    calls_->finish(it);
+    finish_call(it);
     erase(it);
 }
 
@@ -359,8 +378,9 @@
     if (auto* endpoint = endpoints_.find(it.instance)) {
         endpoints_.note_success(*endpoint);
     }
+    note_sound_run(it, now);
     answers_->end_stream(it, context_of(it, now));
-    calls_->finish(it);
+    finish_call(it);
     erase(it);
 }
 
@@ -377,7 +397,7 @@
     if (port_.wants_log(log_level::warning)) {
         port_.write_log(call_failed_record(it, was_executed, now));
     }
-    calls_->finish(it);
+    finish_call(it);
     it.events.drop_remainder();
     if (retry(it, was_executed, now)) {
         offer_waiting(now);
@@ -404,6 +424,9 @@
     }
     it.executions += was_executed ? 1U : 0U;
     it.tried.push_back(it.instance);
+    if (!decide_parts(it, now).is_permitted()) {
+        return false;
+    }
     if (endpoints_.are_all_tried(it.service, it.tried) || !service_of(it.service).retries().try_spend()) {
         return false;
     }
@@ -423,23 +446,38 @@
 
 fleet_report router::create_report(instant now) const
 {
-    return reports_->create(services_, now);
+    auto out = reports_->create(services_, now);
+    out.prompt_parts = parts_->create_report(now);
+    return out;
 }
 
 void router::apply_report(const fleet_report& report, instant now)
 {
-    reports_->apply_load(report);
+    if (reports_->apply_load(report)) {
+        parts_->set_others(reports_->others());
+    }
+    parts_->apply_report(report.gateway, report.prompt_parts, now);
     for (const auto& it : report.accounts) {
         service_of(it.service).meter().set_reported(report.gateway, it.account, it.rates, now);
     }
     for (auto& [name, service] : services_) {
         service->request_offer(now);
     }
+    apply_part_events(now);
 }
 
 void router::remove_gateway(std::string_view gateway)
 {
     reports_->remove(gateway);
+    parts_->remove_gateway(gateway);
+    parts_->set_others(reports_->others());
+}
+
+void router::set_registered_part_blocks(std::span<const part_block> blocks,
+                                        std::span<const std::uint64_t> lifted, instant now)
+{
+    parts_->set_registered(blocks, lifted, now);
+    apply_part_events(now);
 }
 
 void router::on_timer(instant now)
@@ -477,7 +515,7 @@
     const auto has_call = it.call != 0;
     if (has_call) {
         port_.cancel_call(it.call);
-        calls_->finish(it);
+        finish_call(it);
     }
     end_unserved(it, deadline_exceeded, has_call || it.executions > 0, now);
 }
@@ -494,6 +532,81 @@
     erase(it);
 }
 
+void router::finish_call(exchange& it)
+{
+    parts_->note_done(it.id, it.placement_input.shared_parts);
+    calls_->finish(it);
+}
+
+part_decision router::decide_parts(const exchange& it, instant now) const
+{
+    return it.is_model ? parts_->decide(it.id, it.placement_input.shared_parts, now) : part_decision{};
+}
+
+void router::refuse_part(exchange& it, const part_decision& decision, instant now)
+{
+    const auto is_blocked = decision.verdict == part_verdict::blocked;
+    answers_->refuse(it, status_unavailable, is_blocked ? "prompt-part-blocked" : "prompt-part-suspected",
+                     {decision.retry_after, is_blocked}, context_of(it, now));
+    erase(it);
+}
+
+void router::note_cut(const exchange& it, instant now)
+{
+    const auto is_sound_run =
+        it.first_event_at != instant::max() && now - it.first_event_at >= prompt_part_breaker::sound_run_time;
+    if (it.is_model && !is_sound_run) {
+        parts_->note_end(it.id, it.placement_input.shared_parts, it.instance, now);
+    }
+}
+
+void router::note_sound_run(const exchange& it, instant now)
+{
+    if (it.is_model) {
+        parts_->note_sound(it.placement_input.shared_parts, now);
+    }
+}
+
+void router::apply_part_events(instant now)
+{
+    bool is_restricted = false;
+    for (const auto& it : parts_->take_events()) {
+        is_restricted =
+            is_restricted || it.what == part_event::kind::suspected || it.what == part_event::kind::blocked;
+        port_.write_state_log(part_changed_record(it));
+    }
+    if (is_restricted) {
+        end_restricted_requests(now);
+    }
+}
+
+void router::end_restricted_requests(instant now)
+{
+    const auto restricted = exchanges_->find_all([&](const exchange& it) {
+        const auto verdict = decide_parts(it, now).verdict;
+        const auto is_unanswered = it.call != 0 && it.first_event_at == instant::max();
+        return verdict == part_verdict::blocked ? it.is_waiting || is_unanswered
+                                                : verdict == part_verdict::suspected && it.is_waiting;
+    });
+    for (const auto id : restricted) {
+        auto& it = *exchanges_->find(id);
+        auto may_have_run = it.executions > 0;
+        if (it.call != 0) {
+            if (!port_.recall_call(it.call)) {
+                port_.cancel_call(it.call);
+                may_have_run = true;
+            }
+            finish_call(it);
+        }
+        if (may_have_run || it.is_begun) {
+            end_unserved(it, prompt_part_restricted, may_have_run, now);
+        }
+        else {
+            refuse_part(it, decide_parts(it, now), now);
+        }
+    }
+}
+
 exchange_context router::context_of(const exchange& it, instant now) const
 {
     const auto service = services_.find(it.service);
--- a/packages/gateway/tests/crashing_fleet.hpp
+++ b/packages/gateway/tests/crashing_fleet.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <hemlocknotch/gateway/prompt_part_breaker.hpp>
+
 #include "recording_port.hpp"
 #include "router_fixture.hpp"
 
@@ -101,9 +103,13 @@
                 actions_.pop();
                 action();
             }
-            for (auto& it : gateways_) {
+            for (std::size_t n = 0; n < gateways_.size(); ++n) {
+                auto& it = gateways_[n];
                 it.decisions->on_timer(now_);
                 collect(it);
+                if (it.decisions->prompt_parts().take_urgency()) {
+                    send_report(n);
+                }
             }
             if (now_ - reported_at_ >= options_.report_interval) {
                 exchange_reports();
@@ -204,12 +210,15 @@
         it.open.clear();
         router_options options;
         options.seed = random_();
+        options.gateway = name_of(n);
         it.decisions = std::make_unique<router>(options, model_placement_, plain_placement_, *it.port);
         it.decisions->set_gateways(options_.gateways);
         it.decisions->set_configuration(std::make_shared<routing_configuration>(create_document()), now_);
         it.decisions->set_endpoints(records(), now_);
     }
 
+    static std::string name_of(std::size_t gateway) { return "g" + std::to_string(gateway); }
+
     void start_endpoint()
     {
         auto record = create_endpoint("m" + std::to_string(++started_endpoints_), "model");
@@ -345,17 +354,23 @@
     {
         reported_at_ = now_;
         for (std::size_t n = 0; n < gateways_.size(); ++n) {
-            auto report = gateways_[n].decisions->create_report(now_);
-            report.gateway = "g" + std::to_string(n);
-            report.incarnation = gateways_[n].generation;
-            report.sequence = ++gateways_[n].sequence;
-            for (std::size_t to = 0; to < gateways_.size(); ++to) {
-                constexpr double range = 10'000.0;
-                const auto is_lost = static_cast<double>(random_() % 10'000) < options_.report_loss * range;
-                if (to != n && !is_lost) {
-                    gateways_[to].decisions->apply_report(report, now_);
-                    collect(gateways_[to]);
-                }
+            send_report(n);
+        }
+    }
+
+    void send_report(std::size_t from)
+    {
+        auto& it = gateways_[from];
+        auto report = it.decisions->create_report(now_);
+        report.gateway = name_of(from);
+        report.incarnation = it.generation;
+        report.sequence = ++it.sequence;
+        for (std::size_t to = 0; to < gateways_.size(); ++to) {
+            constexpr double range = 10'000.0;
+            const auto is_lost = static_cast<double>(random_() % 10'000) < options_.report_loss * range;
+            if (to != from && !is_lost) {
+                gateways_[to].decisions->apply_report(report, now_);
+                collect(gateways_[to]);
             }
         }
     }
--- a/packages/gateway/tests/crashing_part_test.cpp
+++ b/packages/gateway/tests/crashing_part_test.cpp
@@ -6,14 +6,16 @@
 namespace {
 
 constexpr std::uint64_t guilty_part = 900;
+constexpr std::uint64_t other_guilty_part = 901;
 /// Bound of the platform: later than this after the fifth end, at most three requests with the part may reach
 /// endpoints.
 constexpr duration contact_bound = std::chrono::seconds{3};
 constexpr std::size_t max_late_arrivals = 3;
 
 /// Sends 60 sound requests per second, which share their first part and 20 second parts, and four requests
-/// per second with the guilty part.
-void run_with_guilty_part(crashing_fleet& fleet, duration length)
+/// per second that also have one of `guilty`.
+void run_with(crashing_fleet& fleet, duration length,
+              const std::vector<std::uint64_t>& guilty = {guilty_part})
 {
     std::uint64_t n = 0;
     fleet.run(length, [&] {
@@ -21,12 +23,22 @@
         if (n % 5 < 3) {
             fleet.send({1 + n % 3, 100 + n % 20});
         }
-        if (n % 25 == 0) {
-            fleet.send({1 + n % 3, guilty_part});
+        if (n % 25 == 0 && !guilty.empty()) {
+            fleet.send({1 + n % 3, guilty[n / 25 % guilty.size()]});
         }
     });
 }
 
+/// Returns the share of the sound requests that were answered during `run`.
+template <class Run>
+double answered_share(crashing_fleet& fleet, Run run)
+{
+    const auto before = fleet.counts;
+    run();
+    return static_cast<double>(fleet.counts.sound_answers - before.sound_answers) /
+           static_cast<double>(fleet.counts.sound_requests - before.sound_requests);
+}
+
 BOOST_AUTO_TEST_SUITE(crashing_part_suite)
 
 BOOST_AUTO_TEST_CASE(requests_with_a_part_that_crashes_endpoints_stop_reaching_them)
@@ -34,7 +46,7 @@
     for (const auto* target : {"/resume/x", "/stream/x"}) {
         crashing_fleet fleet{{.target = target}};
         fleet.guilty = {guilty_part};
-        run_with_guilty_part(fleet, std::chrono::seconds{30});
+        run_with(fleet, std::chrono::seconds{30});
         BOOST_TEST(fleet.guilty_arrivals_after_end(5, contact_bound) <= max_late_arrivals);
     }
 }
@@ -43,11 +55,90 @@
 {
     crashing_fleet fleet{{}};
     fleet.guilty = {guilty_part};
-    run_with_guilty_part(fleet, std::chrono::seconds{6});
-    const auto requests = fleet.counts.sound_requests;
-    const auto answers = fleet.counts.sound_answers;
-    run_with_guilty_part(fleet, std::chrono::seconds{24});
-    BOOST_TEST((fleet.counts.sound_answers - answers) * 2 >= fleet.counts.sound_requests - requests);
+    run_with(fleet, std::chrono::seconds{6});
+    BOOST_TEST(answered_share(fleet, [&] { run_with(fleet, std::chrono::seconds{24}); }) >= 0.5);
+}
+
+BOOST_AUTO_TEST_CASE(a_crashing_part_is_stopped_with_many_gateways_and_lost_reports)
+{
+    for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+        crashing_fleet fleet{{.gateways = 40,
+                              .endpoints = 60,
+                              .report_loss = 0.2,
+                              .report_interval = milliseconds{500},
+                              .seed = seed}};
+        fleet.guilty = {guilty_part};
+        run_with(fleet, std::chrono::seconds{30});
+        BOOST_TEST(fleet.guilty_arrivals_after_end(5, contact_bound) <= max_late_arrivals);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(two_crashing_parts_at_once_are_both_stopped)
+{
+    crashing_fleet fleet{{}};
+    fleet.guilty = {guilty_part, other_guilty_part};
+    run_with(fleet, std::chrono::seconds{30}, {guilty_part, other_guilty_part});
+    const auto ends = fleet.counts.ends.size();
+    run_with(fleet, std::chrono::seconds{10}, {guilty_part, other_guilty_part});
+    BOOST_TEST(fleet.counts.ends.size() - ends <= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_crashing_first_part_is_stopped)
+{
+    crashing_fleet fleet{{}};
+    fleet.guilty = {guilty_part};
+    std::uint64_t n = 0;
+    fleet.run(std::chrono::seconds{30}, [&] {
+        ++n;
+        if (n % 5 < 3) {
+            fleet.send({1 + n % 3, 100 + n % 20});
+        }
+        if (n % 25 == 0) {
+            fleet.send({guilty_part, 100 + n / 25 % 20});
+        }
+    });
+    BOOST_TEST(fleet.guilty_arrivals_after_end(5, contact_bound) <= max_late_arrivals);
+    BOOST_TEST(answered_share(fleet, [&] { run_with(fleet, std::chrono::seconds{10}, {}); }) >= 0.9);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_failure_domain_blocks_no_part)
+{
+    for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+        crashing_fleet fleet{{.seed = seed}};
+        run_with(fleet, std::chrono::seconds{5}, {});
+        fleet.lose_endpoints(3);
+        run_with(fleet, std::chrono::seconds{5}, {});
+        fleet.lose_endpoints(9);
+        run_with(fleet, std::chrono::seconds{15}, {});
+        BOOST_TEST(fleet.log_lines("prompt-part-blocked").empty());
+        const auto share = answered_share(fleet, [&] { run_with(fleet, std::chrono::seconds{5}, {}); });
+        BOOST_TEST(share >= 0.9);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(endpoints_that_are_killed_one_after_the_other_block_no_part)
+{
+    for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+        crashing_fleet fleet{{.seed = seed}};
+        for (int n = 0; n < 20; ++n) {
+            fleet.lose_endpoints(1);
+            run_with(fleet, milliseconds{700}, {});
+        }
+        BOOST_TEST(fleet.log_lines("prompt-part-blocked").empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_part_that_is_sound_again_is_served_after_the_block)
+{
+    crashing_fleet fleet{{}};
+    fleet.guilty = {guilty_part};
+    run_with(fleet, std::chrono::seconds{5});
+    fleet.guilty.clear();
+    run_with(fleet, prompt_part_breaker::first_block_time + std::chrono::seconds{5});
+    const auto refusals = fleet.counts.sound_refusals;
+    run_with(fleet, std::chrono::seconds{5});
+    BOOST_TEST(fleet.counts.sound_refusals == refusals);
+    BOOST_TEST(!fleet.log_lines("prompt-part-cleared").empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
+++ b/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
@@ -22,6 +22,8 @@
     bool loses_answers = false;
     /// Streams break off after so many events; 0: they do not.
     std::size_t breaks_after = 0;
+    /// The endpoint crashes when it begins to answer a prompt with this part; empty: it does not.
+    std::string crashing_part;
     /// Time between two events of a stream.
     duration event_interval = std::chrono::milliseconds{5};
 };
--- a/packages/standins/src/platform_endpoint.cpp
+++ b/packages/standins/src/platform_endpoint.cpp
@@ -93,6 +93,10 @@
     }
     ++executions[id];
     last_account = request.header("X-Tenant").value_or("");
+    const auto prompt = request.header("X-Prompt-Prefix").value_or("");
+    if (!faults.crashing_part.empty() && prompt.find(faults.crashing_part + ":") != std::string::npos) {
+        return crash();
+    }
     if (faults.loses_answers) {
         return request.drop();
     }
