Log the limit of requests that an endpoint states in its answers

Nothing read the limit, and no log line could tell whether it is not read or kept by each gateway alone. A limit that cannot be read is logged and ignored. No decision changes.

--- a/packages/gateway/bench/fleet_gateway_node.cpp
+++ b/packages/gateway/bench/fleet_gateway_node.cpp
@@ -22,12 +22,9 @@
 {
     const auto now = fleet_.events_.now();
     if (n == 1) {
-        const answer_fields fields{.request_id = {},
-                                   .is_signed = true,
-                                   .is_not_executed = false,
-                                   .is_event_stream = true,
-                                   .is_encoded = false,
-                                   .load = {}};
+        answer_fields fields;
+        fields.is_signed = true;
+        fields.is_event_stream = true;
         decisions.on_head(call, {status_ok, {}}, fields, now);
     }
     decisions.on_part(call, event_text(n), now);
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -74,6 +74,8 @@
     void set_peer(std::string_view gateway, const peer_load& load);
     void remove_peer(std::string_view gateway);
     std::optional<cold_rate_limiter> cold_limiter;
+    /// Requests per second that the endpoint takes from all gateways, as its last answer stated; 0: no limit.
+    double request_limit = 0.0;
 };
 
 /// The endpoints of all services, with their load and health. Used by one thread at a time.
--- a/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
@@ -60,6 +60,11 @@
     /// Whether a content coding other than identity is applied, so that the body is not the endpoint's own.
     bool is_encoded = false;
     std::optional<reported_load> load;
+    /// Requests per second that the endpoint takes from all gateways together, as long as its answers say so;
+    /// empty: no limit is stated.
+    std::optional<double> request_limit;
+    /// Whether a limit is stated that cannot be read.
+    bool has_unreadable_limit = false;
 };
 
 /// Message format of the users' platform: reads the headers of requests and answers and writes those for
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -148,6 +148,8 @@
     void handle_failure(exchange& it, call_outcome outcome, instant now);
     void handle_rejection(exchange& it, instant now);
     void handle_complete_answer(exchange& it, instant now);
+    /// Records the limit of requests that an answer of the endpoint `instance` states.
+    void note_limit(std::string_view instance, const answer_fields& fields);
     /// Logs what the endpoint `instance` was working on for this gateway when it broke off a call.
     void log_cut_calls(std::string_view instance);
     bool retry(exchange& it, bool was_executed, instant now);
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -90,6 +90,15 @@
              {"unanswered_parts", part_ids_text(parts)}}};
 }
 
+log_effect endpoint_limit_record(std::string_view instance, double before, double after)
+{
+    return {log_level::warning,
+            "endpoint-limit-changed",
+            {{"endpoint", std::string{instance}},
+             {"requests_per_second", std::to_string(after)},
+             {"before", std::to_string(before)}}};
+}
+
 log_effect part_changed_record(const part_event& it)
 {
     const auto name_of = [](part_event::kind what) {
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -268,6 +268,7 @@
     if (it == nullptr) {
         return;
     }
+    note_limit(it->instance, fields);
     const auto is_success = head.status >= 200 && head.status < 300;
     if (is_success && (!fields.is_signed || fields.is_encoded)) {
         port_.cancel_call(call);
@@ -279,6 +280,26 @@
     it->answer = fields;
 }
 
+void router::note_limit(std::string_view instance, const answer_fields& fields)
+{
+    auto* endpoint = endpoints_.find(instance);
+    if (endpoint == nullptr) {
+        return;
+    }
+    if (fields.has_unreadable_limit) {
+        if (port_.wants_log(log_level::warning)) {
+            port_.write_log(
+                {log_level::warning, "endpoint-limit-unreadable", {{"endpoint", std::string{instance}}}});
+        }
+        return;
+    }
+    const auto limit = fields.request_limit.value_or(0.0);
+    const auto before = std::exchange(endpoint->request_limit, limit);
+    if (limit != before) {
+        port_.write_state_log(endpoint_limit_record(instance, before, limit));
+    }
+}
+
 void router::on_part(call_id call, std::string_view bytes, instant now)
 {
     auto* it = find_by_call(call);
--- a/packages/gateway/tests/router_test.cpp
+++ b/packages/gateway/tests/router_test.cpp
@@ -104,6 +104,19 @@
     BOOST_TEST(value(failures[0], "ran_ms") == "30");
 }
 
+BOOST_AUTO_TEST_CASE(a_limit_that_an_endpoint_states_is_logged_when_it_changes)
+{
+    answer_fields fields;
+    fields.is_signed = true;
+    fields.request_limit = 4.5;
+    for (exchange_id n = 1; n <= 2; ++n) {
+        send_request(n, "/stream/x");
+        it.on_head(port.calls.back().call, {200, {}}, fields, now);
+        it.on_end(port.calls.back().call, call_outcome::complete, now);
+    }
+    BOOST_TEST(port.lines("endpoint-limit-changed").size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(passes_on_a_failure_when_the_retry_fails_too)
 {
     send_request(1, "/safe/x");
