--- a/packages/gateway/tests/crashing_part_test.cpp
+++ b/packages/gateway/tests/crashing_part_test.cpp
@@ -1,4 +1,4 @@
-#include "crashing_fleet.hpp"
+#include "fault_fleet.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -14,8 +14,7 @@
 
 /// Sends 60 sound requests per second, which share their first part and 20 second parts, and four requests
 /// per second that also have one of `guilty`.
-void run_with(crashing_fleet& fleet, duration length,
-              const std::vector<std::uint64_t>& guilty = {guilty_part})
+void run_with(fault_fleet& fleet, duration length, const std::vector<std::uint64_t>& guilty = {guilty_part})
 {
     std::uint64_t n = 0;
     fleet.run(length, [&] {
@@ -31,7 +30,7 @@
 
 /// Returns the share of the sound requests that were answered during `run`.
 template <class Run>
-double answered_share(crashing_fleet& fleet, Run run)
+double answered_share(fault_fleet& fleet, Run run)
 {
     const auto before = fleet.counts;
     run();
@@ -44,7 +43,7 @@
 BOOST_AUTO_TEST_CASE(requests_with_a_part_that_crashes_endpoints_stop_reaching_them)
 {
     for (const auto* target : {"/resume/x", "/stream/x"}) {
-        crashing_fleet fleet{{.target = target}};
+        fault_fleet fleet{{.target = target}};
         fleet.guilty = {guilty_part};
         run_with(fleet, std::chrono::seconds{30});
         BOOST_TEST(fleet.guilty_arrivals_after_end(5, contact_bound) <= max_late_arrivals);
@@ -53,7 +52,7 @@
 
 BOOST_AUTO_TEST_CASE(sound_requests_are_served_while_others_crash_endpoints)
 {
-    crashing_fleet fleet{{}};
+    fault_fleet fleet{{}};
     fleet.guilty = {guilty_part};
     run_with(fleet, std::chrono::seconds{6});
     BOOST_TEST(answered_share(fleet, [&] { run_with(fleet, std::chrono::seconds{24}); }) >= 0.5);
@@ -62,11 +61,11 @@
 BOOST_AUTO_TEST_CASE(a_crashing_part_is_stopped_with_many_gateways_and_lost_reports)
 {
     for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
-        crashing_fleet fleet{{.gateways = 40,
-                              .endpoints = 60,
-                              .report_loss = 0.2,
-                              .report_interval = milliseconds{500},
-                              .seed = seed}};
+        fault_fleet fleet{{.gateways = 40,
+                           .endpoints = 60,
+                           .report_loss = 0.2,
+                           .report_interval = milliseconds{500},
+                           .seed = seed}};
         fleet.guilty = {guilty_part};
         run_with(fleet, std::chrono::seconds{30});
         BOOST_TEST(fleet.guilty_arrivals_after_end(5, contact_bound) <= max_late_arrivals);
@@ -75,7 +74,7 @@
 
 BOOST_AUTO_TEST_CASE(two_crashing_parts_at_once_are_both_stopped)
 {
-    crashing_fleet fleet{{}};
+    fault_fleet fleet{{}};
     fleet.guilty = {guilty_part, other_guilty_part};
     run_with(fleet, std::chrono::seconds{30}, {guilty_part, other_guilty_part});
     const auto ends = fleet.counts.ends.size();
@@ -85,7 +84,7 @@
 
 BOOST_AUTO_TEST_CASE(a_crashing_first_part_is_stopped)
 {
-    crashing_fleet fleet{{}};
+    fault_fleet fleet{{}};
     fleet.guilty = {guilty_part};
     std::uint64_t n = 0;
     fleet.run(std::chrono::seconds{30}, [&] {
@@ -104,7 +103,7 @@
 BOOST_AUTO_TEST_CASE(a_lost_failure_domain_blocks_no_part)
 {
     for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
-        crashing_fleet fleet{{.seed = seed}};
+        fault_fleet fleet{{.seed = seed}};
         run_with(fleet, std::chrono::seconds{5}, {});
         fleet.lose_endpoints(3);
         run_with(fleet, std::chrono::seconds{5}, {});
@@ -119,7 +118,7 @@
 BOOST_AUTO_TEST_CASE(endpoints_that_are_killed_one_after_the_other_block_no_part)
 {
     for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
-        crashing_fleet fleet{{.seed = seed}};
+        fault_fleet fleet{{.seed = seed}};
         for (int n = 0; n < 20; ++n) {
             fleet.lose_endpoints(1);
             run_with(fleet, milliseconds{700}, {});
@@ -130,7 +129,7 @@
 
 BOOST_AUTO_TEST_CASE(a_part_that_is_sound_again_is_served_after_the_block)
 {
-    crashing_fleet fleet{{}};
+    fault_fleet fleet{{}};
     fleet.guilty = {guilty_part};
     run_with(fleet, std::chrono::seconds{5});
     fleet.guilty.clear();
--- a/packages/gateway/tests/crashing_fleet.hpp
+++ b/packages/gateway/tests/fault_fleet.hpp
@@ -23,7 +23,7 @@
 
 namespace hemlocknotch::gateway {
 
-struct crashing_fleet_options {
+struct fault_fleet_options {
     std::size_t gateways = 4;
     std::size_t endpoints = 9;
     /// Probability that a report does not reach one of its receivers.
@@ -34,7 +34,7 @@
 };
 
 /// Counts what callers and endpoints see.
-struct crashing_fleet_counts {
+struct fault_fleet_counts {
     /// Times at which endpoints ended on a prompt part.
     std::vector<instant> ends;
     /// Times at which requests with such a part reached endpoints.
@@ -42,17 +42,20 @@
     std::size_t sound_requests = 0;
     std::size_t sound_refusals = 0;
     std::size_t sound_answers = 0;
+    /// Times at which requests reached each endpoint.
+    std::map<std::string, std::vector<instant>> arrivals;
 };
 
-/// Routers in front of model endpoints that end when they begin to write an answer to a prompt with one of
-/// the guilty parts, and start anew under another name some seconds later. Virtual time.
-class crashing_fleet {
+/// Routers in front of model endpoints with faults, in virtual time. Endpoints end when they begin to write
+/// an answer to a prompt with one of the guilty parts, and start anew under another name some seconds later.
+/// They state limits of the requests that they take.
+class fault_fleet {
 public:
     static constexpr duration restart_time = std::chrono::seconds{3};
     /// Time until the registration of an endpoint that ended lapses.
     static constexpr duration lapse_time = milliseconds{3500};
 
-    explicit crashing_fleet(const crashing_fleet_options& options) : options_{options}, random_{options.seed}
+    explicit fault_fleet(const fault_fleet_options& options) : options_{options}, random_{options.seed}
     {
         for (std::size_t n = 0; n < options_.endpoints; ++n) {
             start_endpoint();
@@ -65,7 +68,7 @@
 
     /// Prompt parts that end endpoints.
     std::set<std::uint64_t> guilty;
-    crashing_fleet_counts counts;
+    fault_fleet_counts counts;
 
     [[nodiscard]] instant now() const { return now_; }
 
@@ -132,6 +135,46 @@
         }
     }
 
+    /// Lets the first `n` endpoints state a limit of `per_second` requests, and the others none.
+    void set_limits(std::size_t n, double per_second)
+    {
+        for (auto& [name, it] : endpoints_) {
+            it.limit = n > 0 ? per_second : 0.0;
+            n -= n > 0 ? 1 : 0;
+        }
+    }
+
+    /// Returns the largest number of requests that reached one of the endpoints with a limit within `window`,
+    /// from `from` on.
+    [[nodiscard]] std::size_t max_arrivals_at_limited(duration window, instant from) const
+    {
+        std::size_t out = 0;
+        for (const auto& [name, times] : counts.arrivals) {
+            const auto found = endpoints_.find(name);
+            if (found == endpoints_.end() || found->second.limit <= 0.0) {
+                continue;
+            }
+            for (auto first = std::ranges::lower_bound(times, from); first != times.end(); ++first) {
+                const auto last = std::ranges::lower_bound(times, *first + window);
+                out = std::max(out, static_cast<std::size_t>(last - first));
+            }
+        }
+        return out;
+    }
+
+    /// Returns the number of requests that reached endpoints from `from` on.
+    [[nodiscard]] std::size_t arrivals_since(instant from) const
+    {
+        std::size_t out = 0;
+        for (const auto& [name, times] : counts.arrivals) {
+            out += static_cast<std::size_t>(times.end() - std::ranges::lower_bound(times, from));
+        }
+        return out;
+    }
+
+    /// Replaces one gateway by a new process.
+    void restart_gateway(std::size_t n) { start_gateway(n); }
+
     /// Replaces all gateways by new processes.
     void restart_gateways()
     {
@@ -193,6 +236,8 @@
     struct endpoint_model {
         endpoint_record record;
         bool is_alive = true;
+        /// Requests per second that it states to take; 0: no limit.
+        double limit = 0.0;
     };
 
     void at(duration delay, std::function<void()> action)
@@ -223,7 +268,7 @@
     {
         auto record = create_endpoint("m" + std::to_string(++started_endpoints_), "model");
         record.started_at_ms = started_endpoints_;
-        endpoints_.emplace(record.instance, endpoint_model{record, true});
+        endpoints_.emplace(record.instance, endpoint_model{record, true, 0.0});
         publish_endpoints();
     }
 
@@ -312,6 +357,7 @@
             if (!endpoints_.contains(start.instance) || !endpoints_.at(start.instance).is_alive) {
                 return finish(it, start.call, call_outcome::not_connected);
             }
+            counts.arrivals[start.instance].push_back(now_);
             const auto& prompt = start.request->fields.prompt;
             const auto is_guilty = std::ranges::any_of(
                 prompt, [&](const prompt_part& part) { return guilty.contains(part.id); });
@@ -327,6 +373,9 @@
                 fields.request_id = start.request->fields.id;
                 fields.is_signed = true;
                 fields.is_event_stream = true;
+                if (const auto limit = endpoints_.at(start.instance).limit; limit > 0.0) {
+                    fields.request_limit = limit;
+                }
                 it.decisions->on_head(start.call, {200, {}}, fields, now_);
                 send_event(it, start.call, 1);
             });
@@ -375,7 +424,7 @@
         }
     }
 
-    crashing_fleet_options options_;
+    fault_fleet_options options_;
     std::mt19937_64 random_;
     instant now_{std::chrono::seconds{100}};
     instant reported_at_{};
