Keep to the limit of requests that an endpoint states, over all gateways

What was seen: endpoints that say how many requests a second they take got up to twice what is allowed. Ruled out: retries, since the model of the test has none.

The limit goes to the other gateways with the reports, dated by its answer, and is shared in equal parts by at most twice as many gateways as requests a second, chosen by rendezvous hashing; fleet_rate_limiter, the limiter of cold endpoints without its margin, holds each part. The margin of cold endpoints is a constant of endpoint_table now. gateway_roster holds the order of gateways for a key, which prompt_part_breaker computed before.

--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -65,7 +65,8 @@
         of_service.push_back(round_tokens(it.rates.served));
     }
     json out{report.gateway, report.incarnation, report.sequence, std::move(endpoints), std::move(accounts)};
-    if (!report.prompt_parts.parts.empty() || !report.prompt_parts.sound.empty()) {
+    const auto has_parts = !report.prompt_parts.parts.empty() || !report.prompt_parts.sound.empty();
+    if (has_parts || !report.limits.empty()) {
         auto parts = json::array();
         for (const auto& it : report.prompt_parts.parts) {
             parts.push_back(it.part);
@@ -76,6 +77,15 @@
         out.push_back(std::move(parts));
         out.push_back(report.prompt_parts.sound);
     }
+    if (!report.limits.empty()) {
+        auto limits = json::array();
+        for (const auto& it : report.limits) {
+            limits.push_back(it.instance);
+            limits.push_back(std::llround(it.requests_per_second * limit_scale));
+            limits.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(it.age).count());
+        }
+        out.push_back(std::move(limits));
+    }
     return json::to_cbor(out);
 }
 
--- a/packages/daemon/src/gateway/report_sax_handler.cpp
+++ b/packages/daemon/src/gateway/report_sax_handler.cpp
@@ -12,8 +12,10 @@
 constexpr std::size_t account_field_count = 3;
 /// Index of the endpoints among the fields of a prompt part.
 constexpr std::size_t part_endpoints_field = 3;
-/// Maximum remaining time of a block: a day.
-constexpr std::uint64_t max_blocked_ms = 86'400'000;
+/// Number of fields of a limit.
+constexpr std::size_t limit_field_count = 3;
+/// Maximum of a time in milliseconds, which is a day, and of a scaled limit.
+constexpr std::uint64_t max_report_number = 86'400'000;
 
 } // namespace
 
@@ -59,6 +61,17 @@
     if (is_in_parts()) {
         return take_part_field(value);
     }
+    if (is_in_limits() && entry_field_ > 0 && value <= max_report_number) {
+        auto& it = report_.limits.back();
+        if (entry_field_ == 1) {
+            it.requests_per_second = number / limit_scale;
+        }
+        else {
+            it.age = std::chrono::milliseconds{value};
+        }
+        entry_field_ = (entry_field_ + 1) % limit_field_count;
+        return true;
+    }
     if (is_in_sound_parts()) {
         report_.prompt_parts.sound.push_back(value);
         return true;
@@ -75,7 +88,7 @@
     else if (entry_field_ == 1 && value <= std::numeric_limits<unsigned>::max()) {
         parts.back().block = static_cast<unsigned>(value);
     }
-    else if (entry_field_ == 2 && value <= max_blocked_ms) {
+    else if (entry_field_ == 2 && value <= max_report_number) {
         parts.back().blocked_for = std::chrono::milliseconds{value};
     }
     else {
@@ -107,6 +120,9 @@
     if (is_in_endpoints()) {
         report_.endpoints.push_back({std::move(value), 0.0, 0, 0.0});
     }
+    else if (is_in_limits()) {
+        report_.limits.push_back({std::move(value), 0.0, {}});
+    }
     else if (is_in_accounts()) {
         report_.accounts.push_back({service_, std::move(value), {}});
     }
@@ -145,7 +161,7 @@
 {
     ++depth_;
     return depth_ == 1 || is_in_endpoints() || is_in_accounts() || is_in_parts() || is_in_sound_parts() ||
-           (is_in_part_endpoints() && entry_field_ == part_endpoints_field);
+           is_in_limits() || (is_in_part_endpoints() && entry_field_ == part_endpoints_field);
 }
 
 bool report_sax_handler::end_array()
--- a/packages/daemon/src/gateway/report_sax_handler.hpp
+++ b/packages/daemon/src/gateway/report_sax_handler.hpp
@@ -9,18 +9,22 @@
 
 namespace hemlocknotch::daemon {
 
+/// Number by which limits of requests per second are multiplied, so that they are whole numbers in a report.
+inline constexpr double limit_scale = 1000.0;
+
 /// SAX handler that builds a report while it is parsed, without a tree of JSON values: in a large fleet a
 /// gateway receives some 80 reports of a hundred fields and more each second. Layout of a report: an array of
 /// the gateway's name, incarnation, sequence number, a flat array of the endpoints' fields, and an object
 /// that maps each service to a flat array of its accounts' fields; where anything is known against prompt
 /// parts, also a flat array of the parts' fields, of which the last is an array of endpoints, and an array of
-/// parts that are sound. A handler reads one report only.
+/// parts that are sound; where endpoints state limits, also a flat array of the limits' fields. A handler
+/// reads one report only.
 class report_sax_handler final : public nlohmann::json_sax<nlohmann::json> {
 public:
     /// Returns whether a complete report has been read.
     [[nodiscard]] bool is_complete() const
     {
-        return depth_ == 0 && (top_field_ == parts_field || top_field_ == top_field_count);
+        return depth_ == 0 && (top_field_ == parts_field || top_field_ >= limits_field);
     }
 
     [[nodiscard]] gateway::fleet_report& report() { return report_; }
@@ -42,12 +46,12 @@
                      const nlohmann::detail::exception& error) override;
 
 private:
-    /// Number of elements of the outermost array, and the indices of some of them.
-    static constexpr std::size_t top_field_count = 7;
+    /// Indices of elements of the outermost array.
     static constexpr std::size_t endpoints_field = 3;
     static constexpr std::size_t accounts_field = 4;
     static constexpr std::size_t parts_field = 5;
     static constexpr std::size_t sound_parts_field = 6;
+    static constexpr std::size_t limits_field = 7;
 
     [[nodiscard]] bool is_in_endpoints() const { return depth_ == 2 && top_field_ == endpoints_field; }
 
@@ -59,6 +63,8 @@
 
     [[nodiscard]] bool is_in_sound_parts() const { return depth_ == 2 && top_field_ == sound_parts_field; }
 
+    [[nodiscard]] bool is_in_limits() const { return depth_ == 2 && top_field_ == limits_field; }
+
     /// Takes the next field of a prompt part. Returns false where it is out of range.
     bool take_part_field(std::uint64_t value);
 
--- a/packages/gateway/fuzz/fuzz_fleet.cpp
+++ b/packages/gateway/fuzz/fuzz_fleet.cpp
@@ -16,6 +16,15 @@
 constexpr double cold_bound = cold_rate * 1.5 + 5.0;
 constexpr double retry_ratio = 0.2;
 constexpr double retry_reserve = 52.0;
+/// Prompt part on which endpoints end before they answer, in every other fleet.
+constexpr std::uint64_t crashing_part = 6;
+/// Bound on requests with that part, as the platform states it.
+constexpr std::size_t counted_ends = 5;
+constexpr duration contact_bound = std::chrono::seconds{3};
+constexpr unsigned max_late_arrivals = 3;
+/// Limits of requests per second that endpoints state, and the window in which they are checked.
+constexpr double min_stated_limit = 2.0;
+constexpr duration limit_window = std::chrono::seconds{4};
 /// Step of the virtual time, and so the longest delay of a call of `on_timer`.
 constexpr duration time_step = milliseconds{20};
 
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
-#include <hemlocknotch/gateway/cold_rate_limiter.hpp>
 #include <hemlocknotch/gateway/decaying_sum.hpp>
 #include <hemlocknotch/gateway/endpoint_load.hpp>
 #include <hemlocknotch/gateway/endpoint_record.hpp>
+#include <hemlocknotch/gateway/fleet_rate_limiter.hpp>
+#include <hemlocknotch/gateway/gateway_roster.hpp>
 #include <hemlocknotch/gateway/request_fields.hpp>
 #include <hemlocknotch/gateway/routing_configuration.hpp>
 
@@ -38,6 +39,17 @@
     peer_load load;
 };
 
+/// The requests per second that an endpoint takes from all gateways, as its answers state.
+struct stated_limit {
+    /// 0: none.
+    double requests_per_second = 0.0;
+    /// When the answer arrived, here or at the gateway that has reported it; `instant{}`: there was none with
+    /// a limit yet.
+    instant observed_at{};
+    /// Whether this gateway received the answer.
+    bool is_own = false;
+};
+
 /// State of one endpoint as this gateway knows it.
 struct endpoint_state {
     /// Time constant for rates, long enough to cover several of the largest prompts.
@@ -73,9 +85,12 @@
     /// Replaces or removes the load that `gateway` causes here.
     void set_peer(std::string_view gateway, const peer_load& load);
     void remove_peer(std::string_view gateway);
-    std::optional<cold_rate_limiter> cold_limiter;
-    /// Requests per second that the endpoint takes from all gateways, as its last answer stated; 0: no limit.
-    double request_limit = 0.0;
+    std::optional<fleet_rate_limiter> cold_limiter;
+    stated_limit limit;
+    /// This gateway's part of the limit; empty while none is stated.
+    std::optional<fleet_rate_limiter> limiter;
+    /// Whether this gateway has a part of the limit while it is known from recent answers.
+    bool is_limit_sharer = false;
 };
 
 /// The endpoints of all services, with their load and health. Used by one thread at a time.
@@ -97,8 +112,22 @@
     /// the registry has the new registration.
     static constexpr duration misdirected_backoff = std::chrono::seconds{3};
 
-    /// `seed` is drawn at random by each gateway, so that their limiters for cold endpoints are out of phase.
-    explicit endpoint_table(std::uint64_t seed) : seed_{seed} {}
+    /// Fraction of the rate of a cold endpoint that is used. The rest is a margin for requests of several
+    /// gateways that arrive together.
+    static constexpr double cold_rate_share = 0.8;
+    /// Least part of a stated limit, in requests per second, for which a gateway shares in it: with many
+    /// gateways some share a limit, so that each of them gets answers that tell how it changes.
+    static constexpr double min_limit_part = 0.5;
+    /// Time after the last answer from which all gateways share a limit, in case those that did have no
+    /// requests for the endpoint.
+    static constexpr duration limit_lifetime = std::chrono::seconds{5};
+    /// Least limit that is heeded, in requests per second: a request now and then shows whether it still
+    /// holds.
+    static constexpr double min_limit = 0.2;
+
+    /// `seed` is drawn at random by each gateway, so that their limiters are out of phase. `own_name` is the
+    /// name under which this gateway reports.
+    endpoint_table(std::uint64_t seed, std::string own_name) : seed_{seed}, roster_{std::move(own_name)} {}
 
     /// Replaces the endpoints. Those that are still listed keep their load and health, unless they have been
     /// restarted.
@@ -108,9 +137,17 @@
     /// Replaces the set of failure domains that get no new requests.
     void set_out_of_service(std::set<std::string, std::less<>> failure_domains);
 
-    /// Changes the number of gateways that share the limits of cold endpoints.
+    /// Changes the number of gateways that share the limits of endpoints.
     void set_gateways(std::size_t gateways);
 
+    /// Replaces the names of the other gateways whose reports are current.
+    void set_others(const std::set<std::string, std::less<>>& names);
+
+    /// Records the limit that an answer stated; 0: none. Ignored where a later answer is known. Returns
+    /// whether the limit has changed.
+    bool note_limit(endpoint_state& endpoint, double requests_per_second, instant observed_at, bool is_own,
+                    instant now);
+
     /// Returns whether `tried` names every endpoint of `service` that is neither draining nor out of service.
     [[nodiscard]] bool are_all_tried(std::string_view service, std::span<const std::string> tried) const;
 
@@ -158,8 +195,13 @@
     [[nodiscard]] double mean_failure_rate(std::string_view service, const endpoint_state& except) const;
 
     [[nodiscard]] double phase_of(std::string_view instance) const;
+    /// Computes this gateway's part of the limit of `endpoint`. Precondition: it has one.
+    void update_limit_part(endpoint_state& endpoint) const;
+    [[nodiscard]] static bool is_within_limit(const endpoint_state& endpoint, instant now);
 
     std::uint64_t seed_;
+    gateway_roster roster_;
+    std::size_t gateways_ = 1;
     std::size_t non_reporting_gateways_ = 0;
     std::map<std::string, std::unique_ptr<endpoint_state>, std::less<>> endpoints_;
     std::map<std::string, std::vector<endpoint_state*>, std::less<>> by_service_;
--- a/packages/gateway/include/hemlocknotch/gateway/fleet_report.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/fleet_report.hpp
@@ -28,6 +28,15 @@
     account_rates rates;
 };
 
+/// Limit of requests that an endpoint stated in an answer to the reporting gateway.
+struct limit_report {
+    std::string instance;
+    /// 0: the answer stated none any more.
+    double requests_per_second = 0.0;
+    /// Time since the answer.
+    duration age{};
+};
+
 /// State that a gateway reports to the others at short intervals. Each report is complete in itself, so that
 /// a lost one does no harm.
 struct fleet_report {
@@ -40,6 +49,7 @@
     std::vector<endpoint_report> endpoints;
     std::vector<account_report> accounts;
     part_reports prompt_parts;
+    std::vector<limit_report> limits;
 };
 
 /// Returns the time between two reports of a gateway that sends them to `others` gateways. Thread-safe.
--- a/packages/gateway/include/hemlocknotch/gateway/prompt_part_breaker.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/prompt_part_breaker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/core/time.hpp>
+#include <hemlocknotch/gateway/gateway_roster.hpp>
 #include <hemlocknotch/gateway/part_block.hpp>
 #include <hemlocknotch/gateway/part_report.hpp>
 #include <hemlocknotch/gateway/request_fields.hpp>
@@ -100,7 +101,7 @@
     explicit prompt_part_breaker(std::string own_name);
 
     /// Replaces the names of the other gateways whose reports are current.
-    void set_others(const std::set<std::string, std::less<>>& names);
+    void set_others(const std::set<std::string, std::less<>>& names) { roster_.set_others(names); }
 
     /// Returns whether nothing is known against any part, so that all requests are allowed.
     [[nodiscard]] bool is_idle() const { return parts_.empty(); }
@@ -174,9 +175,7 @@
     void clear(std::uint64_t part, part_event::kind what, std::string_view source);
     void remove_outdated(instant now);
 
-    std::string own_name_;
-    /// This gateway and the others whose reports are current.
-    std::vector<std::string> gateways_;
+    gateway_roster roster_;
     state_map parts_;
     /// Parts that this gateway has cleared or seen lifted, with the time. Older reports do not restore them.
     std::map<std::uint64_t, instant> sound_;
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -149,7 +149,12 @@
     void handle_rejection(exchange& it, instant now);
     void handle_complete_answer(exchange& it, instant now);
     /// Records the limit of requests that an answer of the endpoint `instance` states.
-    void note_limit(std::string_view instance, const answer_fields& fields);
+    void note_stated_limit(std::string_view instance, const answer_fields& fields, instant now);
+    /// Records a limit that `source`, another gateway, or this one, if it is empty, has observed.
+    void note_limit(endpoint_state& endpoint, double requests_per_second, instant observed_at,
+                    std::string_view source, instant now);
+    /// Tells those that share work by the names of gateways which ones report.
+    void set_others();
     /// Logs what the endpoint `instance` was working on for this gateway when it broke off a call.
     void log_cut_calls(std::string_view instance);
     bool retry(exchange& it, bool was_executed, instant now);
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -87,7 +87,7 @@
         const auto* service = configuration.find_service(record.service);
         const auto rate = service == nullptr ? 0.0 : service->cold_requests_per_second;
         if (rate > 0.0 && !state->cold_limiter) {
-            state->cold_limiter.emplace(rate, gateways, phase_of(record.instance));
+            state->cold_limiter.emplace(rate * cold_rate_share, gateways, phase_of(record.instance));
         }
         if (state->cold_limiter && !was_cold && state->cold_until > now) {
             state->cold_limiter->restart(now);
@@ -108,13 +108,76 @@
 
 void endpoint_table::set_gateways(std::size_t gateways)
 {
+    gateways_ = gateways;
     for (auto& [name, it] : endpoints_) {
         if (it->cold_limiter) {
             it->cold_limiter->set_gateways(gateways);
         }
+        if (it->limiter) {
+            update_limit_part(*it);
+        }
+    }
+}
+
+void endpoint_table::set_others(const std::set<std::string, std::less<>>& names)
+{
+    roster_.set_others(names);
+    for (auto& [name, it] : endpoints_) {
+        if (it->limiter) {
+            update_limit_part(*it);
+        }
     }
 }
 
+bool endpoint_table::note_limit(endpoint_state& endpoint, double requests_per_second, instant observed_at,
+                                bool is_own, instant now)
+{
+    auto& limit = endpoint.limit;
+    const auto has_history = limit.observed_at != instant{};
+    if ((!has_history && requests_per_second <= 0.0) || (has_history && observed_at < limit.observed_at)) {
+        return false;
+    }
+    const auto before = limit.requests_per_second;
+    limit = {requests_per_second > 0.0 ? std::max(requests_per_second, min_limit) : 0.0, observed_at, is_own};
+    if (limit.requests_per_second == before) {
+        return false;
+    }
+    if (limit.requests_per_second <= 0.0) {
+        endpoint.limiter.reset();
+        return true;
+    }
+    if (!endpoint.limiter) {
+        endpoint.limiter.emplace(limit.requests_per_second, gateways_, phase_of(endpoint.record.instance));
+        update_limit_part(endpoint);
+        endpoint.limiter->restart(now);
+    }
+    else {
+        update_limit_part(endpoint);
+    }
+    return true;
+}
+
+void endpoint_table::update_limit_part(endpoint_state& endpoint) const
+{
+    const auto limit = endpoint.limit.requests_per_second;
+    const auto gateways = std::max(gateways_, roster_.size());
+    const auto sharers =
+        std::clamp(static_cast<std::size_t>(std::min(limit / min_limit_part, static_cast<double>(gateways))),
+                   std::size_t{1}, gateways);
+    endpoint.is_limit_sharer = sharers == gateways || roster_.rank_for(endpoint.record.instance) < sharers;
+    endpoint.limiter->set_rate(limit);
+    endpoint.limiter->set_gateways(endpoint.is_limit_sharer ? sharers : gateways);
+}
+
+bool endpoint_table::is_within_limit(const endpoint_state& endpoint, instant now)
+{
+    if (!endpoint.limiter) {
+        return true;
+    }
+    const auto may_send = endpoint.is_limit_sharer || now - endpoint.limit.observed_at >= limit_lifetime;
+    return may_send && endpoint.limiter->may_admit(now);
+}
+
 void endpoint_table::set_peer_load(std::string_view gateway, std::span<const reported_endpoint_load> loads)
 {
     std::vector<const reported_endpoint_load*> sorted;
@@ -244,6 +307,9 @@
         if (it->cold_until > now && it->cold_limiter && it->cold_limiter->next_admission() > now) {
             out = std::min(out, it->cold_limiter->next_admission());
         }
+        if (it->limiter && it->limiter->next_admission() > now) {
+            out = std::min(out, it->limiter->next_admission());
+        }
         if (it->suspected_until > now) {
             out = std::min(out, it->suspected_until);
         }
@@ -262,6 +328,9 @@
     if (endpoint.record.is_draining || out_of_service_.contains(endpoint.record.failure_domain)) {
         return false;
     }
+    if (!is_within_limit(endpoint, now)) {
+        return false;
+    }
     return endpoint.cold_until <= now || !endpoint.cold_limiter || endpoint.cold_limiter->may_admit(now);
 }
 
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -90,13 +90,15 @@
              {"unanswered_parts", part_ids_text(parts)}}};
 }
 
-log_effect endpoint_limit_record(std::string_view instance, double before, double after)
+log_effect endpoint_limit_record(std::string_view instance, double before, double after,
+                                 std::string_view source)
 {
     return {log_level::warning,
             "endpoint-limit-changed",
             {{"endpoint", std::string{instance}},
              {"requests_per_second", std::to_string(after)},
-             {"before", std::to_string(before)}}};
+             {"before", std::to_string(before)},
+             {"source", std::string{source}}}};
 }
 
 log_effect part_changed_record(const part_event& it)
--- a/packages/gateway/src/exchange_log.hpp
+++ b/packages/gateway/src/exchange_log.hpp
@@ -36,8 +36,10 @@
 /// names the shared prompt parts of those of which no event had arrived.
 log_effect endpoint_cut_calls_record(std::string_view instance, std::span<const exchange* const> open);
 
-/// Returns the log record for an endpoint that states another limit of requests per second; 0: none.
-log_effect endpoint_limit_record(std::string_view instance, double before, double after);
+/// Returns the log record for an endpoint that states another limit of requests per second; 0: none. `source`
+/// is the gateway that has reported it; empty for this one.
+log_effect endpoint_limit_record(std::string_view instance, double before, double after,
+                                 std::string_view source);
 
 /// Returns the log record for a change of what is believed of a prompt part.
 log_effect part_changed_record(const part_event& it);
--- a/packages/gateway/src/cold_rate_limiter.cpp
+++ b/packages/gateway/src/fleet_rate_limiter.cpp
@@ -1,4 +1,4 @@
-#include <hemlocknotch/gateway/cold_rate_limiter.hpp>
+#include <hemlocknotch/gateway/fleet_rate_limiter.hpp>
 
 #include <algorithm>
 #include <cassert>
@@ -6,7 +6,7 @@
 
 namespace hemlocknotch::gateway {
 
-cold_rate_limiter::cold_rate_limiter(double requests_per_second, std::size_t gateways, double phase)
+fleet_rate_limiter::fleet_rate_limiter(double requests_per_second, std::size_t gateways, double phase)
     : requests_per_second_{requests_per_second}, phase_{phase}
 {
     assert(requests_per_second > 0.0);
@@ -14,26 +14,38 @@
     set_gateways(gateways);
 }
 
-void cold_rate_limiter::restart(instant now)
+void fleet_rate_limiter::restart(instant now)
 {
     next_admission_ =
         std::max(next_admission_, now + std::chrono::duration_cast<duration>(interval_ * phase_));
 }
 
-void cold_rate_limiter::set_gateways(std::size_t gateways)
+void fleet_rate_limiter::set_gateways(std::size_t gateways)
 {
     assert(gateways >= 1);
-    const std::chrono::duration<double> interval{static_cast<double>(gateways) /
-                                                 (requests_per_second_ * rate_share)};
+    gateways_ = gateways;
+    update_interval();
+}
+
+void fleet_rate_limiter::set_rate(double requests_per_second)
+{
+    assert(requests_per_second > 0.0);
+    requests_per_second_ = requests_per_second;
+    update_interval();
+}
+
+void fleet_rate_limiter::update_interval()
+{
+    const std::chrono::duration<double> interval{static_cast<double>(gateways_) / requests_per_second_};
     interval_ = std::chrono::duration_cast<duration>(interval);
 }
 
-bool cold_rate_limiter::may_admit(instant now) const
+bool fleet_rate_limiter::may_admit(instant now) const
 {
     return now >= next_admission_;
 }
 
-void cold_rate_limiter::on_admitted(instant now)
+void fleet_rate_limiter::on_admitted(instant now)
 {
     next_admission_ = std::max(next_admission_, now) + interval_;
 }
--- a/packages/gateway/src/fleet_reports.cpp
+++ b/packages/gateway/src/fleet_reports.cpp
@@ -39,6 +39,9 @@
 {
     fleet_report out;
     for (const auto& [name, it] : endpoints_.all()) {
+        if (it->limit.is_own && now - it->limit.observed_at < endpoint_table::limit_lifetime) {
+            out.limits.push_back({name, it->limit.requests_per_second, now - it->limit.observed_at});
+        }
         const auto rate = it->sent_tokens.per_second(now);
         if (it->running > 0 || rate >= negligible_rate) {
             out.endpoints.push_back({name, it->pending_tokens, it->running, rate});
--- a/packages/gateway/src/prompt_part_breaker.cpp
+++ b/packages/gateway/src/prompt_part_breaker.cpp
@@ -1,4 +1,3 @@
-#include <hemlocknotch/core/rendezvous.hpp>
 #include <hemlocknotch/gateway/prompt_part_breaker.hpp>
 
 #include <algorithm>
@@ -38,17 +37,10 @@
 
 } // namespace
 
-prompt_part_breaker::prompt_part_breaker(std::string own_name)
-    : own_name_{std::move(own_name)}, gateways_{own_name_}
+prompt_part_breaker::prompt_part_breaker(std::string own_name) : roster_{std::move(own_name)}
 {
 }
 
-void prompt_part_breaker::set_others(const std::set<std::string, std::less<>>& names)
-{
-    gateways_.assign(names.begin(), names.end());
-    gateways_.push_back(own_name_);
-}
-
 std::set<std::string_view> prompt_part_breaker::endpoints_of(const part_state& it)
 {
     std::set<std::string_view> out;
@@ -70,10 +62,8 @@
 duration prompt_part_breaker::turn_of(std::uint64_t part) const
 {
     const auto key = bytes_of(part);
-    const auto order = rendezvous_choose({key.data(), key.size()}, gateways_, gateways_.size());
-    const auto own = std::ranges::find(order, own_name_, [&](std::size_t n) { return gateways_[n]; });
-    const auto step = std::min(trial_step, max_trial_spread / static_cast<std::int64_t>(order.size()));
-    return step * (own - order.begin());
+    const auto step = std::min(trial_step, max_trial_spread / static_cast<std::int64_t>(roster_.size()));
+    return step * static_cast<std::int64_t>(roster_.rank_for({key.data(), key.size()}));
 }
 
 part_decision prompt_part_breaker::decide(exchange_id exchange, std::span<const prompt_part> parts,
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -49,7 +49,7 @@
       model_placement_{model_placement},
       plain_placement_{plain_placement},
       port_{port},
-      endpoints_{options.seed},
+      endpoints_{options.seed, options.gateway},
       reports_{std::make_unique<fleet_reports>(endpoints_)},
       exchanges_{std::make_unique<exchange_table>()},
       answers_{std::make_unique<caller_answers>(port)},
@@ -268,7 +268,7 @@
     if (it == nullptr) {
         return;
     }
-    note_limit(it->instance, fields);
+    note_stated_limit(it->instance, fields, now);
     const auto is_success = head.status >= 200 && head.status < 300;
     if (is_success && (!fields.is_signed || fields.is_encoded)) {
         port_.cancel_call(call);
@@ -280,23 +280,28 @@
     it->answer = fields;
 }
 
-void router::note_limit(std::string_view instance, const answer_fields& fields)
+void router::note_stated_limit(std::string_view instance, const answer_fields& fields, instant now)
 {
     auto* endpoint = endpoints_.find(instance);
     if (endpoint == nullptr) {
         return;
     }
-    if (fields.has_unreadable_limit) {
-        if (port_.wants_log(log_level::warning)) {
-            port_.write_log(
-                {log_level::warning, "endpoint-limit-unreadable", {{"endpoint", std::string{instance}}}});
-        }
-        return;
+    if (!fields.has_unreadable_limit) {
+        return note_limit(*endpoint, fields.request_limit.value_or(0.0), now, {}, now);
+    }
+    if (port_.wants_log(log_level::warning)) {
+        port_.write_log(
+            {log_level::warning, "endpoint-limit-unreadable", {{"endpoint", std::string{instance}}}});
     }
-    const auto limit = fields.request_limit.value_or(0.0);
-    const auto before = std::exchange(endpoint->request_limit, limit);
-    if (limit != before) {
-        port_.write_state_log(endpoint_limit_record(instance, before, limit));
+}
+
+void router::note_limit(endpoint_state& endpoint, double requests_per_second, instant observed_at,
+                        std::string_view source, instant now)
+{
+    const auto before = endpoint.limit.requests_per_second;
+    if (endpoints_.note_limit(endpoint, requests_per_second, observed_at, source.empty(), now)) {
+        port_.write_state_log(endpoint_limit_record(endpoint.record.instance, before,
+                                                    endpoint.limit.requests_per_second, source));
     }
 }
 
@@ -475,7 +480,12 @@
 void router::apply_report(const fleet_report& report, instant now)
 {
     if (reports_->apply_load(report)) {
-        parts_->set_others(reports_->others());
+        set_others();
+    }
+    for (const auto& it : report.limits) {
+        if (auto* endpoint = endpoints_.find(it.instance)) {
+            note_limit(*endpoint, it.requests_per_second, now - it.age, report.gateway, now);
+        }
     }
     parts_->apply_report(report.gateway, report.prompt_parts, now);
     for (const auto& it : report.accounts) {
@@ -491,7 +501,13 @@
 {
     reports_->remove(gateway);
     parts_->remove_gateway(gateway);
+    set_others();
+}
+
+void router::set_others()
+{
     parts_->set_others(reports_->others());
+    endpoints_.set_others(reports_->others());
 }
 
 void router::set_registered_part_blocks(std::span<const part_block> blocks,
--- a/packages/gateway/tests/limits_test.cpp
+++ b/packages/gateway/tests/limits_test.cpp
@@ -1,4 +1,5 @@
-#include <hemlocknotch/gateway/cold_rate_limiter.hpp>
+#include <hemlocknotch/gateway/endpoint_table.hpp>
+#include <hemlocknotch/gateway/fleet_rate_limiter.hpp>
 #include <hemlocknotch/gateway/retry_budget.hpp>
 
 #include <boost/test/unit_test.hpp>
@@ -13,13 +14,14 @@
 
 BOOST_AUTO_TEST_SUITE(limits_suite)
 
-BOOST_AUTO_TEST_CASE(cold_rate_limiters_of_all_gateways_stay_within_the_rate)
+BOOST_AUTO_TEST_CASE(fleet_rate_limiters_of_all_gateways_stay_within_the_rate)
 {
     for (const std::size_t gateways : {1U, 4U, 30U}) {
         instant now{};
-        std::vector<cold_rate_limiter> limiters;
+        std::vector<fleet_rate_limiter> limiters;
         for (std::size_t n = 0; n < gateways; ++n) {
-            limiters.emplace_back(8.9, gateways, static_cast<double>(n) / static_cast<double>(gateways));
+            limiters.emplace_back(8.9 * endpoint_table::cold_rate_share, gateways,
+                                  static_cast<double>(n) / static_cast<double>(gateways));
             limiters.back().restart(now);
         }
         unsigned sent = 0;
--- a/packages/gateway/tests/router_test.cpp
+++ b/packages/gateway/tests/router_test.cpp
@@ -113,7 +113,9 @@
         send_request(n, "/stream/x");
         it.on_head(port.calls.back().call, {200, {}}, fields, now);
         it.on_end(port.calls.back().call, call_outcome::complete, now);
+        now += std::chrono::seconds{1};
     }
+    BOOST_TEST(port.calls[0].instance == port.calls[1].instance);
     BOOST_TEST(port.lines("endpoint-limit-changed").size() == 1U);
 }
 
