Try a suspected prompt part at one gateway at a time, also where answers are slow

A trial lasts as long as its endpoint needs for 250 ms of an answer. Where that is longer than the second after which the next gateway's turn comes, several gateways tried the same part at once, each at the price of an endpoint. A report says that a trial is in progress, and goes out at once; others wait. Test: a_trial_in_progress_keeps_other_gateways_from_beginning_one fails without it (the second gateway is permitted).

--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -72,6 +72,7 @@
             parts.push_back(it.part);
             parts.push_back(it.block);
             parts.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(it.blocked_for).count());
+            parts.push_back(it.has_trial ? 1U : 0U);
             parts.push_back(it.endpoints);
         }
         out.push_back(std::move(parts));
--- a/packages/daemon/src/gateway/report_sax_handler.cpp
+++ b/packages/daemon/src/gateway/report_sax_handler.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t endpoint_field_count = 4;
 constexpr std::size_t account_field_count = 3;
 /// Index of the endpoints among the fields of a prompt part.
-constexpr std::size_t part_endpoints_field = 3;
+constexpr std::size_t part_endpoints_field = 4;
 /// Number of fields of a limit.
 constexpr std::size_t limit_field_count = 3;
 /// Maximum of a time in milliseconds, which is a day, and of a scaled limit.
@@ -91,6 +91,9 @@
     else if (entry_field_ == 2 && value <= max_report_number) {
         parts.back().blocked_for = std::chrono::milliseconds{value};
     }
+    else if (entry_field_ == 3 && value <= 1) {
+        parts.back().has_trial = value == 1;
+    }
     else {
         return false;
     }
--- a/packages/daemon/tests/report_exchange_test.cpp
+++ b/packages/daemon/tests/report_exchange_test.cpp
@@ -82,8 +82,8 @@
 {
     fleet_report report;
     report.gateway = "g1";
-    report.prompt_parts.parts = {{7, {"e1", "e2"}, 0, {}},
-                                 {0xfedcba9876543210, {}, 2, std::chrono::milliseconds{1500}}};
+    report.prompt_parts.parts = {{7, {"e1", "e2"}, 0, {}, true},
+                                 {0xfedcba9876543210, {}, 2, std::chrono::milliseconds{1500}, false}};
     report.prompt_parts.sound = {8, 9};
     const auto read = decode_report(encode_report(report));
     BOOST_REQUIRE(read.has_value());
@@ -93,6 +93,8 @@
     BOOST_TEST(parts[0].endpoints == report.prompt_parts.parts[0].endpoints,
                boost::test_tools::per_element());
     BOOST_TEST(parts[1].part == 0xfedcba9876543210);
+    BOOST_TEST(parts[0].has_trial);
+    BOOST_TEST(!parts[1].has_trial);
     BOOST_TEST(parts[1].block == 2U);
     BOOST_TEST((parts[1].blocked_for == std::chrono::milliseconds{1500}));
     BOOST_TEST(read->prompt_parts.sound == report.prompt_parts.sound, boost::test_tools::per_element());
@@ -118,7 +120,7 @@
 {
     fleet_report report;
     report.gateway = "g1";
-    report.prompt_parts.parts = {{7, {"e1", "e2"}, 1, std::chrono::milliseconds{1500}}};
+    report.prompt_parts.parts = {{7, {"e1", "e2"}, 1, std::chrono::milliseconds{1500}, true}};
     report.prompt_parts.sound = {8};
     report.limits = {{"e1", 4.5, std::chrono::milliseconds{20}}};
     const auto bytes = encode_report(report);
--- a/packages/gateway/include/hemlocknotch/gateway/part_report.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/part_report.hpp
@@ -17,6 +17,8 @@
     unsigned block = 0;
     /// Remaining time of that block.
     duration blocked_for{};
+    /// Whether a request with the part is being tried.
+    bool has_trial = false;
 };
 
 /// What one gateway reports of prompt parts.
--- a/packages/gateway/include/hemlocknotch/gateway/prompt_part_breaker.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/prompt_part_breaker.hpp
@@ -152,6 +152,8 @@
         std::map<std::string, instant, std::less<>> ends;
         /// Ends that other gateways have reported, by their names.
         std::map<std::string, std::vector<std::string>, std::less<>> reported_ends;
+        /// Other gateways that have reported a trial in progress.
+        std::set<std::string, std::less<>> reported_trials;
         /// When the last end was recorded or reported, or the last block began.
         instant changed_at{};
         unsigned block = 0;
@@ -171,6 +173,7 @@
     part_state& find_or_add(std::uint64_t part, instant now);
     void set_block(std::uint64_t part, part_state& it, unsigned block, duration remaining, instant now,
                    std::string_view source);
+    static void remove_trial(part_state& it, std::string_view gateway);
     void add_event(part_event::kind what, std::uint64_t part, const part_state& it, std::string_view source);
     void clear(std::uint64_t part, part_event::kind what, std::string_view source);
     void remove_outdated(instant now);
--- a/packages/gateway/src/prompt_part_breaker.cpp
+++ b/packages/gateway/src/prompt_part_breaker.cpp
@@ -84,7 +84,7 @@
         if (is_suspected(it)) {
             // The last suspected part decides, which is the most specific one.
             out = {part_verdict::trial, part.id, duration::zero()};
-            const auto has_other_trial = it.trial != 0 && it.trial != exchange;
+            const auto has_other_trial = it.trial != 0 ? it.trial != exchange : !it.reported_trials.empty();
             const auto since = std::max(it.changed_at, it.blocked_until);
             may_try = may_try && !has_other_trial && now - since >= trial_delay;
             turn_at = since + trial_delay;
@@ -103,6 +103,7 @@
         const auto it = parts_.find(part.id);
         if (it != parts_.end() && is_suspected(it->second)) {
             it->second.trial = exchange;
+            is_urgent_ = true;
         }
     }
 }
@@ -203,12 +204,13 @@
         if (out.parts.size() == max_reported_parts) {
             break;
         }
-        if (it.ends.empty() && it.block == 0) {
+        if (it.ends.empty() && it.block == 0 && it.trial == 0) {
             continue;
         }
         auto& added = out.parts.emplace_back();
         added.part = part;
         added.block = it.block;
+        added.has_trial = it.trial != 0;
         added.blocked_for = std::max(duration::zero(), it.blocked_until - now);
         for (const auto& [instance, at] : it.ends) {
             if (added.endpoints.size() < max_reported_ends) {
@@ -241,6 +243,7 @@
             previous.emplace(part, std::move(found->second));
             it.reported_ends.erase(found);
         }
+        remove_trial(it, gateway);
     }
     for (const auto& reported : report.parts) {
         // A block that is over says nothing to a gateway that has not known it.
@@ -249,6 +252,9 @@
             continue;
         }
         auto& it = find_or_add(reported.part, now);
+        if (reported.has_trial) {
+            it.reported_trials.emplace(gateway);
+        }
         if (!reported.endpoints.empty()) {
             const auto known = endpoints_of(it);
             const auto& before = previous[reported.part];
@@ -279,6 +285,14 @@
         if (const auto found = it.reported_ends.find(gateway); found != it.reported_ends.end()) {
             it.reported_ends.erase(found);
         }
+        remove_trial(it, gateway);
+    }
+}
+
+void prompt_part_breaker::remove_trial(part_state& it, std::string_view gateway)
+{
+    if (const auto found = it.reported_trials.find(gateway); found != it.reported_trials.end()) {
+        it.reported_trials.erase(found);
     }
 }
 
--- a/packages/gateway/tests/prompt_part_breaker_test.cpp
+++ b/packages/gateway/tests/prompt_part_breaker_test.cpp
@@ -101,6 +101,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_trial_in_progress_keeps_other_gateways_from_beginning_one)
+{
+    const std::vector<prompt_part> parts{{part, 1}};
+    prompt_part_breaker other{"g2"};
+    for (auto* breaker : {&it, &other}) {
+        breaker->note_end(1, parts, "e1", now);
+        breaker->note_end(1, parts, "e2", now);
+    }
+    now += std::chrono::minutes{1};
+    it.note_sent(50, parts);
+    BOOST_TEST(it.take_urgency());
+    BOOST_TEST(other.decide(2, parts, now).is_permitted());
+    other.apply_report("g1", it.create_report(now), now);
+    BOOST_TEST(!other.decide(2, parts, now).is_permitted());
+    it.note_done(50, parts);
+    other.apply_report("g1", it.create_report(now), now);
+    BOOST_TEST(other.decide(2, parts, now).is_permitted());
+}
+
 BOOST_AUTO_TEST_CASE(a_sound_run_clears_a_part_here_and_at_other_gateways)
 {
     end("e1");
