--- a/packages/gateway/fuzz/fuzz_fleet.cpp
+++ b/packages/gateway/fuzz/fuzz_fleet.cpp
@@ -22,8 +22,7 @@
 constexpr std::size_t counted_ends = 5;
 constexpr duration contact_bound = std::chrono::seconds{3};
 constexpr unsigned max_late_arrivals = 3;
-/// Limits of requests per second that endpoints state, and the window in which they are checked.
-constexpr double min_stated_limit = 2.0;
+/// Time in which the requests that reach an endpoint with a stated limit are counted.
 constexpr duration limit_window = std::chrono::seconds{4};
 /// Step of the virtual time, and so the longest delay of a call of `on_timer`.
 constexpr duration time_step = milliseconds{20};
@@ -221,6 +220,7 @@
                                                      .started_at_ms = 1});
         }
     }
+    has_crashing_part_ = chance(50);
     constexpr std::array<std::size_t, 4> sizes{1, 2, 4, 12};
     const auto count = sizes.at(random_() % sizes.size());
     for (std::size_t n = 0; n < count; ++n) {
@@ -229,6 +229,7 @@
         router_options options;
         options.retries = {retry_ratio, retry_reserve};
         options.seed = random_();
+        options.gateway = it->name;
         it->decisions = std::make_unique<router>(options, model_placement_, plain_placement_, *it->effects);
         it->decisions->set_gateways(count);
         it->decisions->set_configuration(configuration_, now_);
@@ -345,6 +346,7 @@
     const auto found = std::next(it.calls.begin(), static_cast<std::ptrdiff_t>(random_() % it.calls.size()));
     const auto id = found->first;
     auto& call = found->second;
+    const auto is_crashing = is_crashing_request(call.start);
     const auto finish = [&](call_outcome outcome) {
         it.calls.erase(id);
         it.decisions->on_end(id, outcome, now_);
@@ -352,13 +354,21 @@
     if (!call.is_executing && chance(6)) {
         return finish(call_outcome::not_connected);
     }
+    if (is_crashing) {
+        check_crashing_arrival();
+    }
     if (!call.is_executing && chance(8)) {
         answer_fields fields;
         fields.is_not_executed = true;
+        fields.request_limit = stated_limit_of(call.start.instance);
         it.decisions->on_head(id, {503, {}}, fields, now_);
         return finish(call_outcome::complete);
     }
     execute(it, call);
+    if (is_crashing) {
+        ends_.push_back(now_);
+        return finish(call_outcome::broken);
+    }
     if (chance(8)) {
         return finish(call_outcome::broken);
     }
@@ -368,6 +378,7 @@
     }
     answer_fields fields;
     fields.is_signed = !chance(2);
+    fields.request_limit = stated_limit_of(call.start.instance);
     const auto status = chance(10) ? 500 : 200;
     it.decisions->on_head(id, {status, {{"From-Endpoint", "1"}}}, fields, now_);
     if (it.calls.contains(id)) {
@@ -383,6 +394,7 @@
         answer_fields fields;
         fields.is_signed = true;
         fields.is_event_stream = true;
+        fields.request_limit = stated_limit_of(call.start.instance);
         it.decisions->on_head(id, {200, {}}, fields, now_);
     }
     std::string bytes;
@@ -403,10 +415,66 @@
     }
 }
 
+bool fuzz_fleet::is_crashing_request(const call_start& start) const
+{
+    const auto& target = start.request->target;
+    return has_crashing_part_ && start.request->fields.prompt.front().id == crashing_part &&
+           (target.starts_with("/stream/") || target.starts_with("/resume/"));
+}
+
+void fuzz_fleet::check_crashing_arrival()
+{
+    if (ends_.size() >= counted_ends && now_ > ends_[counted_ends - 1] + contact_bound &&
+        ++late_arrivals_ > max_late_arrivals) {
+        throw invariant_violation{"requests that crash endpoints were still sent"};
+    }
+}
+
+std::optional<double> fuzz_fleet::stated_limit_of(const std::string& instance)
+{
+    const auto found = limits_.find(instance);
+    if (found == limits_.end()) {
+        return std::nullopt;
+    }
+    auto& it = found->second;
+    it.stated_at = std::min(it.stated_at, now_);
+    return it.requests_per_second;
+}
+
+void fuzz_fleet::change_limits()
+{
+    const auto instance = "model" + std::to_string(random_() % 4);
+    if (limits_.erase(instance) == 0) {
+        constexpr std::array<double, 3> limits{0.5, 4.0, 20.0};
+        limits_[instance].requests_per_second = limits.at(random_() % limits.size());
+    }
+}
+
+void fuzz_fleet::check_limit(const std::string& instance)
+{
+    const auto found = limits_.find(instance);
+    if (found == limits_.end() || found->second.stated_at == instant::max() ||
+        now_ < found->second.stated_at + contact_bound) {
+        return;
+    }
+    auto& it = found->second;
+    it.arrivals.push_back(now_);
+    while (now_ - it.arrivals.front() > limit_window) {
+        it.arrivals.pop_front();
+    }
+    const auto seconds = std::chrono::duration<double>(limit_window).count();
+    if (static_cast<double>(it.arrivals.size()) > 1.5 * seconds * it.requests_per_second + 5.0) {
+        throw invariant_violation{"an endpoint got more requests than it states to take"};
+    }
+}
+
 void fuzz_fleet::change_endpoints()
 {
     auto& record =
         std::next(endpoints_.begin(), static_cast<std::ptrdiff_t>(random_() % endpoints_.size()))->second;
+    if (chance(20)) {
+        return change_limits();
+    }
     switch (random_() % 4) {
     case 0:
         record.is_draining = !record.is_draining;
@@ -415,6 +483,7 @@
         ++record.started_at_ms;
         record.is_draining = false;
         cold_until_.erase(record.instance);
+        limits_.erase(record.instance);
         break;
     case 2:
         if (record.service != "model") {
@@ -483,6 +552,7 @@
     if (record.is_draining || out_of_service_.contains(record.failure_domain)) {
         throw invariant_violation{"a request was sent to an endpoint that is draining or out of service"};
     }
+    check_limit(start.instance);
     const auto cold = cold_until_.find(start.instance);
     if (cold == cold_until_.end() || cold->second <= now_) {
         return;
--- a/packages/gateway/fuzz/fuzz_fleet.hpp
+++ b/packages/gateway/fuzz/fuzz_fleet.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -71,6 +72,15 @@
     void check_arrival(const call_start& start);
     void execute(gateway_state& it, open_call& call);
 
+    [[nodiscard]] bool is_crashing_request(const call_start& start) const;
+    /// Checks that few requests on which endpoints end reach them, one of which does now.
+    void check_crashing_arrival();
+    /// Returns the limit that the endpoint states in an answer now.
+    std::optional<double> stated_limit_of(const std::string& instance);
+    void change_limits();
+    /// Checks that an endpoint gets no more requests than it states to take, one of which arrives.
+    void check_limit(const std::string& instance);
+
     [[nodiscard]] bool chance(unsigned percent) { return random_() % 100 < percent; }
 
     [[nodiscard]] std::vector<endpoint_record> records() const;
@@ -85,6 +95,20 @@
     std::vector<std::unique_ptr<gateway_state>> gateways_;
     std::map<std::string, std::deque<instant>> cold_arrivals_;
     std::map<std::string, instant> cold_until_;
+
+    /// A limit that an endpoint states.
+    struct limit_state {
+        double requests_per_second = 0.0;
+        /// When an answer first stated it.
+        instant stated_at = instant::max();
+        std::deque<instant> arrivals;
+    };
+
+    std::map<std::string, limit_state> limits_;
+    bool has_crashing_part_ = false;
+    /// Times at which endpoints ended on the crashing part, and requests with it after the bound.
+    std::vector<instant> ends_;
+    unsigned late_arrivals_ = 0;
     std::uint64_t requests_ = 0;
     std::uint64_t extra_attempts_ = 0;
     std::uint64_t ended_ = 0;
--- a/packages/gateway/include/hemlocknotch/gateway/prompt_part_breaker.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/prompt_part_breaker.hpp
@@ -77,11 +77,14 @@
     /// Time after the last end until the next trial. Endpoints of one failure domain end together, which says
     /// nothing against a part.
     static constexpr duration trial_delay = std::chrono::milliseconds{500};
+    /// Maximum number of times that this delay is doubled: once for each trial without a result, such as one
+    /// that the endpoint rejected.
+    static constexpr unsigned max_trial_doublings = 4;
     /// Time from which one gateway after the other may begin a trial, and the longest time for all of them.
     static constexpr duration trial_step = std::chrono::seconds{1};
     static constexpr duration max_trial_spread = std::chrono::seconds{10};
     /// Duration of the first block, after which one trial follows, and of later ones.
-    static constexpr duration first_block_time = std::chrono::seconds{10};
+    static constexpr duration first_block_time = std::chrono::minutes{1};
     static constexpr duration block_time = std::chrono::minutes{10};
     /// Time after its first event from which an answer that goes on counts as a sound run.
     static constexpr duration sound_run_time = std::chrono::milliseconds{250};
@@ -113,7 +116,7 @@
     /// Records that the request was sent. If it has suspected parts, it is their trial until `note_done`.
     void note_sent(exchange_id exchange, std::span<const prompt_part> parts);
     /// Records that the call of the request has ended, however it did.
-    void note_done(exchange_id exchange, std::span<const prompt_part> parts);
+    void note_done(exchange_id exchange, std::span<const prompt_part> parts, instant now);
 
     /// Records that the endpoint `instance` ended before a sound run of the request. Call before `note_done`.
     void note_end(exchange_id exchange, std::span<const prompt_part> parts, std::string_view instance,
@@ -162,6 +165,9 @@
         unsigned registered_block = 0;
         /// The request that is the trial; 0: none.
         exchange_id trial = 0;
+        /// Consecutive trials of this gateway without a result, and the end of the last one.
+        unsigned trials_without_result = 0;
+        instant trial_ended_at{};
     };
 
     using state_map = std::map<std::uint64_t, part_state>;
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -162,7 +162,7 @@
     void end_unserved(exchange& it, const unserved_end& end, bool may_have_run, instant now);
     void refuse(exchange& it, int status, std::string_view reason, duration retry_after, instant now);
     void expire(exchange& it, instant now);
-    void finish_call(exchange& it);
+    void finish_call(exchange& it, instant now);
     [[nodiscard]] part_decision decide_parts(const exchange& it, instant now) const;
     void refuse_part(exchange& it, const part_decision& decision, instant now);
     /// Records a call that its endpoint cut, if it may have ended on the prompt.
--- a/packages/gateway/src/prompt_part_breaker.cpp
+++ b/packages/gateway/src/prompt_part_breaker.cpp
@@ -86,7 +86,8 @@
             out = {part_verdict::trial, part.id, duration::zero()};
             const auto has_other_trial = it.trial != 0 ? it.trial != exchange : !it.reported_trials.empty();
             const auto since = std::max(it.changed_at, it.blocked_until);
-            may_try = may_try && !has_other_trial && now - since >= trial_delay;
+            const auto delay = trial_delay * (1LL << it.trials_without_result);
+            may_try = may_try && !has_other_trial && now - std::max(since, it.trial_ended_at) >= delay;
             turn_at = since + trial_delay;
         }
     }
@@ -108,12 +109,17 @@
     }
 }
 
-void prompt_part_breaker::note_done(exchange_id exchange, std::span<const prompt_part> parts)
+void prompt_part_breaker::note_done(exchange_id exchange, std::span<const prompt_part> parts, instant now)
 {
     for (const auto& part : considered(parts)) {
         const auto it = parts_.find(part.id);
         if (it != parts_.end() && it->second.trial == exchange) {
-            it->second.trial = 0;
+            auto& state = it->second;
+            state.trial = 0;
+            const auto has_result = state.changed_at == now;
+            state.trials_without_result =
+                has_result ? 0 : std::min(state.trials_without_result + 1, max_trial_doublings);
+            state.trial_ended_at = now;
         }
     }
 }
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -87,7 +87,7 @@
         auto* it = exchanges_->find(id);
         assert(it != nullptr);
         if (port_.recall_call(it->call)) {
-            finish_call(*it);
+            finish_call(*it, now);
             send_again(*it, now);
         }
     }
@@ -256,7 +256,7 @@
     answers_->note_disconnected(it, context_of(it, now));
     if (it.call != 0) {
         port_.cancel_call(it.call);
-        finish_call(it);
+        finish_call(it, now);
     }
     erase(it);
     offer_waiting(now);
@@ -368,7 +368,7 @@
     if (auto* endpoint = endpoints_.find(it.instance)) {
         endpoint_table::note_rejection(*endpoint, it.head->status == status_misdirected, now);
     }
-    finish_call(it);
+    finish_call(it, now);
     if (!retry(it, false, now)) {
         end_unserved(it, endpoint_refused, it.executions > 0, now);
     }
@@ -387,7 +387,7 @@
         // Kept for the caller in case no other endpoint does better.
         const auto head = *it.head;
         auto body = std::move(it.body);
-        finish_call(it);
+        finish_call(it, now);
         if (retry(it, true, now)) {
             return;
         }
@@ -395,7 +395,7 @@
         it.body = std::move(body);
     }
     answers_->pass_complete(it, context_of(it, now));
-    finish_call(it);
+    finish_call(it, now);
     erase(it);
 }
 
@@ -406,7 +406,7 @@
     }
     note_sound_run(it, now);
     answers_->end_stream(it, context_of(it, now));
-    finish_call(it);
+    finish_call(it, now);
     erase(it);
 }
 
@@ -423,7 +423,7 @@
     if (port_.wants_log(log_level::warning)) {
         port_.write_log(call_failed_record(it, was_executed, now));
     }
-    finish_call(it);
+    finish_call(it, now);
     it.events.drop_remainder();
     if (retry(it, was_executed, now)) {
         offer_waiting(now);
@@ -552,7 +552,7 @@
     const auto has_call = it.call != 0;
     if (has_call) {
         port_.cancel_call(it.call);
-        finish_call(it);
+        finish_call(it, now);
     }
     end_unserved(it, deadline_exceeded, has_call || it.executions > 0, now);
 }
@@ -569,9 +569,9 @@
     erase(it);
 }
 
-void router::finish_call(exchange& it)
+void router::finish_call(exchange& it, instant now)
 {
-    parts_->note_done(it.id, it.placement_input.shared_parts);
+    parts_->note_done(it.id, it.placement_input.shared_parts, now);
     calls_->finish(it);
 }
 
@@ -633,7 +633,7 @@
                 port_.cancel_call(it.call);
                 may_have_run = true;
             }
-            finish_call(it);
+            finish_call(it, now);
         }
         if (may_have_run || it.is_begun) {
             end_unserved(it, prompt_part_restricted, may_have_run, now);
