--- a/packages/gateway/include/hemlocknotch/gateway/prompt_part_breaker.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/prompt_part_breaker.hpp
@@ -115,8 +115,9 @@
 
     /// Records that the request was sent. If it has suspected parts, it is their trial until `note_done`.
     void note_sent(exchange_id exchange, std::span<const prompt_part> parts);
-    /// Records that the call of the request has ended, however it did.
-    void note_done(exchange_id exchange, std::span<const prompt_part> parts, instant now);
+    /// Records that the call of the request has ended, however it did. `was_reached` is false if nothing was
+    /// sent to an endpoint, so that the request may be sent to another one at once.
+    void note_done(exchange_id exchange, std::span<const prompt_part> parts, bool was_reached, instant now);
 
     /// Records that the endpoint `instance` ended before a sound run of the request. Call before `note_done`.
     void note_end(exchange_id exchange, std::span<const prompt_part> parts, std::string_view instance,
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -163,6 +163,8 @@
     void refuse(exchange& it, int status, std::string_view reason, duration retry_after, instant now);
     void expire(exchange& it, instant now);
     void finish_call(exchange& it, instant now);
+    /// Ends a call of which its endpoint received nothing.
+    void finish_unsent_call(exchange& it, instant now);
     [[nodiscard]] part_decision decide_parts(const exchange& it, instant now) const;
     void refuse_part(exchange& it, const part_decision& decision, instant now);
     /// Records a call that its endpoint cut, if it may have ended on the prompt.
--- a/packages/gateway/src/prompt_part_breaker.cpp
+++ b/packages/gateway/src/prompt_part_breaker.cpp
@@ -109,13 +109,17 @@
     }
 }
 
-void prompt_part_breaker::note_done(exchange_id exchange, std::span<const prompt_part> parts, instant now)
+void prompt_part_breaker::note_done(exchange_id exchange, std::span<const prompt_part> parts,
+                                    bool was_reached, instant now)
 {
     for (const auto& part : considered(parts)) {
         const auto it = parts_.find(part.id);
         if (it != parts_.end() && it->second.trial == exchange) {
             auto& state = it->second;
             state.trial = 0;
+            if (!was_reached) {
+                continue;
+            }
             const auto has_result = state.changed_at == now;
             state.trials_without_result =
                 has_result ? 0 : std::min(state.trials_without_result + 1, max_trial_doublings);
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -87,7 +87,7 @@
         auto* it = exchanges_->find(id);
         assert(it != nullptr);
         if (port_.recall_call(it->call)) {
-            finish_call(*it, now);
+            finish_unsent_call(*it, now);
             send_again(*it, now);
         }
     }
@@ -423,7 +423,7 @@
     if (port_.wants_log(log_level::warning)) {
         port_.write_log(call_failed_record(it, was_executed, now));
     }
-    finish_call(it, now);
+    was_executed ? finish_call(it, now) : finish_unsent_call(it, now);
     it.events.drop_remainder();
     if (retry(it, was_executed, now)) {
         offer_waiting(now);
@@ -571,7 +571,13 @@
 
 void router::finish_call(exchange& it, instant now)
 {
-    parts_->note_done(it.id, it.placement_input.shared_parts, now);
+    parts_->note_done(it.id, it.placement_input.shared_parts, true, now);
+    calls_->finish(it);
+}
+
+void router::finish_unsent_call(exchange& it, instant now)
+{
+    parts_->note_done(it.id, it.placement_input.shared_parts, false, now);
     calls_->finish(it);
 }
 
--- a/packages/gateway/tests/prompt_part_breaker_test.cpp
+++ b/packages/gateway/tests/prompt_part_breaker_test.cpp
@@ -27,7 +27,7 @@
         }
         it.note_sent(exchange, parts);
         it.note_end(exchange, parts, instance, now);
-        it.note_done(exchange, parts, now);
+        it.note_done(exchange, parts, true, now);
         return true;
     }
 
@@ -74,7 +74,7 @@
     it.note_sent(50, parts);
     BOOST_TEST((it.decide(50, parts, now).verdict == part_verdict::trial));
     BOOST_TEST((it.decide(51, parts, now).verdict == part_verdict::suspected));
-    it.note_done(50, parts, now);
+    it.note_done(50, parts, true, now);
     now += 2 * prompt_part_breaker::trial_delay;
     BOOST_TEST((it.decide(51, parts, now).verdict == part_verdict::trial));
 }
@@ -90,13 +90,24 @@
         if (it.decide(++exchange, parts, now).is_permitted()) {
             ++trials;
             it.note_sent(exchange, parts);
-            it.note_done(exchange, parts, now);
+            it.note_done(exchange, parts, true, now);
         }
     }
     // At 0.5, 1.5, 3.5, 7.5 and 15.5 s.
     BOOST_TEST(trials == 5U);
 }
 
+BOOST_AUTO_TEST_CASE(a_trial_that_reached_no_endpoint_is_sent_to_another_at_once)
+{
+    end("e1");
+    end("e2");
+    now += prompt_part_breaker::trial_delay;
+    const std::vector<prompt_part> parts{{part, 1}};
+    it.note_sent(50, parts);
+    it.note_done(50, parts, false, now);
+    BOOST_TEST((it.decide(50, parts, now).verdict == part_verdict::trial));
+}
+
 BOOST_AUTO_TEST_CASE(gateways_begin_trials_one_after_the_other)
 {
     std::vector<prompt_part_breaker> breakers;
@@ -134,7 +145,7 @@
     BOOST_TEST(other.decide(2, parts, now).is_permitted());
     other.apply_report("g1", it.create_report(now), now);
     BOOST_TEST(!other.decide(2, parts, now).is_permitted());
-    it.note_done(50, parts, now);
+    it.note_done(50, parts, true, now);
     other.apply_report("g1", it.create_report(now), now);
     BOOST_TEST(other.decide(2, parts, now).is_permitted());
 }
