--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -22,6 +22,7 @@
 
 class call_table;
 class caller_answers;
+class endpoint_announcements;
 class exchange_table;
 class fleet_reports;
 class prompt_part_breaker;
@@ -148,11 +149,6 @@
     void handle_failure(exchange& it, call_outcome outcome, instant now);
     void handle_rejection(exchange& it, instant now);
     void handle_complete_answer(exchange& it, instant now);
-    /// Records the limit of requests that an answer of the endpoint `instance` states.
-    void note_stated_limit(std::string_view instance, const answer_fields& fields, instant now);
-    /// Records a limit that `source`, another gateway, or this one, if it is empty, has observed.
-    void note_limit(endpoint_state& endpoint, double requests_per_second, instant observed_at,
-                    std::string_view source, instant now);
     /// Tells those that share work by the names of gateways which ones report.
     void set_others();
     /// Logs what the endpoint `instance` was working on for this gateway when it broke off a call.
@@ -192,6 +188,7 @@
     std::unique_ptr<caller_answers> answers_;
     std::unique_ptr<call_table> calls_;
     std::unique_ptr<prompt_part_breaker> parts_;
+    std::unique_ptr<endpoint_announcements> announcements_;
     std::map<std::string, std::unique_ptr<service_admission>, std::less<>> services_;
 };
 
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -3,6 +3,7 @@
 
 #include "call_table.hpp"
 #include "caller_answers.hpp"
+#include "endpoint_announcements.hpp"
 #include "exchange.hpp"
 #include "exchange_log.hpp"
 #include "exchange_metrics.hpp"
@@ -54,7 +55,8 @@
       exchanges_{std::make_unique<exchange_table>()},
       answers_{std::make_unique<caller_answers>(port)},
       calls_{std::make_unique<call_table>(endpoints_, options_.output_weight)},
-      parts_{std::make_unique<prompt_part_breaker>(options_.gateway)}
+      parts_{std::make_unique<prompt_part_breaker>(options_.gateway)},
+      announcements_{std::make_unique<endpoint_announcements>(endpoints_, port)}
 {
 }
 
@@ -268,7 +270,9 @@
     if (it == nullptr) {
         return;
     }
-    note_stated_limit(it->instance, fields, now);
+    if (announcements_->note_answer(it->instance, head.status, fields, now)) {
+        recall_from_leaving_endpoints(now);
+    }
     const auto is_success = head.status >= 200 && head.status < 300;
     if (is_success && (!fields.is_signed || fields.is_encoded)) {
         port_.cancel_call(call);
@@ -280,31 +284,6 @@
     it->answer = fields;
 }
 
-void router::note_stated_limit(std::string_view instance, const answer_fields& fields, instant now)
-{
-    auto* endpoint = endpoints_.find(instance);
-    if (endpoint == nullptr) {
-        return;
-    }
-    if (!fields.has_unreadable_limit) {
-        return note_limit(*endpoint, fields.request_limit.value_or(0.0), now, {}, now);
-    }
-    if (port_.wants_log(log_level::warning)) {
-        port_.write_log(
-            {log_level::warning, "endpoint-limit-unreadable", {{"endpoint", std::string{instance}}}});
-    }
-}
-
-void router::note_limit(endpoint_state& endpoint, double requests_per_second, instant observed_at,
-                        std::string_view source, instant now)
-{
-    const auto before = endpoint.limit.requests_per_second;
-    if (endpoints_.note_limit(endpoint, requests_per_second, observed_at, source.empty(), now)) {
-        port_.write_state_log(endpoint_limit_record(endpoint.record.instance, before,
-                                                    endpoint.limit.requests_per_second, source));
-    }
-}
-
 void router::on_part(call_id call, std::string_view bytes, instant now)
 {
     auto* it = find_by_call(call);
@@ -482,10 +461,8 @@
     if (reports_->apply_load(report)) {
         set_others();
     }
-    for (const auto& it : report.limits) {
-        if (auto* endpoint = endpoints_.find(it.instance)) {
-            note_limit(*endpoint, it.requests_per_second, now - it.age, report.gateway, now);
-        }
+    if (announcements_->apply_report(report, now)) {
+        recall_from_leaving_endpoints(now);
     }
     parts_->apply_report(report.gateway, report.prompt_parts, now);
     for (const auto& it : report.accounts) {
