Send no more requests to an endpoint that says in an answer that it leaves

Endpoints say it in all their answers, often seconds before the registry shows it, and nothing read it. The gateway that reads it sends the endpoint nothing more, recalls what waits for a connection to it, and tells the others with its reports for ten seconds. It holds for one start of the endpoint, whatever the registry shows meanwhile. A 421 speaks for the endpoint that has the address now.

--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -66,7 +66,8 @@
     }
     json out{report.gateway, report.incarnation, report.sequence, std::move(endpoints), std::move(accounts)};
     const auto has_parts = !report.prompt_parts.parts.empty() || !report.prompt_parts.sound.empty();
-    if (has_parts || !report.limits.empty()) {
+    const auto has_announcements = !report.limits.empty() || !report.leaving.empty();
+    if (has_parts || has_announcements) {
         auto parts = json::array();
         for (const auto& it : report.prompt_parts.parts) {
             parts.push_back(it.part);
@@ -78,7 +79,7 @@
         out.push_back(std::move(parts));
         out.push_back(report.prompt_parts.sound);
     }
-    if (!report.limits.empty()) {
+    if (has_announcements) {
         auto limits = json::array();
         for (const auto& it : report.limits) {
             limits.push_back(it.instance);
@@ -86,6 +87,12 @@
             limits.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(it.age).count());
         }
         out.push_back(std::move(limits));
+        auto leaving = json::array();
+        for (const auto& it : report.leaving) {
+            leaving.push_back(it.instance);
+            leaving.push_back(it.started_at_ms);
+        }
+        out.push_back(std::move(leaving));
     }
     return json::to_cbor(out);
 }
--- a/packages/daemon/src/gateway/report_sax_handler.cpp
+++ b/packages/daemon/src/gateway/report_sax_handler.cpp
@@ -72,6 +72,11 @@
         entry_field_ = (entry_field_ + 1) % limit_field_count;
         return true;
     }
+    if (is_in_leaving() && entry_field_ == 1) {
+        report_.leaving.back().started_at_ms = value;
+        entry_field_ = 0;
+        return true;
+    }
     if (is_in_sound_parts()) {
         report_.prompt_parts.sound.push_back(value);
         return true;
@@ -126,6 +131,9 @@
     else if (is_in_limits()) {
         report_.limits.push_back({std::move(value), 0.0, {}});
     }
+    else if (is_in_leaving()) {
+        report_.leaving.push_back({std::move(value), 0});
+    }
     else if (is_in_accounts()) {
         report_.accounts.push_back({service_, std::move(value), {}});
     }
@@ -164,7 +172,8 @@
 {
     ++depth_;
     return depth_ == 1 || is_in_endpoints() || is_in_accounts() || is_in_parts() || is_in_sound_parts() ||
-           is_in_limits() || (is_in_part_endpoints() && entry_field_ == part_endpoints_field);
+           is_in_limits() || is_in_leaving() ||
+           (is_in_part_endpoints() && entry_field_ == part_endpoints_field);
 }
 
 bool report_sax_handler::end_array()
--- a/packages/daemon/src/gateway/report_sax_handler.hpp
+++ b/packages/daemon/src/gateway/report_sax_handler.hpp
@@ -17,14 +17,15 @@
 /// the gateway's name, incarnation, sequence number, a flat array of the endpoints' fields, and an object
 /// that maps each service to a flat array of its accounts' fields; where anything is known against prompt
 /// parts, also a flat array of the parts' fields, of which the last is an array of endpoints, and an array of
-/// parts that are sound; where endpoints state limits, also a flat array of the limits' fields. A handler
-/// reads one report only.
+/// parts that are sound; where endpoints state limits or that they leave, also flat arrays of the fields of
+/// both. A handler reads one report only.
 class report_sax_handler final : public nlohmann::json_sax<nlohmann::json> {
 public:
     /// Returns whether a complete report has been read.
     [[nodiscard]] bool is_complete() const
     {
-        return depth_ == 0 && (top_field_ == parts_field || top_field_ >= limits_field);
+        return depth_ == 0 &&
+               (top_field_ == parts_field || top_field_ == limits_field || top_field_ == leaving_field + 1);
     }
 
     [[nodiscard]] gateway::fleet_report& report() { return report_; }
@@ -52,6 +53,7 @@
     static constexpr std::size_t parts_field = 5;
     static constexpr std::size_t sound_parts_field = 6;
     static constexpr std::size_t limits_field = 7;
+    static constexpr std::size_t leaving_field = 8;
 
     [[nodiscard]] bool is_in_endpoints() const { return depth_ == 2 && top_field_ == endpoints_field; }
 
@@ -65,6 +67,8 @@
 
     [[nodiscard]] bool is_in_limits() const { return depth_ == 2 && top_field_ == limits_field; }
 
+    [[nodiscard]] bool is_in_leaving() const { return depth_ == 2 && top_field_ == leaving_field; }
+
     /// Takes the next field of a prompt part. Returns false where it is out of range.
     bool take_part_field(std::uint64_t value);
 
--- a/packages/daemon/tests/report_exchange_test.cpp
+++ b/packages/daemon/tests/report_exchange_test.cpp
@@ -100,12 +100,13 @@
     BOOST_TEST(read->prompt_parts.sound == report.prompt_parts.sound, boost::test_tools::per_element());
 }
 
-BOOST_AUTO_TEST_CASE(a_report_tells_the_limits_that_endpoints_state)
+BOOST_AUTO_TEST_CASE(a_report_tells_what_endpoints_announce)
 {
     fleet_report report;
     report.gateway = "g1";
     report.endpoints = {{"e1", 10.0, 1, 20.0}};
     report.limits = {{"e1", 4.5, std::chrono::milliseconds{20}}, {"e2", 0.0, {}}};
+    report.leaving = {{"e3", 1'796'387'653'890}};
     const auto read = decode_report(encode_report(report));
     BOOST_REQUIRE(read.has_value());
     BOOST_REQUIRE_EQUAL(read->limits.size(), 2U);
@@ -113,6 +114,9 @@
     BOOST_TEST(read->limits[0].requests_per_second == 4.5);
     BOOST_TEST((read->limits[0].age == std::chrono::milliseconds{20}));
     BOOST_TEST(read->limits[1].requests_per_second == 0.0);
+    BOOST_REQUIRE_EQUAL(read->leaving.size(), 1U);
+    BOOST_TEST(read->leaving[0].instance == "e3");
+    BOOST_TEST(read->leaving[0].started_at_ms == 1'796'387'653'890U);
     BOOST_TEST(read->prompt_parts.parts.empty());
 }
 
@@ -123,6 +127,7 @@
     report.prompt_parts.parts = {{7, {"e1", "e2"}, 1, std::chrono::milliseconds{1500}, true}};
     report.prompt_parts.sound = {8};
     report.limits = {{"e1", 4.5, std::chrono::milliseconds{20}}};
+    report.leaving = {{"e3", 7}};
     const auto bytes = encode_report(report);
     for (std::size_t n = 0; n < bytes.size(); ++n) {
         BOOST_TEST(!decode_report(std::span{bytes}.first(n)).has_value());
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -86,6 +86,8 @@
     void set_peer(std::string_view gateway, const peer_load& load);
     void remove_peer(std::string_view gateway);
     std::optional<fleet_rate_limiter> cold_limiter;
+    /// When this gateway learnt from an answer that the endpoint leaves; `instant::max()`: it did not.
+    instant leaving_since = instant::max();
     stated_limit limit;
     /// This gateway's part of the limit; empty while none is stated.
     std::optional<fleet_rate_limiter> limiter;
@@ -143,6 +145,13 @@
     /// Replaces the names of the other gateways whose reports are current.
     void set_others(const std::set<std::string, std::less<>>& names);
 
+    /// Records that an answer stated that the endpoint leaves. It gets no more requests, also if the registry
+    /// shows it as ready, until it starts anew. Returns whether that is news.
+    bool note_leaving(endpoint_state& endpoint, instant now);
+
+    /// Returns the state of the endpoint at `address` other than `instance`; null if there is none.
+    endpoint_state* find_other_at(const endpoint_address& address, std::string_view instance);
+
     /// Records the limit that an answer stated; 0: none. Ignored where a later answer is known. Returns
     /// whether the limit has changed.
     bool note_limit(endpoint_state& endpoint, double requests_per_second, instant observed_at, bool is_own,
@@ -166,6 +175,9 @@
                                         std::span<const prompt_part> shared_parts,
                                         std::vector<endpoint_state*>& states);
 
+    /// Returns whether the endpoint drains, as the registry says, or leaves, as its answers say.
+    [[nodiscard]] static bool is_departing(const endpoint_state& endpoint);
+
     /// Returns the state of `instance`; null if it is not listed.
     endpoint_state* find(std::string_view instance);
 
@@ -206,6 +218,9 @@
     std::map<std::string, std::unique_ptr<endpoint_state>, std::less<>> endpoints_;
     std::map<std::string, std::vector<endpoint_state*>, std::less<>> by_service_;
     std::set<std::string, std::less<>> out_of_service_;
+    /// Start times of endpoints that stated that they leave, by instance. They stay known when the registry
+    /// loses an endpoint and shows it again.
+    std::map<std::string, std::uint64_t, std::less<>> leaving_;
 };
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/include/hemlocknotch/gateway/fleet_report.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/fleet_report.hpp
@@ -37,6 +37,12 @@
     duration age{};
 };
 
+/// Endpoint that stated in an answer to the reporting gateway that it leaves.
+struct leaving_report {
+    std::string instance;
+    std::uint64_t started_at_ms = 0;
+};
+
 /// State that a gateway reports to the others at short intervals. Each report is complete in itself, so that
 /// a lost one does no harm.
 struct fleet_report {
@@ -50,6 +56,7 @@
     std::vector<account_report> accounts;
     part_reports prompt_parts;
     std::vector<limit_report> limits;
+    std::vector<leaving_report> leaving;
 };
 
 /// Returns the time between two reports of a gateway that sends them to `others` gateways. Thread-safe.
--- a/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
@@ -60,6 +60,8 @@
     /// Whether a content coding other than identity is applied, so that the body is not the endpoint's own.
     bool is_encoded = false;
     std::optional<reported_load> load;
+    /// Whether the endpoint states that it leaves.
+    bool is_leaving = false;
     /// Requests per second that the endpoint takes from all gateways together, as long as its answers say so;
     /// empty: no limit is stated.
     std::optional<double> request_limit;
--- a/packages/gateway/src/call_table.cpp
+++ b/packages/gateway/src/call_table.cpp
@@ -106,7 +106,7 @@
     std::vector<exchange_id> out;
     for (const auto& [call, it] : calls_) {
         const auto* endpoint = endpoints_.find(it.instance);
-        if (endpoint == nullptr || endpoint->record.is_draining) {
+        if (endpoint == nullptr || endpoint_table::is_departing(*endpoint)) {
             out.push_back(it.exchange);
         }
     }
--- a/packages/gateway/src/endpoint_announcements.cpp
+++ b/packages/gateway/src/endpoint_announcements.cpp
@@ -5,21 +5,32 @@
 #include <string>
 
 namespace hemlocknotch::gateway {
+namespace {
 
-bool endpoint_announcements::note_answer(std::string_view instance, int /*status*/,
-                                         const answer_fields& fields, instant now)
+constexpr int status_misdirected = 421;
+
+} // namespace
+
+bool endpoint_announcements::note_answer(std::string_view instance, int status, const answer_fields& fields,
+                                         instant now)
 {
     auto* endpoint = endpoints_.find(instance);
     if (endpoint == nullptr) {
         return false;
     }
+    if (status == status_misdirected) {
+        // The answer is that of the endpoint that has the address now.
+        endpoint = endpoints_.find_other_at(endpoint->record.address, instance);
+        return endpoint != nullptr && fields.is_leaving && note_leaving(*endpoint, {}, now);
+    }
+    const auto is_news = fields.is_leaving && note_leaving(*endpoint, {}, now);
     if (fields.has_unreadable_limit) {
         log_unreadable(instance, "limit");
     }
     else {
         note_limit(*endpoint, fields.request_limit.value_or(0.0), now, {}, now);
     }
-    return false;
+    return is_news;
 }
 
 bool endpoint_announcements::apply_report(const fleet_report& report, instant now)
@@ -29,7 +40,25 @@
             note_limit(*endpoint, it.requests_per_second, now - it.age, report.gateway, now);
         }
     }
-    return false;
+    bool is_news = false;
+    for (const auto& it : report.leaving) {
+        auto* endpoint = endpoints_.find(it.instance);
+        if (endpoint != nullptr && endpoint->record.started_at_ms == it.started_at_ms) {
+            is_news = note_leaving(*endpoint, report.gateway, now) || is_news;
+        }
+    }
+    return is_news;
+}
+
+bool endpoint_announcements::note_leaving(endpoint_state& endpoint, std::string_view source, instant now)
+{
+    if (!endpoints_.note_leaving(endpoint, now)) {
+        return false;
+    }
+    port_.write_state_log({log_level::info,
+                           "endpoint-leaving",
+                           {{"endpoint", endpoint.record.instance}, {"source", std::string{source}}}});
+    return true;
 }
 
 void endpoint_announcements::note_limit(endpoint_state& endpoint, double requests_per_second,
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -10,6 +10,8 @@
 
 constexpr unsigned default_slots = 64;
 constexpr unsigned max_doublings = 6;
+/// Maximum number of endpoints recorded as leaving; bounds memory.
+constexpr std::size_t max_leaving = 4096;
 /// Maximum number of cached prompt parts recorded per endpoint; bounds memory.
 constexpr std::size_t max_cached_parts = 4096;
 /// Time without use after which a part is taken to be evicted: about the time in which an engine under load
@@ -84,6 +86,10 @@
             state->cold_until = std::max(state->cold_until, now + record.cold_remaining);
         }
         state->record = record;
+        if (const auto it = leaving_.find(record.instance);
+            it != leaving_.end() && it->second == record.started_at_ms) {
+            state->leaving_since = std::min(state->leaving_since, now);
+        }
         const auto* service = configuration.find_service(record.service);
         const auto rate = service == nullptr ? 0.0 : service->cold_requests_per_second;
         if (rate > 0.0 && !state->cold_limiter) {
@@ -129,6 +135,29 @@
     }
 }
 
+bool endpoint_table::note_leaving(endpoint_state& endpoint, instant now)
+{
+    if (endpoint.leaving_since != instant::max()) {
+        return false;
+    }
+    if (leaving_.size() >= max_leaving) {
+        leaving_.clear();
+    }
+    endpoint.leaving_since = now;
+    leaving_.insert_or_assign(endpoint.record.instance, endpoint.record.started_at_ms);
+    return true;
+}
+
+endpoint_state* endpoint_table::find_other_at(const endpoint_address& address, std::string_view instance)
+{
+    for (const auto& [name, it] : endpoints_) {
+        if (it->record.address == address && name != instance) {
+            return it.get();
+        }
+    }
+    return nullptr;
+}
+
 bool endpoint_table::note_limit(endpoint_state& endpoint, double requests_per_second, instant observed_at,
                                 bool is_own, instant now)
 {
@@ -259,7 +288,7 @@
 {
     const auto found = by_service_.find(service);
     return found == by_service_.end() || std::ranges::all_of(found->second, [&](const endpoint_state* it) {
-               return it->record.is_draining || out_of_service_.contains(it->record.failure_domain) ||
+               return is_departing(*it) || out_of_service_.contains(it->record.failure_domain) ||
                       std::ranges::find(tried, it->record.instance) != tried.end();
            });
 }
@@ -323,9 +352,14 @@
     return static_cast<double>(XXH64(instance.data(), instance.size(), seed_) >> 32U) / range;
 }
 
+bool endpoint_table::is_departing(const endpoint_state& endpoint)
+{
+    return endpoint.record.is_draining || endpoint.leaving_since != instant::max();
+}
+
 bool endpoint_table::accepts_requests(const endpoint_state& endpoint, instant now) const
 {
-    if (endpoint.record.is_draining || out_of_service_.contains(endpoint.record.failure_domain)) {
+    if (is_departing(endpoint) || out_of_service_.contains(endpoint.record.failure_domain)) {
         return false;
     }
     if (!is_within_limit(endpoint, now)) {
--- a/packages/gateway/src/fleet_reports.cpp
+++ b/packages/gateway/src/fleet_reports.cpp
@@ -13,6 +13,9 @@
 /// extend the reports by seconds.
 constexpr double negligible_rate = 100.0;
 
+/// Time for which an endpoint that leaves is reported: several reports of a large fleet. By then the registry
+/// shows it too.
+constexpr duration leaving_report_time = std::chrono::seconds{10};
 /// Shortest time between two reports: a tenth of an objective of one second.
 constexpr duration min_report_interval = std::chrono::milliseconds{100};
 /// The interval grows with the number of other gateways, so that a gateway sends and receives some 80
@@ -42,6 +45,9 @@
         if (it->limit.is_own && now - it->limit.observed_at < endpoint_table::limit_lifetime) {
             out.limits.push_back({name, it->limit.requests_per_second, now - it->limit.observed_at});
         }
+        if (it->leaving_since != instant::max() && now - it->leaving_since < leaving_report_time) {
+            out.leaving.push_back({name, it->record.started_at_ms});
+        }
         const auto rate = it->sent_tokens.per_second(now);
         if (it->running > 0 || rate >= negligible_rate) {
             out.endpoints.push_back({name, it->pending_tokens, it->running, rate});
--- /dev/null
+++ b/packages/gateway/tests/endpoint_announcements_test.cpp
@@ -0,0 +1,122 @@
+#include "router_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace hemlocknotch::gateway {
+namespace {
+
+struct announcements_fixture : router_fixture {
+    /// Sends a request and answers it with `fields`. Returns the endpoint.
+    std::string send_and_answer(exchange_id exchange, answer_fields fields, int status = 200)
+    {
+        send_request(exchange, "/stream/x");
+        const auto call = port.calls.back();
+        fields.is_signed = true;
+        it.on_head(call.call, {status, {}}, fields, now);
+        it.on_end(call.call, call_outcome::complete, now);
+        return call.instance;
+    }
+
+    [[nodiscard]] static answer_fields leaving()
+    {
+        answer_fields out;
+        out.is_leaving = true;
+        return out;
+    }
+
+    /// Returns whether one of 30 requests is sent to `instance`.
+    bool is_used(const std::string& instance)
+    {
+        for (exchange_id n = 0; n < 30; ++n) {
+            auto request =
+                std::make_shared<caller_request>(*create_request("q" + std::to_string(++last), "/stream/x"));
+            request->fields.prompt = {{last, 600}, {1, 400}};
+            it.on_request(last, request, now);
+            const auto call = port.calls.back();
+            it.on_caller_disconnected(last, now);
+            now += milliseconds{300};
+            if (call.instance == instance) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    exchange_id last = 1000;
+};
+
+BOOST_FIXTURE_TEST_SUITE(endpoint_announcements_suite, announcements_fixture)
+
+BOOST_AUTO_TEST_CASE(sends_nothing_to_an_endpoint_that_says_in_an_answer_that_it_leaves)
+{
+    const auto instance = send_and_answer(1, leaving());
+    BOOST_TEST(!is_used(instance));
+    // The registry still shows it as ready, or loses it for a time.
+    it.set_endpoints(records, now);
+    BOOST_TEST(!is_used(instance));
+    auto others = records;
+    std::erase_if(others, [&](const endpoint_record& record) { return record.instance == instance; });
+    it.set_endpoints(others, now);
+    it.set_endpoints(records, now);
+    BOOST_TEST(!is_used(instance));
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_that_starts_anew_after_it_left_is_used)
+{
+    const auto instance = send_and_answer(1, leaving());
+    for (auto& record : records) {
+        record.started_at_ms += record.instance == instance ? 1 : 0;
+    }
+    it.set_endpoints(records, now);
+    BOOST_TEST(is_used(instance));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_waits_for_its_connection_to_a_leaving_endpoint_is_sent_elsewhere)
+{
+    send_request(1, "/stream/x");
+    const auto waiting = port.calls.back();
+    port.unsent.insert(waiting.call);
+    const auto instance = send_and_answer(2, leaving());
+    BOOST_REQUIRE_EQUAL(instance, waiting.instance);
+    BOOST_TEST(!port.unsent.contains(waiting.call));
+    BOOST_TEST(port.calls.back().request->fields.id == "id-1");
+    BOOST_TEST(port.calls.back().instance != instance);
+}
+
+BOOST_AUTO_TEST_CASE(another_gateway_learns_that_an_endpoint_leaves)
+{
+    const auto instance = send_and_answer(1, leaving());
+    auto report = it.create_report(now);
+    report.gateway = "g2";
+    router other{router_options{}, model_placement, plain_placement, port};
+    other.set_configuration(std::make_shared<routing_configuration>(create_document()), now);
+    other.set_endpoints(records, now);
+    other.apply_report(report, now);
+    for (exchange_id n = 50; n < 80; ++n) {
+        auto request =
+            std::make_shared<caller_request>(*create_request("o" + std::to_string(n), "/stream/x"));
+        request->fields.prompt = {{n, 600}, {1, 400}};
+        other.on_request(n, request, now);
+        BOOST_TEST(port.calls.back().instance != instance);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_misdirected_request_tells_of_the_endpoint_that_has_the_address_now)
+{
+    send_request(1, "/stream/x");
+    const auto call = port.calls.back();
+    auto successor = create_endpoint("m9", "model");
+    successor.address = call.address;
+    records.push_back(successor);
+    it.set_endpoints(records, now);
+    it.on_head(call.call, {421, {}}, leaving(), now);
+    it.on_end(call.call, call_outcome::complete, now);
+    BOOST_TEST(!is_used("m9"));
+    now += endpoint_table::misdirected_backoff;
+    BOOST_TEST(is_used(call.instance));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace hemlocknotch::gateway
