Send no requests to an endpoint for as long as it asks for none

An endpoint that rejects a request with 503 and Retry-After was asked again 50 ms later. It gets nothing until the pause is over, at most a minute, and then one request each 100 ms until an answer comes; other gateways hear of it with the reports. Where all endpoints of a service pause for longer than a request may wait, it is refused at once (endpoints-paused) with a Retry-After that is never shorter than what the endpoints said. A value that cannot be read is logged.

--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -66,7 +66,8 @@
     }
     json out{report.gateway, report.incarnation, report.sequence, std::move(endpoints), std::move(accounts)};
     const auto has_parts = !report.prompt_parts.parts.empty() || !report.prompt_parts.sound.empty();
-    const auto has_announcements = !report.limits.empty() || !report.leaving.empty();
+    const auto has_announcements =
+        !report.limits.empty() || !report.leaving.empty() || !report.pauses.empty();
     if (has_parts || has_announcements) {
         auto parts = json::array();
         for (const auto& it : report.prompt_parts.parts) {
@@ -93,6 +94,12 @@
             leaving.push_back(it.started_at_ms);
         }
         out.push_back(std::move(leaving));
+        auto pauses = json::array();
+        for (const auto& it : report.pauses) {
+            pauses.push_back(it.instance);
+            pauses.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(it.remaining).count());
+        }
+        out.push_back(std::move(pauses));
     }
     return json::to_cbor(out);
 }
--- a/packages/daemon/src/gateway/report_sax_handler.cpp
+++ b/packages/daemon/src/gateway/report_sax_handler.cpp
@@ -77,6 +77,11 @@
         entry_field_ = 0;
         return true;
     }
+    if (is_in_pauses() && entry_field_ == 1 && value <= max_report_number) {
+        report_.pauses.back().remaining = std::chrono::milliseconds{value};
+        entry_field_ = 0;
+        return true;
+    }
     if (is_in_sound_parts()) {
         report_.prompt_parts.sound.push_back(value);
         return true;
@@ -134,6 +139,9 @@
     else if (is_in_leaving()) {
         report_.leaving.push_back({std::move(value), 0});
     }
+    else if (is_in_pauses()) {
+        report_.pauses.push_back({std::move(value), {}});
+    }
     else if (is_in_accounts()) {
         report_.accounts.push_back({service_, std::move(value), {}});
     }
@@ -172,7 +180,7 @@
 {
     ++depth_;
     return depth_ == 1 || is_in_endpoints() || is_in_accounts() || is_in_parts() || is_in_sound_parts() ||
-           is_in_limits() || is_in_leaving() ||
+           is_in_limits() || is_in_leaving() || is_in_pauses() ||
            (is_in_part_endpoints() && entry_field_ == part_endpoints_field);
 }
 
--- a/packages/daemon/src/gateway/report_sax_handler.hpp
+++ b/packages/daemon/src/gateway/report_sax_handler.hpp
@@ -25,7 +25,7 @@
     [[nodiscard]] bool is_complete() const
     {
         return depth_ == 0 &&
-               (top_field_ == parts_field || top_field_ == limits_field || top_field_ == leaving_field + 1);
+               (top_field_ == parts_field || top_field_ == limits_field || top_field_ == pauses_field + 1);
     }
 
     [[nodiscard]] gateway::fleet_report& report() { return report_; }
@@ -54,6 +54,7 @@
     static constexpr std::size_t sound_parts_field = 6;
     static constexpr std::size_t limits_field = 7;
     static constexpr std::size_t leaving_field = 8;
+    static constexpr std::size_t pauses_field = 9;
 
     [[nodiscard]] bool is_in_endpoints() const { return depth_ == 2 && top_field_ == endpoints_field; }
 
@@ -69,6 +70,8 @@
 
     [[nodiscard]] bool is_in_leaving() const { return depth_ == 2 && top_field_ == leaving_field; }
 
+    [[nodiscard]] bool is_in_pauses() const { return depth_ == 2 && top_field_ == pauses_field; }
+
     /// Takes the next field of a prompt part. Returns false where it is out of range.
     bool take_part_field(std::uint64_t value);
 
--- a/packages/daemon/tests/report_exchange_test.cpp
+++ b/packages/daemon/tests/report_exchange_test.cpp
@@ -107,6 +107,7 @@
     report.endpoints = {{"e1", 10.0, 1, 20.0}};
     report.limits = {{"e1", 4.5, std::chrono::milliseconds{20}}, {"e2", 0.0, {}}};
     report.leaving = {{"e3", 1'796'387'653'890}};
+    report.pauses = {{"e4", std::chrono::milliseconds{900}}};
     const auto read = decode_report(encode_report(report));
     BOOST_REQUIRE(read.has_value());
     BOOST_REQUIRE_EQUAL(read->limits.size(), 2U);
@@ -114,6 +115,9 @@
     BOOST_TEST(read->limits[0].requests_per_second == 4.5);
     BOOST_TEST((read->limits[0].age == std::chrono::milliseconds{20}));
     BOOST_TEST(read->limits[1].requests_per_second == 0.0);
+    BOOST_REQUIRE_EQUAL(read->pauses.size(), 1U);
+    BOOST_TEST(read->pauses[0].instance == "e4");
+    BOOST_TEST((read->pauses[0].remaining == std::chrono::milliseconds{900}));
     BOOST_REQUIRE_EQUAL(read->leaving.size(), 1U);
     BOOST_TEST(read->leaving[0].instance == "e3");
     BOOST_TEST(read->leaving[0].started_at_ms == 1'796'387'653'890U);
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -88,6 +88,14 @@
     std::optional<fleet_rate_limiter> cold_limiter;
     /// When this gateway learnt from an answer that the endpoint leaves; `instant::max()`: it did not.
     instant leaving_since = instant::max();
+    /// End of the time for which the endpoint wants no requests.
+    instant paused_until{};
+    /// Whether this gateway was told of a pause itself.
+    bool is_pause_own = false;
+    /// After a pause, until the first success: requests are sent one after the other, the next one at
+    /// `resume_at` at the earliest.
+    bool is_resuming = false;
+    instant resume_at{};
     stated_limit limit;
     /// This gateway's part of the limit; empty while none is stated.
     std::optional<fleet_rate_limiter> limiter;
@@ -117,6 +125,10 @@
     /// Fraction of the rate of a cold endpoint that is used. The rest is a margin for requests of several
     /// gateways that arrive together.
     static constexpr double cold_rate_share = 0.8;
+    /// Longest pause of an endpoint that is heeded.
+    static constexpr duration max_pause = std::chrono::minutes{1};
+    /// Time between the first requests after a pause: some answers begin within it.
+    static constexpr duration resume_interval = std::chrono::milliseconds{100};
     /// Least part of a stated limit, in requests per second, for which a gateway shares in it: with many
     /// gateways some share a limit, so that each of them gets answers that tell how it changes.
     static constexpr double min_limit_part = 0.5;
@@ -149,6 +161,14 @@
     /// shows it as ready, until it starts anew. Returns whether that is news.
     bool note_leaving(endpoint_state& endpoint, instant now);
 
+    /// Records that the endpoint wants no requests for `length`, at most `max_pause`. Returns whether that is
+    /// longer than known.
+    static bool note_pause(endpoint_state& endpoint, duration length, instant now);
+
+    /// Returns the earliest time at which an endpoint of `service` that is in service is not paused;
+    /// `instant::max()` if it has none.
+    [[nodiscard]] instant end_of_pauses(std::string_view service) const;
+
     /// Returns the state of the endpoint at `address` other than `instance`; null if there is none.
     endpoint_state* find_other_at(const endpoint_address& address, std::string_view instance);
 
--- a/packages/gateway/include/hemlocknotch/gateway/fleet_report.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/fleet_report.hpp
@@ -43,6 +43,12 @@
     std::uint64_t started_at_ms = 0;
 };
 
+/// Endpoint that told the reporting gateway that it wants no requests for a time.
+struct pause_report {
+    std::string instance;
+    duration remaining{};
+};
+
 /// State that a gateway reports to the others at short intervals. Each report is complete in itself, so that
 /// a lost one does no harm.
 struct fleet_report {
@@ -57,6 +63,7 @@
     part_reports prompt_parts;
     std::vector<limit_report> limits;
     std::vector<leaving_report> leaving;
+    std::vector<pause_report> pauses;
 };
 
 /// Returns the time between two reports of a gateway that sends them to `others` gateways. Thread-safe.
--- a/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
@@ -60,6 +60,9 @@
     /// Whether a content coding other than identity is applied, so that the body is not the endpoint's own.
     bool is_encoded = false;
     std::optional<reported_load> load;
+    /// Time for which the endpoint, if it rejects the request, wants no further ones from this gateway.
+    std::optional<duration> pause;
+    bool has_unreadable_pause = false;
     /// Whether the endpoint states that it leaves.
     bool is_leaving = false;
     /// Requests per second that the endpoint takes from all gateways together, as long as its answers say so;
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -31,6 +31,7 @@
 struct exchange_context;
 struct part_block;
 struct part_decision;
+struct retry_advice;
 struct unserved_end;
 
 /// Settings of the router.
@@ -156,7 +157,7 @@
     bool retry(exchange& it, bool was_executed, instant now);
     void finish_stream(exchange& it, instant now);
     void end_unserved(exchange& it, const unserved_end& end, bool may_have_run, instant now);
-    void refuse(exchange& it, int status, std::string_view reason, duration retry_after, instant now);
+    void refuse(exchange& it, int status, std::string_view reason, const retry_advice& advice, instant now);
     void expire(exchange& it, instant now);
     void finish_call(exchange& it, instant now);
     /// Ends a call of which its endpoint received nothing.
--- a/packages/gateway/src/call_table.cpp
+++ b/packages/gateway/src/call_table.cpp
@@ -30,6 +30,9 @@
     if (endpoint.cold_limiter && endpoint.cold_until > now) {
         endpoint.cold_limiter->on_admitted(now);
     }
+    if (endpoint.is_resuming) {
+        endpoint.resume_at = now + endpoint_table::resume_interval;
+    }
     if (endpoint.limiter) {
         endpoint.limiter->on_admitted(now);
     }
--- a/packages/gateway/src/caller_answers.cpp
+++ b/packages/gateway/src/caller_answers.cpp
@@ -89,7 +89,7 @@
     if (advice.wait > duration::zero()) {
         const auto& caller_timeout = it.request->fields.caller_timeout;
         head.headers.push_back(
-            {"Retry-After", advice.is_exact ? exact_retry_after_text(advice.wait)
+            {"Retry-After", advice.is_known ? known_retry_after_text(it.id_text(), advice.wait)
                                             : retry_after_text(it.id_text(), advice.wait, caller_timeout)});
     }
     log_end(it, status, reason, status < first_server_error ? log_level::info : log_level::warning, context);
--- a/packages/gateway/src/caller_answers.hpp
+++ b/packages/gateway/src/caller_answers.hpp
@@ -28,12 +28,12 @@
 struct retry_advice {
     retry_advice(duration value) : wait{value} {} // NOLINT(google-explicit-constructor)
 
-    retry_advice(duration value, bool is_known) : wait{value}, is_exact{is_known} {}
+    retry_advice(duration value, bool known) : wait{value}, is_known{known} {}
 
     /// Zero: not stated.
     duration wait;
-    /// The time is known, so that it is neither spread nor limited to what callers accept.
-    bool is_exact = false;
+    /// The time is known, so that it is not limited to what callers accept.
+    bool is_known = false;
 };
 
 /// Answers callers, and logs and counts how their requests end. Changes no decision about a request. Used by
--- a/packages/gateway/src/endpoint_announcements.cpp
+++ b/packages/gateway/src/endpoint_announcements.cpp
@@ -7,6 +7,7 @@
 namespace hemlocknotch::gateway {
 namespace {
 
+constexpr int first_failure = 400;
 constexpr int status_misdirected = 421;
 
 } // namespace
@@ -23,6 +24,15 @@
         endpoint = endpoints_.find_other_at(endpoint->record.address, instance);
         return endpoint != nullptr && fields.is_leaving && note_leaving(*endpoint, {}, now);
     }
+    if (fields.has_unreadable_pause) {
+        log_unreadable(instance, "pause");
+    }
+    if (fields.pause) {
+        note_pause(*endpoint, *fields.pause, {}, now);
+    }
+    else if (status < first_failure && now >= endpoint->paused_until) {
+        endpoint->is_resuming = false;
+    }
     const auto is_news = fields.is_leaving && note_leaving(*endpoint, {}, now);
     if (fields.has_unreadable_limit) {
         log_unreadable(instance, "limit");
@@ -40,6 +50,11 @@
             note_limit(*endpoint, it.requests_per_second, now - it.age, report.gateway, now);
         }
     }
+    for (const auto& it : report.pauses) {
+        if (auto* endpoint = endpoints_.find(it.instance)) {
+            note_pause(*endpoint, it.remaining, report.gateway, now);
+        }
+    }
     bool is_news = false;
     for (const auto& it : report.leaving) {
         auto* endpoint = endpoints_.find(it.instance);
@@ -50,6 +65,21 @@
     return is_news;
 }
 
+void endpoint_announcements::note_pause(endpoint_state& endpoint, duration length, std::string_view source,
+                                        instant now)
+{
+    const auto was_paused = endpoint.paused_until > now;
+    if (endpoint_table::note_pause(endpoint, length, now) && !was_paused) {
+        port_.write_state_log({log_level::warning,
+                               "endpoint-paused",
+                               {{"endpoint", endpoint.record.instance},
+                                {"asked_ms", milliseconds_text(length)},
+                                {"for_ms", milliseconds_text(endpoint.paused_until - now)},
+                                {"source", std::string{source}}}});
+    }
+    endpoint.is_pause_own = endpoint.is_pause_own || source.empty();
+}
+
 bool endpoint_announcements::note_leaving(endpoint_state& endpoint, std::string_view source, instant now)
 {
     if (!endpoints_.note_leaving(endpoint, now)) {
--- a/packages/gateway/src/endpoint_announcements.hpp
+++ b/packages/gateway/src/endpoint_announcements.hpp
@@ -26,6 +26,7 @@
 private:
     void note_limit(endpoint_state& endpoint, double requests_per_second, instant observed_at,
                     std::string_view source, instant now);
+    void note_pause(endpoint_state& endpoint, duration length, std::string_view source, instant now);
     bool note_leaving(endpoint_state& endpoint, std::string_view source, instant now);
     void log_unreadable(std::string_view instance, std::string_view field);
 
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -148,6 +148,30 @@
     return true;
 }
 
+bool endpoint_table::note_pause(endpoint_state& endpoint, duration length, instant now)
+{
+    const auto until = now + std::min(length, max_pause);
+    if (until <= std::max(endpoint.paused_until, now)) {
+        return false;
+    }
+    endpoint.paused_until = until;
+    endpoint.is_resuming = true;
+    return true;
+}
+
+instant endpoint_table::end_of_pauses(std::string_view service) const
+{
+    auto out = instant::max();
+    if (const auto found = by_service_.find(service); found != by_service_.end()) {
+        for (const auto* it : found->second) {
+            if (!is_departing(*it) && !out_of_service_.contains(it->record.failure_domain)) {
+                out = std::min(out, it->paused_until);
+            }
+        }
+    }
+    return out;
+}
+
 endpoint_state* endpoint_table::find_other_at(const endpoint_address& address, std::string_view instance)
 {
     for (const auto& [name, it] : endpoints_) {
@@ -336,6 +360,9 @@
         if (it->cold_until > now && it->cold_limiter && it->cold_limiter->next_admission() > now) {
             out = std::min(out, it->cold_limiter->next_admission());
         }
+        if (it->is_resuming && std::max(it->paused_until, it->resume_at) > now) {
+            out = std::min(out, std::max(it->paused_until, it->resume_at));
+        }
         if (it->limiter && it->limiter->next_admission() > now) {
             out = std::min(out, it->limiter->next_admission());
         }
@@ -362,6 +389,9 @@
     if (is_departing(endpoint) || out_of_service_.contains(endpoint.record.failure_domain)) {
         return false;
     }
+    if (endpoint.paused_until > now || (endpoint.is_resuming && endpoint.resume_at > now)) {
+        return false;
+    }
     if (!is_within_limit(endpoint, now)) {
         return false;
     }
--- a/packages/gateway/src/fleet_reports.cpp
+++ b/packages/gateway/src/fleet_reports.cpp
@@ -45,6 +45,9 @@
         if (it->limit.is_own && now - it->limit.observed_at < endpoint_table::limit_lifetime) {
             out.limits.push_back({name, it->limit.requests_per_second, now - it->limit.observed_at});
         }
+        if (it->is_pause_own && it->paused_until > now) {
+            out.pauses.push_back({name, it->paused_until - now});
+        }
         if (it->leaving_since != instant::max() && now - it->leaving_since < leaving_report_time) {
             out.leaving.push_back({name, it->record.started_at_ms});
         }
--- a/packages/gateway/src/retry_after.hpp
+++ b/packages/gateway/src/retry_after.hpp
@@ -17,8 +17,8 @@
 /// return together, and is short enough for a caller with `caller_timeout` to accept. Thread-safe.
 std::string retry_after_text(std::string_view id, duration wait, std::optional<duration> caller_timeout);
 
-/// Returns the value of `Retry-After` for a time that is known, so that callers for whom it is too long give
-/// up. Thread-safe.
-std::string exact_retry_after_text(duration wait);
+/// Returns the value of `Retry-After` for a wait that is known: as `retry_after_text`, but never shorter, so
+/// that callers for whom it is too long give up. Thread-safe.
+std::string known_retry_after_text(std::string_view id, duration wait);
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -187,6 +187,10 @@
 {
     auto& service = service_of(it.service);
     const auto send_by = service.send_by(it, now);
+    const auto paused_until = endpoints_.end_of_pauses(it.service);
+    if (paused_until > send_by && paused_until != instant::max()) {
+        return refuse(it, status_unavailable, "endpoints-paused", {paused_until - now, true}, now);
+    }
     const auto wait = service.estimated_wait(it, now);
     if (now >= send_by || now + wait > send_by) {
         return refuse(it, status_unavailable, "overloaded", std::max(wait, min_retry_after), now);
@@ -348,9 +352,15 @@
         endpoint_table::note_rejection(*endpoint, it.head->status == status_misdirected, now);
     }
     finish_call(it, now);
-    if (!retry(it, false, now)) {
-        end_unserved(it, endpoint_refused, it.executions > 0, now);
+    if (retry(it, false, now)) {
+        return;
     }
+    const auto paused_until = endpoints_.end_of_pauses(it.service);
+    if (it.executions == 0 && !it.is_begun && paused_until != instant::max() &&
+        paused_until - now > min_retry_after) {
+        return refuse(it, status_unavailable, "endpoints-paused", {paused_until - now, true}, now);
+    }
+    end_unserved(it, endpoint_refused, it.executions > 0, now);
 }
 
 void router::handle_complete_answer(exchange& it, instant now)
@@ -540,9 +550,10 @@
     erase(it);
 }
 
-void router::refuse(exchange& it, int status, std::string_view reason, duration retry_after, instant now)
+void router::refuse(exchange& it, int status, std::string_view reason, const retry_advice& advice,
+                    instant now)
 {
-    answers_->refuse(it, status, reason, retry_after, context_of(it, now));
+    answers_->refuse(it, status, reason, advice, context_of(it, now));
     erase(it);
 }
 
@@ -566,9 +577,8 @@
 void router::refuse_part(exchange& it, const part_decision& decision, instant now)
 {
     const auto is_blocked = decision.verdict == part_verdict::blocked;
-    answers_->refuse(it, status_unavailable, is_blocked ? "prompt-part-blocked" : "prompt-part-suspected",
-                     {decision.retry_after, is_blocked}, context_of(it, now));
-    erase(it);
+    refuse(it, status_unavailable, is_blocked ? "prompt-part-blocked" : "prompt-part-suspected",
+           {decision.retry_after, is_blocked}, now);
 }
 
 void router::note_cut(const exchange& it, instant now)
--- a/packages/gateway/tests/endpoint_announcements_test.cpp
+++ b/packages/gateway/tests/endpoint_announcements_test.cpp
@@ -24,6 +24,19 @@
         return out;
     }
 
+    /// Sends a request, which its endpoint rejects with a pause. Returns the endpoint.
+    std::string send_and_pause(exchange_id exchange, duration length)
+    {
+        send_request(exchange, "/stream/x");
+        const auto call = port.calls.back();
+        answer_fields fields;
+        fields.is_not_executed = true;
+        fields.pause = length;
+        it.on_head(call.call, {503, {}}, fields, now);
+        it.on_caller_disconnected(exchange, now);
+        return call.instance;
+    }
+
     /// Returns whether one of 30 requests is sent to `instance`.
     bool is_used(const std::string& instance)
     {
@@ -116,6 +129,72 @@
     BOOST_TEST(is_used(call.instance));
 }
 
+BOOST_AUTO_TEST_CASE(a_paused_endpoint_gets_nothing_until_its_pause_is_over)
+{
+    const auto instance = send_and_pause(1, std::chrono::seconds{20});
+    BOOST_TEST(!is_used(instance)); // Takes 9 s.
+    now += std::chrono::seconds{11};
+    BOOST_TEST(is_used(instance));
+}
+
+BOOST_AUTO_TEST_CASE(an_absurd_pause_is_bounded)
+{
+    const auto instance = send_and_pause(1, std::chrono::hours{24});
+    now += endpoint_table::max_pause;
+    BOOST_TEST(is_used(instance));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_is_refused_at_once_with_the_end_of_the_pauses_if_all_endpoints_pause)
+{
+    for (exchange_id n = 1; n <= 3; ++n) {
+        send_and_pause(n, std::chrono::seconds{5});
+    }
+    const auto calls = port.calls.size();
+    send_request(50, "/stream/x");
+    BOOST_TEST(port.calls.size() == calls);
+    BOOST_TEST(answer(50).status == 503);
+    BOOST_TEST(answer(50).body == "endpoints-paused\n");
+    BOOST_REQUIRE(!answer(50).headers.empty());
+    BOOST_TEST(std::stod(answer(50).headers.back().value) >= 4.9);
+    BOOST_TEST(std::stod(answer(50).headers.back().value) <= 7.5);
+}
+
+BOOST_AUTO_TEST_CASE(requests_return_one_after_the_other_after_a_pause_until_an_answer_comes)
+{
+    for (exchange_id n = 1; n <= 3; ++n) {
+        send_and_pause(n, std::chrono::seconds{5});
+    }
+    now += std::chrono::seconds{5};
+    const auto calls = port.calls.size();
+    for (exchange_id n = 100; n < 120; ++n) {
+        send_request(n, "/stream/x");
+    }
+    BOOST_TEST(port.calls.size() - calls <= 3U);
+    for (auto n = calls; n < calls + 3; ++n) {
+        head(port.calls.at(n), 200, true);
+    }
+    now += milliseconds{10};
+    it.on_timer(now);
+    BOOST_TEST(port.calls.size() - calls > 10U);
+}
+
+BOOST_AUTO_TEST_CASE(another_gateway_learns_of_a_pause)
+{
+    const auto instance = send_and_pause(1, std::chrono::seconds{20});
+    auto report = it.create_report(now);
+    BOOST_REQUIRE_EQUAL(report.pauses.size(), 1U);
+    BOOST_TEST(report.pauses[0].instance == instance);
+    router other{router_options{}, model_placement, plain_placement, port};
+    other.set_configuration(std::make_shared<routing_configuration>(create_document()), now);
+    other.set_endpoints(records, now);
+    report.gateway = "g2";
+    other.apply_report(report, now);
+    // What was learnt from others is not reported again.
+    BOOST_TEST(other.create_report(now).pauses.empty());
+    other.on_request(60, create_request("o60", "/stream/x"), now);
+    BOOST_TEST(port.calls.back().instance != instance);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
