--- a/packages/gateway/fuzz/fuzz_fleet.cpp
+++ b/packages/gateway/fuzz/fuzz_fleet.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t counted_ends = 5;
 constexpr duration contact_bound = std::chrono::seconds{3};
 constexpr unsigned max_late_arrivals = 3;
+/// Time after which a pause is to be kept, and the number of requests that may reach the endpoint in it.
+constexpr duration pause_delay = milliseconds{500};
+constexpr unsigned max_requests_in_pause = 2;
 /// Time in which the requests that reach an endpoint with a stated limit are counted.
 constexpr duration limit_window = std::chrono::seconds{4};
 /// Step of the virtual time, and so the longest delay of a call of `on_timer`.
@@ -79,6 +82,18 @@
     std::map<call_id, open_call> calls;
     std::map<std::string, unsigned> attempts;
     std::uint64_t sequence = 0;
+
+    /// Time in which an endpoint wants no requests.
+    struct pause {
+        std::uint64_t started_at_ms = 0;
+        instant from;
+        instant until;
+        unsigned requests = 0;
+    };
+
+    std::map<std::string, pause> pauses;
+    /// Start times of endpoints that told this gateway that they leave.
+    std::map<std::string, std::uint64_t> left;
 };
 
 /// Simulates the calls that a router starts, and checks its decisions against the record of what was
@@ -98,6 +113,7 @@
                 "a request that must not be repeated was sent again after it was executed"};
         }
         fleet_.check_arrival(start);
+        check_announcements(start.instance);
         if (++owner_.attempts[request.id] > 1) {
             ++fleet_.extra_attempts_;
         }
@@ -181,6 +197,24 @@
     void write_state_log(const log_effect& /*record*/) override {}
 
 private:
+    /// Checks that an endpoint gets what it told this gateway to take.
+    void check_announcements(const std::string& instance)
+    {
+        const auto& record = fleet_.endpoints_.at(instance);
+        const auto left = owner_.left.find(instance);
+        if (left != owner_.left.end() && left->second == record.started_at_ms) {
+            throw invariant_violation{"a request was sent to an endpoint that said that it leaves"};
+        }
+        const auto paused = owner_.pauses.find(instance);
+        if (paused == owner_.pauses.end() || paused->second.started_at_ms != record.started_at_ms) {
+            return;
+        }
+        auto& it = paused->second;
+        if (fleet_.now_ > it.from && fleet_.now_ < it.until && ++it.requests > max_requests_in_pause) {
+            throw invariant_violation{"a request was sent to an endpoint that asked for a pause"};
+        }
+    }
+
     request_record& find(const std::string& id)
     {
         return owner_.requests.at(static_cast<exchange_id>(std::stoull(id)));
@@ -361,6 +395,7 @@
         answer_fields fields;
         fields.is_not_executed = true;
         fields.request_limit = stated_limit_of(call.start.instance);
+        announce(it, call.start.instance, fields);
         it.decisions->on_head(id, {503, {}}, fields, now_);
         return finish(call_outcome::complete);
     }
@@ -430,6 +465,19 @@
     }
 }
 
+void fuzz_fleet::announce(gateway_state& it, const std::string& instance, answer_fields& fields)
+{
+    const auto& record = endpoints_.at(instance);
+    if (chance(20)) {
+        fields.pause = milliseconds{random_() % 4000};
+        it.pauses[instance] = {record.started_at_ms, now_ + pause_delay, now_ + *fields.pause, 0};
+    }
+    if (chance(5)) {
+        fields.is_leaving = true;
+        it.left[instance] = record.started_at_ms;
+    }
+}
+
 std::optional<double> fuzz_fleet::stated_limit_of(const std::string& instance)
 {
     const auto found = limits_.find(instance);
--- a/packages/gateway/fuzz/fuzz_fleet.hpp
+++ b/packages/gateway/fuzz/fuzz_fleet.hpp
@@ -73,6 +73,8 @@
     void execute(gateway_state& it, open_call& call);
 
     [[nodiscard]] bool is_crashing_request(const call_start& start) const;
+    /// Lets the endpoint say in some rejections that it pauses or leaves.
+    void announce(gateway_state& it, const std::string& instance, answer_fields& fields);
     /// Checks that few requests on which endpoints end reach them, one of which does now.
     void check_crashing_arrival();
     /// Returns the limit that the endpoint states in an answer now.
