Let stand-in endpoints state limits, pauses and that they leave, in tests and in the soak

The soak lets endpoints state a limit or reject with a pause, absurd values included; it checks its other promises meanwhile.

--- a/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
+++ b/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
@@ -71,6 +71,8 @@
     void restore_store();
     /// Registers an endpoint whose answers never end, for a while.
     void add_endless_endpoint();
+    /// Lets an endpoint state a limit of requests, or reject them with a pause.
+    void add_announcement();
     void write_heartbeats();
     /// Undoes a fault after a random time, and at the end of the faults.
     void undo_later(std::function<void()> undo);
--- a/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
+++ b/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
@@ -22,6 +22,11 @@
     bool loses_answers = false;
     /// Streams break off after so many events; 0: they do not.
     std::size_t breaks_after = 0;
+    /// Values of the headers by which the endpoint states its limit, with rejections a pause, and that it
+    /// leaves; empty: it does not.
+    std::string stated_limit;
+    std::string stated_pause;
+    std::string stated_leaving;
     /// The endpoint crashes when it begins to answer a prompt with this part; empty: it does not.
     std::string crashing_part;
     /// Time between two events of a stream.
@@ -67,6 +72,7 @@
 
     void on_request(const http_request& request);
     void start_stream(const http_request& request);
+    void add_announcements(const http_request& request) const;
 
     event_base* base_;
     std::string instance_;
--- a/packages/standins/src/gateway_soak.cpp
+++ b/packages/standins/src/gateway_soak.cpp
@@ -35,6 +35,8 @@
 /// One of so many steps begins a restore of the store, and registers an endpoint whose answers never end.
 constexpr int steps_per_restore = 100;
 constexpr int steps_per_endless_endpoint = 60;
+/// One of so many steps lets an endpoint state a limit, or pauses.
+constexpr int steps_per_announcement = 40;
 /// Greatest age of the copy at a restore, and longest time until all is written again.
 constexpr int max_copy_age_ms = 2500;
 constexpr int max_rewrite_ms = 1500;
@@ -242,6 +244,9 @@
         if (draw_further(steps_per_endless_endpoint) == 0) {
             add_endless_endpoint();
         }
+        if (draw_further(steps_per_announcement) == 0) {
+            add_announcement();
+        }
         while (!undos_.empty() && undos_.front().first <= now()) {
             const auto undo = std::move(undos_.front().second);
             undos_.pop_front();
@@ -474,6 +479,24 @@
     undo_at(now() + milliseconds{1 + draw_further(max_fault_ms)}, [this, key] { store_.remove(key); });
 }
 
+void gateway_soak::add_announcement()
+{
+    constexpr std::array<const char*, 4> limits{"0", "2.5", "20", "soon"};
+    constexpr std::array<const char*, 4> pauses{"0.2", "1", "-1", "soon"};
+    ++fault_count_;
+    auto& it = *endpoints_[static_cast<std::size_t>(draw_further(static_cast<int>(endpoints_.size())))];
+    auto& faults = it.endpoint.faults;
+    const auto n = static_cast<std::size_t>(draw_further(static_cast<int>(limits.size())));
+    if (draw_further(2) == 0) {
+        faults.stated_limit = limits.at(n);
+    }
+    else {
+        faults.stated_pause = pauses.at(n);
+        faults.is_full = true;
+    }
+    undo_at(now() + milliseconds{1 + draw_further(max_fault_ms)}, [&faults] { faults = {}; });
+}
+
 void gateway_soak::write_heartbeats()
 {
     if (now() - heartbeats_at_ < heartbeat_interval || store_.faults.is_silent ||
--- a/packages/standins/src/platform_endpoint.cpp
+++ b/packages/standins/src/platform_endpoint.cpp
@@ -87,8 +87,12 @@
         request.add_answer_header("X-Instance-Id", instance_);
         return request.reply(misdirected, "");
     }
+    add_announcements(request);
     if (faults.is_full) {
         request.add_answer_header("X-Not-Executed", "1");
+        if (!faults.stated_pause.empty()) {
+            request.add_answer_header("Retry-After", faults.stated_pause);
+        }
         return request.reply(unavailable, "");
     }
     ++executions[id];
@@ -108,6 +112,16 @@
     request.reply(ok, request.body());
 }
 
+void platform_endpoint::add_announcements(const http_request& request) const
+{
+    if (!faults.stated_limit.empty()) {
+        request.add_answer_header("Server-Limit", faults.stated_limit);
+    }
+    if (!faults.stated_leaving.empty()) {
+        request.add_answer_header("Server-Leaving", faults.stated_leaving);
+    }
+}
+
 void platform_endpoint::start_stream(const http_request& request)
 {
     request.add_answer_header("Content-Type", "text/event-stream");
