Report parts that are not suspected for half a minute only

After the loss of a failure domain each gateway reported up to 64 parts with one end each to all others for ten minutes: some 2.5 KB more in each report, half as much again as the load of 188 endpoints (estimated from the encoding, not measured). Each gateway still counts the ends that it saw for ten minutes. Ends more than half a minute apart that different gateways saw do not add up any more. Test: a_part_that_is_not_suspected_is_reported_for_a_short_time, which fails without the change (2 parts instead of 1).

--- a/packages/gateway/src/prompt_part_breaker.cpp
+++ b/packages/gateway/src/prompt_part_breaker.cpp
@@ -12,6 +12,9 @@
 /// Time for which a cleared part is reported, and in which reports against it are ignored: several reports of
 /// a large fleet.
 constexpr duration sound_report_time = std::chrono::seconds{4};
+/// Time for which a part that is not suspected is reported. After the loss of a failure domain there are many
+/// of them, and every gateway sends its report to all others.
+constexpr duration unsuspected_report_time = std::chrono::seconds{30};
 /// A block that disappears from the registry earlier than this before its end was lifted; otherwise its
 /// registration has lapsed.
 constexpr duration lapse_margin = std::chrono::seconds{2};
@@ -214,7 +217,9 @@
         if (out.parts.size() == max_reported_parts) {
             break;
         }
-        if (it.ends.empty() && it.block == 0 && it.trial == 0) {
+        const auto is_unsuspected_for_long =
+            !is_suspected(it) && now - it.changed_at >= unsuspected_report_time;
+        if ((it.ends.empty() && it.block == 0 && it.trial == 0) || is_unsuspected_for_long) {
             continue;
         }
         auto& added = out.parts.emplace_back();
--- a/packages/gateway/tests/prompt_part_breaker_test.cpp
+++ b/packages/gateway/tests/prompt_part_breaker_test.cpp
@@ -274,6 +274,22 @@
     BOOST_TEST(it.is_idle());
 }
 
+BOOST_AUTO_TEST_CASE(a_part_that_is_not_suspected_is_reported_for_a_short_time)
+{
+    end("e1");
+    end("e1", {{part + 1, 1}});
+    end("e2", {{part + 1, 1}});
+    now += std::chrono::seconds{29};
+    BOOST_TEST(it.create_report(now).parts.size() == 2U);
+    now += std::chrono::seconds{1};
+    const auto report = it.create_report(now);
+    BOOST_REQUIRE_EQUAL(report.parts.size(), 1U);
+    BOOST_TEST(report.parts[0].part == part + 1);
+    // It still counts here.
+    end("e2");
+    BOOST_TEST((verdict() == part_verdict::suspected));
+}
+
 BOOST_AUTO_TEST_CASE(parts_that_callers_name_take_bounded_memory)
 {
     std::vector<prompt_part> parts;
