--- a/packages/daemon/src/gateway/report_sax_handler.hpp
+++ b/packages/daemon/src/gateway/report_sax_handler.hpp
@@ -17,8 +17,8 @@
 /// the gateway's name, incarnation, sequence number, a flat array of the endpoints' fields, and an object
 /// that maps each service to a flat array of its accounts' fields; where anything is known against prompt
 /// parts, also a flat array of the parts' fields, of which the last is an array of endpoints, and an array of
-/// parts that are sound; where endpoints state limits or that they leave, also flat arrays of the fields of
-/// both. A handler reads one report only.
+/// parts that are sound; where endpoints state limits, that they leave or that they pause, also flat arrays
+/// of the fields of each. A handler reads one report only.
 class report_sax_handler final : public nlohmann::json_sax<nlohmann::json> {
 public:
     /// Returns whether a complete report has been read.
--- a/packages/gateway/tests/crashing_part_test.cpp
+++ b/packages/gateway/tests/crashing_part_test.cpp
@@ -5,16 +5,17 @@
 namespace hemlocknotch::gateway {
 namespace {
 
-constexpr std::uint64_t guilty_part = 900;
-constexpr std::uint64_t other_guilty_part = 901;
+constexpr std::uint64_t crashing_part = 900;
+constexpr std::uint64_t other_crashing_part = 901;
 /// Bound of the platform: later than this after the fifth end, at most three requests with the part may reach
 /// endpoints.
 constexpr duration contact_bound = std::chrono::seconds{3};
 constexpr std::size_t max_late_arrivals = 3;
 
 /// Sends 60 sound requests per second, which share their first part and 20 second parts, and four requests
-/// per second that also have one of `guilty`.
-void run_with(fault_fleet& fleet, duration length, const std::vector<std::uint64_t>& guilty = {guilty_part})
+/// per second that also have one of `crashing`.
+void run_with(fault_fleet& fleet, duration length,
+              const std::vector<std::uint64_t>& crashing = {crashing_part})
 {
     std::uint64_t n = 0;
     fleet.run(length, [&] {
@@ -22,8 +23,8 @@
         if (n % 5 < 3) {
             fleet.send({1 + n % 3, 100 + n % 20});
         }
-        if (n % 25 == 0 && !guilty.empty()) {
-            fleet.send({1 + n % 3, guilty[n / 25 % guilty.size()]});
+        if (n % 25 == 0 && !crashing.empty()) {
+            fleet.send({1 + n % 3, crashing[n / 25 % crashing.size()]});
         }
     });
 }
@@ -44,16 +45,16 @@
 {
     for (const auto* target : {"/resume/x", "/stream/x"}) {
         fault_fleet fleet{{.target = target}};
-        fleet.guilty = {guilty_part};
+        fleet.crashing_parts = {crashing_part};
         run_with(fleet, std::chrono::seconds{30});
-        BOOST_TEST(fleet.guilty_arrivals_after_end(5, contact_bound) <= max_late_arrivals);
+        BOOST_TEST(fleet.crashing_arrivals_after_end(5, contact_bound) <= max_late_arrivals);
     }
 }
 
 BOOST_AUTO_TEST_CASE(sound_requests_are_served_while_others_crash_endpoints)
 {
     fault_fleet fleet{{}};
-    fleet.guilty = {guilty_part};
+    fleet.crashing_parts = {crashing_part};
     run_with(fleet, std::chrono::seconds{6});
     BOOST_TEST(answered_share(fleet, [&] { run_with(fleet, std::chrono::seconds{24}); }) >= 0.5);
 }
@@ -66,26 +67,26 @@
                            .report_loss = 0.2,
                            .report_interval = milliseconds{500},
                            .seed = seed}};
-        fleet.guilty = {guilty_part};
+        fleet.crashing_parts = {crashing_part};
         run_with(fleet, std::chrono::seconds{30});
-        BOOST_TEST(fleet.guilty_arrivals_after_end(5, contact_bound) <= max_late_arrivals);
+        BOOST_TEST(fleet.crashing_arrivals_after_end(5, contact_bound) <= max_late_arrivals);
     }
 }
 
 BOOST_AUTO_TEST_CASE(two_crashing_parts_at_once_are_both_stopped)
 {
     fault_fleet fleet{{}};
-    fleet.guilty = {guilty_part, other_guilty_part};
-    run_with(fleet, std::chrono::seconds{30}, {guilty_part, other_guilty_part});
+    fleet.crashing_parts = {crashing_part, other_crashing_part};
+    run_with(fleet, std::chrono::seconds{30}, {crashing_part, other_crashing_part});
     const auto ends = fleet.counts.ends.size();
-    run_with(fleet, std::chrono::seconds{10}, {guilty_part, other_guilty_part});
+    run_with(fleet, std::chrono::seconds{10}, {crashing_part, other_crashing_part});
     BOOST_TEST(fleet.counts.ends.size() - ends <= 2U);
 }
 
 BOOST_AUTO_TEST_CASE(a_crashing_first_part_is_stopped)
 {
     fault_fleet fleet{{}};
-    fleet.guilty = {guilty_part};
+    fleet.crashing_parts = {crashing_part};
     std::uint64_t n = 0;
     fleet.run(std::chrono::seconds{30}, [&] {
         ++n;
@@ -93,10 +94,10 @@
             fleet.send({1 + n % 3, 100 + n % 20});
         }
         if (n % 25 == 0) {
-            fleet.send({guilty_part, 100 + n / 25 % 20});
+            fleet.send({crashing_part, 100 + n / 25 % 20});
         }
     });
-    BOOST_TEST(fleet.guilty_arrivals_after_end(5, contact_bound) <= max_late_arrivals);
+    BOOST_TEST(fleet.crashing_arrivals_after_end(5, contact_bound) <= max_late_arrivals);
     BOOST_TEST(answered_share(fleet, [&] { run_with(fleet, std::chrono::seconds{10}, {}); }) >= 0.9);
 }
 
@@ -130,9 +131,9 @@
 BOOST_AUTO_TEST_CASE(a_part_that_is_sound_again_is_served_after_the_block)
 {
     fault_fleet fleet{{}};
-    fleet.guilty = {guilty_part};
+    fleet.crashing_parts = {crashing_part};
     run_with(fleet, std::chrono::seconds{5});
-    fleet.guilty.clear();
+    fleet.crashing_parts.clear();
     run_with(fleet, prompt_part_breaker::first_block_time + std::chrono::seconds{5});
     const auto refusals = fleet.counts.sound_refusals;
     run_with(fleet, std::chrono::seconds{5});
--- a/packages/gateway/tests/fault_fleet.hpp
+++ b/packages/gateway/tests/fault_fleet.hpp
@@ -38,7 +38,7 @@
     /// Times at which endpoints ended on a prompt part.
     std::vector<instant> ends;
     /// Times at which requests with such a part reached endpoints.
-    std::vector<instant> guilty_arrivals;
+    std::vector<instant> crashing_arrivals;
     std::size_t sound_requests = 0;
     std::size_t sound_refusals = 0;
     std::size_t sound_answers = 0;
@@ -47,8 +47,8 @@
 };
 
 /// Routers in front of model endpoints with faults, in virtual time. Endpoints end when they begin to write
-/// an answer to a prompt with one of the guilty parts, and start anew under another name some seconds later.
-/// They state limits of the requests that they take.
+/// an answer to a prompt with one of the crashing parts, and start anew under another name some seconds
+/// later. They state limits of the requests that they take.
 class fault_fleet {
 public:
     static constexpr duration restart_time = std::chrono::seconds{3};
@@ -67,7 +67,7 @@
     }
 
     /// Prompt parts that end endpoints.
-    std::set<std::uint64_t> guilty;
+    std::set<std::uint64_t> crashing_parts;
     fault_fleet_counts counts;
 
     [[nodiscard]] instant now() const { return now_; }
@@ -86,7 +86,8 @@
         }
         request->fields.prompt.push_back({last_part_base + id, 100});
         request->fields.prompt_tokens = 200 * shared.size() + 100;
-        const auto is_sound = std::ranges::none_of(shared, [&](auto part) { return guilty.contains(part); });
+        const auto is_sound =
+            std::ranges::none_of(shared, [&](auto part) { return crashing_parts.contains(part); });
         counts.sound_requests += is_sound ? 1 : 0;
         it.open.emplace(id, is_sound);
         it.decisions->on_request(id, std::move(request), now_);
@@ -183,15 +184,15 @@
         }
     }
 
-    /// Returns how many requests with a guilty part reached endpoints later than `after` the `n`th end.
-    [[nodiscard]] std::size_t guilty_arrivals_after_end(std::size_t n, duration after) const
+    /// Returns how many requests with a crashing part reached endpoints later than `after` the `n`th end.
+    [[nodiscard]] std::size_t crashing_arrivals_after_end(std::size_t n, duration after) const
     {
         if (counts.ends.size() < n) {
             return 0;
         }
         const auto from = counts.ends[n - 1] + after;
         return static_cast<std::size_t>(
-            std::ranges::count_if(counts.guilty_arrivals, [&](instant it) { return it > from; }));
+            std::ranges::count_if(counts.crashing_arrivals, [&](instant it) { return it > from; }));
     }
 
     /// Returns the recorded log lines of all gateways with the event `name`.
@@ -359,13 +360,13 @@
             }
             counts.arrivals[start.instance].push_back(now_);
             const auto& prompt = start.request->fields.prompt;
-            const auto is_guilty = std::ranges::any_of(
-                prompt, [&](const prompt_part& part) { return guilty.contains(part.id); });
-            if (is_guilty) {
-                counts.guilty_arrivals.push_back(now_);
+            const auto is_crashing = std::ranges::any_of(
+                prompt, [&](const prompt_part& part) { return crashing_parts.contains(part.id); });
+            if (is_crashing) {
+                counts.crashing_arrivals.push_back(now_);
             }
-            at_call(it, start.call, prompt_time, [this, &it, start, is_guilty] {
-                if (is_guilty) {
+            at_call(it, start.call, prompt_time, [this, &it, start, is_crashing] {
+                if (is_crashing) {
                     counts.ends.push_back(now_);
                     return end_endpoint(start.instance);
                 }
