--- a/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
+++ b/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
@@ -91,11 +91,15 @@
     /// Draws for the faults that were added later, so that the seeds that once failed keep their other
     /// faults.
     int draw_further(int n);
+    /// Returns a random number below `n` for announcements of endpoints; leaves the other draws of a seed as
+    /// they are.
+    int draw_announcement(int n);
     soak_gateway& draw_gateway();
 
     soak_options options_;
     std::minstd_rand random_;
     std::minstd_rand further_random_;
+    std::minstd_rand announcement_random_;
     event_loop loop_;
     platform_store store_;
     soak_record record_;
--- a/packages/standins/src/gateway_soak.cpp
+++ b/packages/standins/src/gateway_soak.cpp
@@ -157,6 +157,7 @@
     : options_{options},
       random_{static_cast<std::minstd_rand::result_type>(options.seed)},
       further_random_{static_cast<std::minstd_rand::result_type>(options.seed + 1)},
+      announcement_random_{static_cast<std::minstd_rand::result_type>(options.seed + 2)},
       store_{loop_.base(), any_port},
       record_{options.bound},
       endless_model_{loop_.base(), any_port, "X-Request-Id"},
@@ -203,6 +204,11 @@
     return std::uniform_int_distribution<int>{0, n - 1}(further_random_);
 }
 
+int gateway_soak::draw_announcement(int n)
+{
+    return std::uniform_int_distribution<int>{0, n - 1}(announcement_random_);
+}
+
 soak_gateway& gateway_soak::draw_gateway()
 {
     return *gateways_[static_cast<std::size_t>(draw(options_.gateways))];
@@ -244,7 +250,7 @@
         if (draw_further(steps_per_endless_endpoint) == 0) {
             add_endless_endpoint();
         }
-        if (draw_further(steps_per_announcement) == 0) {
+        if (draw_announcement(steps_per_announcement) == 0) {
             add_announcement();
         }
         while (!undos_.empty() && undos_.front().first <= now()) {
@@ -484,17 +490,17 @@
     constexpr std::array<const char*, 4> limits{"0", "2.5", "20", "soon"};
     constexpr std::array<const char*, 4> pauses{"0.2", "1", "-1", "soon"};
     ++fault_count_;
-    auto& it = *endpoints_[static_cast<std::size_t>(draw_further(static_cast<int>(endpoints_.size())))];
+    auto& it = *endpoints_[static_cast<std::size_t>(draw_announcement(static_cast<int>(endpoints_.size())))];
     auto& faults = it.endpoint.faults;
-    const auto n = static_cast<std::size_t>(draw_further(static_cast<int>(limits.size())));
-    if (draw_further(2) == 0) {
+    const auto n = static_cast<std::size_t>(draw_announcement(static_cast<int>(limits.size())));
+    if (draw_announcement(2) == 0) {
         faults.stated_limit = limits.at(n);
     }
     else {
         faults.stated_pause = pauses.at(n);
         faults.is_full = true;
     }
-    undo_at(now() + milliseconds{1 + draw_further(max_fault_ms)}, [&faults] { faults = {}; });
+    undo_at(now() + milliseconds{1 + draw_announcement(max_fault_ms)}, [&faults] { faults = {}; });
 }
 
 void gateway_soak::write_heartbeats()
