Log answers that do not continue a stream, and discarded ones

request-ended has the fields begun and last_event now; the line stream-not-continued, at the level of errors, which has a budget of its own, names endpoint, status and the last event; answer-discarded names both ids. Two counters go with them. No decision changes.

Tests: logs_an_answer_that_does_not_continue_a_begun_stream; a_late_second_copy_of_an_answer_does_not_reach_the_next_call also checks the notice. gateway_test, platform_adapter_test and the suite endpoint_pool_suite pass.

--- a/packages/daemon/src/gateway/endpoint_connection.cpp
+++ b/packages/daemon/src/gateway/endpoint_connection.cpp
@@ -187,6 +187,7 @@
     if (parsed_fields.request_id != request_id_ && (is_success || !parsed_fields.request_id.empty())) {
         is_discarding_ = true;
         is_reusable_after_call_ = false;
+        sink_.on_discarded(address_, {status, request_id_, parsed_fields.request_id});
         return true;
     }
     if (parsed_fields.request_id.empty()) {
--- a/packages/daemon/src/gateway/endpoint_connection.hpp
+++ b/packages/daemon/src/gateway/endpoint_connection.hpp
@@ -14,6 +14,14 @@
 
 class endpoint_connection;
 
+/// Head of an answer that was received while a call was in progress and does not belong to it.
+struct discarded_answer {
+    int status = 0;
+    /// Id of the request that the call sent, and the one that the answer carries.
+    std::string_view expected_id;
+    std::string_view received_id;
+};
+
 /// Receives the answers of endpoints. Calls come from the event loop.
 class endpoint_answer_sink {
 public:
@@ -26,6 +34,9 @@
                          const gateway::answer_fields& fields) = 0;
     virtual void on_part(gateway::call_id call, std::string_view bytes) = 0;
     virtual void on_end(gateway::call_id call, gateway::call_outcome outcome) = 0;
+    /// The endpoint at `from` has sent an answer to another request, which is discarded. The views are valid
+    /// during the call.
+    virtual void on_discarded(const endpoint_address& from, const discarded_answer& answer) = 0;
 };
 
 /// Receives the state changes of connections to endpoints. Calls come from the event loop.
--- a/packages/daemon/src/gateway/gateway_pages.cpp
+++ b/packages/daemon/src/gateway/gateway_pages.cpp
@@ -86,6 +86,7 @@
     total("hemlocknotch_gateway_retries_total", it.retries);
     total("hemlocknotch_gateway_resumed_streams_total", it.resumed_streams);
     total("hemlocknotch_gateway_malformed_total", malformed_count_);
+    total("hemlocknotch_gateway_discarded_answers_total", discarded_count_);
     total("hemlocknotch_gateway_registry_calls_total", registry_client_.call_count());
     const auto& registry = follower_.counters();
     total("hemlocknotch_gateway_registry_failed_reads_total", registry.failed_reads);
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -445,4 +445,17 @@
     schedule_router_timer();
 }
 
+void gateway_shell::on_discarded(const endpoint_address& from, const discarded_answer& answer)
+{
+    ++discarded_count_;
+    if (wants_log(log_level::error)) {
+        log_.write({log_level::error,
+                    "answer-discarded",
+                    {{"address", from.to_string()},
+                     {"status", std::to_string(answer.status)},
+                     {"request", std::string{answer.expected_id}},
+                     {"answers_request", std::string{answer.received_id}}}});
+    }
+}
+
 } // namespace hemlocknotch::daemon
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -97,6 +97,7 @@
                  const gateway::answer_fields& fields) override;
     void on_part(gateway::call_id call, std::string_view bytes) override;
     void on_end(gateway::call_id call, gateway::call_outcome outcome) override;
+    void on_discarded(const endpoint_address& from, const discarded_answer& answer) override;
 
     void apply_registry_difference(const gateway::registry_difference& difference);
     void schedule_router_timer();
@@ -150,6 +151,7 @@
     timer stop_timer_;
     instant stop_requested_at_ = instant::max();
     std::uint64_t malformed_count_ = 0;
+    std::uint64_t discarded_count_ = 0;
 };
 
 } // namespace hemlocknotch::daemon
--- a/packages/daemon/tests/endless_answers_test.cpp
+++ b/packages/daemon/tests/endless_answers_test.cpp
@@ -41,6 +41,8 @@
         has_ended = true;
     }
 
+    void on_discarded(const endpoint_address& /*from*/, const discarded_answer& /*answer*/) override {}
+
     std::uint64_t passed = 0;
     gateway::call_outcome outcome = gateway::call_outcome::complete;
     bool has_ended = false;
--- a/packages/daemon/tests/endpoint_pool_test.cpp
+++ b/packages/daemon/tests/endpoint_pool_test.cpp
@@ -119,12 +119,19 @@
         ++end_count;
     }
 
+    void on_discarded(const endpoint_address& /*from*/, const discarded_answer& it) override
+    {
+        discarded_ids.emplace_back(it.received_id);
+    }
+
     std::function<void(gateway::call_id)> connected;
     gateway::call_id last_call = 0;
     int status = 0;
     std::string body;
     gateway::call_outcome outcome = gateway::call_outcome::broken;
     int end_count = 0;
+    /// Ids that discarded answers carried.
+    std::vector<std::string> discarded_ids;
 };
 
 struct pool_fixture {
@@ -356,6 +363,7 @@
     BOOST_TEST((recorder.outcome == gateway::call_outcome::complete));
     BOOST_TEST(recorder.body == "two");
     BOOST_TEST(endpoint.accepted == 1U);
+    BOOST_TEST(recorder.discarded_ids == std::vector<std::string>{"1"}, boost::test_tools::per_element());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -159,6 +159,8 @@
     void send_again(exchange& it, instant now);
     void enqueue_or_refuse(exchange& it, instant now);
     void handle_failure(exchange& it, call_outcome outcome, instant now);
+    /// Counts and logs an answer that does not continue the stream that has begun.
+    void note_stream_not_continued(const exchange& it);
     void handle_rejection(exchange& it, instant now);
     void handle_complete_answer(exchange& it, instant now);
     /// Tells those that share work by the names of gateways which ones report.
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -52,6 +52,8 @@
              {"endpoint", it.instance},
              {"sends", std::to_string(it.attempts)},
              {"executions", std::to_string(it.executions)},
+             {"begun", it.is_begun ? "1" : "0"},
+             {"last_event", it.events.last_id()},
              {"configuration", std::to_string(end.configuration_version)},
              {"registry_age_ms",
               end.registry_age < duration::zero() ? "" : milliseconds_text(end.registry_age)}}};
@@ -74,6 +76,17 @@
              {"signature", was_reached ? to_text(sign_request(it.account, *it.request)) : ""}}};
 }
 
+log_effect stream_not_continued_record(const exchange& it)
+{
+    return {log_level::error,
+            "stream-not-continued",
+            {{"request", std::string{it.id_text()}},
+             {"endpoint", it.instance},
+             {"status", std::to_string(it.head ? it.head->status : 0)},
+             {"last_event", it.events.last_id()},
+             {"sends", std::to_string(it.attempts)}}};
+}
+
 log_effect endpoint_cut_calls_record(std::string_view instance, std::span<const exchange* const> open)
 {
     std::vector<std::uint64_t> parts;
--- a/packages/gateway/src/exchange_log.hpp
+++ b/packages/gateway/src/exchange_log.hpp
@@ -34,6 +34,10 @@
 /// for which events of connections wait in this process.
 log_effect call_failed_record(const exchange& it, bool was_reached, duration event_delay, instant now);
 
+/// Returns the log record for a stream that has begun and that the endpoint of the present call answered with
+/// something else than further events.
+log_effect stream_not_continued_record(const exchange& it);
+
 /// Returns the log record for an endpoint that broke off a call while `open`, all calls to it, were open. It
 /// names the shared prompt parts of those of which no event had arrived.
 log_effect endpoint_cut_calls_record(std::string_view instance, std::span<const exchange* const> open);
--- a/packages/gateway/src/exchange_metrics.cpp
+++ b/packages/gateway/src/exchange_metrics.cpp
@@ -32,4 +32,10 @@
         {metric_kind::counter, "hemlocknotch_gateway_endpoint_failures_total", "endpoint", it.instance, 1.0});
 }
 
+void record_stream_not_continued(router_port& port, const exchange& it)
+{
+    port.record({metric_kind::counter, "hemlocknotch_gateway_streams_not_continued_total", "endpoint",
+                 it.instance, 1.0});
+}
+
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/exchange_metrics.hpp
+++ b/packages/gateway/src/exchange_metrics.hpp
@@ -16,4 +16,7 @@
 /// Counts a call without an answer for its endpoint.
 void record_failed_call(router_port& port, const exchange& it);
 
+/// Counts, for its endpoint, a call that was to continue a stream and was answered with something else.
+void record_stream_not_continued(router_port& port, const exchange& it);
+
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -136,6 +136,9 @@
         handle_failure(it, outcome == call_outcome::complete ? call_outcome::broken : outcome, now);
         return apply_signature_events(now);
     }
+    if (it.is_begun && !it.is_stream) {
+        note_stream_not_continued(it);
+    }
     if (it.answer.is_not_executed || it.head->status == status_misdirected) {
         handle_rejection(it, now);
     }
@@ -152,6 +155,14 @@
     offer_waiting(now);
 }
 
+void router::note_stream_not_continued(const exchange& it)
+{
+    record_stream_not_continued(port_, it);
+    if (port_.wants_log(log_level::error)) {
+        port_.write_log(stream_not_continued_record(it));
+    }
+}
+
 void router::handle_rejection(exchange& it, instant now)
 {
     if (auto* endpoint = endpoints_.find(it.instance)) {
--- a/packages/gateway/tests/recording_port.hpp
+++ b/packages/gateway/tests/recording_port.hpp
@@ -31,6 +31,13 @@
     }
 };
 
+/// Returns the value of the field `name`; empty where the record has none.
+inline std::string field_of(const log_effect& record, std::string_view name)
+{
+    const auto found = std::ranges::find(record.fields, name, &log_field::name);
+    return found == record.fields.end() ? std::string{} : found->value;
+}
+
 /// Records the calls of a router.
 class recording_port final : public router_port {
 public:
--- a/packages/gateway/tests/router_retry_test.cpp
+++ b/packages/gateway/tests/router_retry_test.cpp
@@ -88,6 +88,27 @@
     BOOST_TEST(answer(1).body == "id: 1\ndata: x\n\n");
 }
 
+BOOST_AUTO_TEST_CASE(logs_an_answer_that_does_not_continue_a_begun_stream)
+{
+    send_request(1, "/resume/x");
+    head(port.calls[0], 200, true);
+    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
+    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
+    head(port.calls[1], 500);
+    it.on_end(port.calls[1].call, call_outcome::complete, now);
+    const auto lines = port.lines("stream-not-continued");
+    BOOST_REQUIRE_EQUAL(lines.size(), 1U);
+    BOOST_TEST(field_of(lines[0], "endpoint") == port.calls[1].instance);
+    BOOST_TEST(field_of(lines[0], "status") == "500");
+    BOOST_TEST(field_of(lines[0], "last_event") == "1");
+    BOOST_TEST(port.total("hemlocknotch_gateway_streams_not_continued_total", port.calls[1].instance) == 1.0);
+    const auto ends = port.lines("request-ended");
+    BOOST_REQUIRE_EQUAL(ends.size(), 1U);
+    BOOST_TEST(field_of(ends[0], "begun") == "1");
+    BOOST_TEST(field_of(ends[0], "last_event") == "1");
+}
+
 BOOST_AUTO_TEST_CASE(does_not_state_that_a_request_was_not_executed_when_only_its_retry_is_rejected)
 {
     send_request(1, "/safe/x");
--- a/packages/gateway/tests/router_test.cpp
+++ b/packages/gateway/tests/router_test.cpp
@@ -113,10 +113,6 @@
 
 BOOST_AUTO_TEST_CASE(an_endpoint_that_cuts_calls_is_logged_with_the_prompt_parts_that_it_had_not_answered)
 {
-    const auto value = [](const log_effect& line, std::string_view name) {
-        const auto found = std::ranges::find(line.fields, name, &log_field::name);
-        return found == line.fields.end() ? std::string{} : found->value;
-    };
     send_request(1, "/stream/x");
     send_request(2, "/stream/x");
     BOOST_REQUIRE_EQUAL(port.calls[1].instance, port.calls[0].instance);
@@ -127,14 +123,14 @@
     it.on_end(port.calls[0].call, call_outcome::broken, now);
     const auto lines = port.lines("endpoint-cut-calls");
     BOOST_REQUIRE_EQUAL(lines.size(), 1U);
-    BOOST_TEST(value(lines[0], "endpoint") == port.calls[0].instance);
-    BOOST_TEST(value(lines[0], "open_calls") == "2");
-    BOOST_TEST(value(lines[0], "unanswered") == "1");
-    BOOST_TEST(value(lines[0], "unanswered_parts") == "1");
+    BOOST_TEST(field_of(lines[0], "endpoint") == port.calls[0].instance);
+    BOOST_TEST(field_of(lines[0], "open_calls") == "2");
+    BOOST_TEST(field_of(lines[0], "unanswered") == "1");
+    BOOST_TEST(field_of(lines[0], "unanswered_parts") == "1");
     const auto failures = port.lines("call-failed");
     BOOST_REQUIRE_EQUAL(failures.size(), 2U);
-    BOOST_TEST(value(failures[0], "parts") == "1");
-    BOOST_TEST(value(failures[0], "ran_ms") == "30");
+    BOOST_TEST(field_of(failures[0], "parts") == "1");
+    BOOST_TEST(field_of(failures[0], "ran_ms") == "30");
 }
 
 BOOST_AUTO_TEST_CASE(a_limit_that_an_endpoint_states_is_logged_when_it_changes)
