Show that a complete answer is written into a begun stream

A resumable stream breaks off after an event, and the endpoint that is to continue it answers with a complete answer that is no event stream.

--- a/packages/gateway/tests/router_retry_test.cpp
+++ b/packages/gateway/tests/router_retry_test.cpp
@@ -88,6 +88,30 @@
     BOOST_TEST(answer(1).body == "id: 1\ndata: x\n\n");
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_that_does_not_continue_a_begun_stream_is_not_written_into_it)
+{
+    exchange_id id = 0;
+    for (const auto status : {500, 504, 404, 429, 200, 204}) {
+        const auto first = port.calls.size();
+        send_request(++id, "/resume/x");
+        head(port.calls[first], 200, true);
+        it.on_part(port.calls[first].call, "id: 1\ndata: x\n\n", now);
+        it.on_end(port.calls[first].call, call_outcome::broken, now);
+        BOOST_REQUIRE_EQUAL(port.calls.size(), first + 2);
+        head(port.calls[first + 1], status);
+        it.on_part(port.calls[first + 1].call, "why", now);
+        it.on_end(port.calls[first + 1].call, call_outcome::complete, now);
+        BOOST_TEST_CONTEXT("status " << status)
+        {
+            BOOST_TEST(answer(id).is_aborted);
+            BOOST_TEST(!answer(id).is_ended);
+            BOOST_TEST(answer(id).status == 200);
+            BOOST_TEST(answer(id).body == "id: 1\ndata: x\n\n");
+        }
+        now += std::chrono::seconds{30};
+    }
+}
+
 BOOST_AUTO_TEST_CASE(logs_an_answer_that_does_not_continue_a_begun_stream)
 {
     send_request(1, "/resume/x");
