Cut a begun stream off where its resumption is answered with no stream

Cause: a resumable stream broke off after some events, and the endpoint that was to continue it answered with a complete answer: a failure, or a success that is no event stream. handle_complete_answer passed it on as if nothing had been sent; only end_unserved looked at whether the stream had begun. The class: an answer in progress is forgotten by one of several paths that end a request.

Change: caller_answers decides at each of its final answers whether the stream has begun, and then cuts it off, so that no path has to remember it. The router gives up such a resumption at its head, sends the request to a further endpoint where the route's attempts and the retry budget allow it, and otherwise closes the caller's connection without the last chunk; the caller may then resume the stream itself. The connection to the caller refuses a complete answer inside a stream as well. The router's timer is scheduled after a head too, since a head may put a request back into the queue.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -210,6 +210,10 @@
     if (is_closed_) {
         return;
     }
+    if (is_streaming_) {
+        exchange_ = 0;
+        return abort();
+    }
     std::string out;
     append_head(out, head);
     if (has_body(head.status)) {
@@ -233,6 +237,7 @@
     std::string out;
     append_head(out, head);
     out += "Transfer-Encoding: chunked\r\n\r\n";
+    is_streaming_ = true;
     // Sent together with the first chunk.
     stream_head_ = std::move(out);
 }
@@ -266,6 +271,7 @@
 void caller_connection::finish_answer()
 {
     exchange_ = 0;
+    is_streaming_ = false;
     is_head_method_ = false;
     // The head of a stream may have been sent before the stop began, without `Connection: close`.
     is_closing_after_answer_ = is_closing_after_answer_ || owner_.is_closing_after_answers();
--- a/packages/daemon/src/gateway/caller_connection.hpp
+++ b/packages/daemon/src/gateway/caller_connection.hpp
@@ -59,7 +59,8 @@
     /// `on_request`, and before `abort` where the owner needs no `on_disconnected`.
     void set_exchange(gateway::exchange_id exchange) { exchange_ = exchange; }
 
-    /// Sends a complete answer.
+    /// Sends a complete answer. Where a stream has begun, closes the connection instead, since the caller
+    /// would take the answer for a part of the stream.
     void reply(const gateway::answer_head& head, std::string_view body);
     /// Begins an answer in chunks. Its head is sent with the first chunk.
     void begin_stream(const gateway::answer_head& head);
@@ -101,6 +102,8 @@
     std::unique_ptr<request_parser> parser_;
     gateway::exchange_id exchange_ = 0;
     bool is_head_method_ = false;
+    /// A stream has begun and not ended.
+    bool is_streaming_ = false;
     /// The answer in progress is the last one of the connection.
     bool is_closing_after_answer_ = false;
     bool has_sent_continue_ = false;
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -431,6 +431,7 @@
                             const gateway::answer_fields& fields)
 {
     router_.on_head(call, std::move(head), fields, clock_.now());
+    schedule_router_timer();
 }
 
 void gateway_shell::on_part(gateway::call_id call, std::string_view bytes)
--- a/packages/daemon/tests/caller_server_test.cpp
+++ b/packages/daemon/tests/caller_server_test.cpp
@@ -419,6 +419,22 @@
     BOOST_TEST((std::chrono::steady_clock::now() - began < std::chrono::seconds{15}));
 }
 
+BOOST_AUTO_TEST_CASE(a_complete_answer_is_not_written_into_a_begun_stream)
+{
+    blocking_client client{port};
+    client.send(head + "Content-Length: 0\r\n\r\n");
+    BOOST_REQUIRE(loop.run_until([&] { return recorder.exchanges.size() == 1; }));
+    server.begin_stream(recorder.exchanges[0], {200, {{"Content-Type", "text/event-stream"}}});
+    server.send_part(recorder.exchanges[0], "id: 1\n\n");
+    BOOST_REQUIRE(loop.run_until([&] { return client.receive().ends_with("id: 1\n\n\r\n"); }));
+    const auto sent = client.receive();
+    server.reply(recorder.exchanges[0], {500, {}}, "failed");
+    BOOST_REQUIRE(loop.run_until([&] { return client.receive() != sent || client.is_closed(); }));
+    BOOST_TEST(client.receive() == sent);
+    BOOST_TEST(client.is_closed());
+    BOOST_TEST(recorder.disconnected.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -159,8 +159,9 @@
     void send_again(exchange& it, instant now);
     void enqueue_or_refuse(exchange& it, instant now);
     void handle_failure(exchange& it, call_outcome outcome, instant now);
-    /// Counts and logs an answer that does not continue the stream that has begun.
-    void note_stream_not_continued(const exchange& it);
+    /// The endpoint that was to continue a stream has begun to answer with something else. Its answer is not
+    /// read to the end: the caller cannot be given any of it.
+    void handle_failed_resumption(exchange& it, instant now);
     void handle_rejection(exchange& it, instant now);
     void handle_complete_answer(exchange& it, instant now);
     /// Tells those that share work by the names of gateways which ones report.
--- a/packages/gateway/src/caller_answers.cpp
+++ b/packages/gateway/src/caller_answers.cpp
@@ -17,6 +17,9 @@
 
 void caller_answers::pass_complete(const exchange& it, const exchange_context& context)
 {
+    if (it.is_begun) {
+        return cut(it, "stream-broken", log_level::error, context);
+    }
     const auto status = it.head->status;
     ++counters_.answered;
     record_time(it, first_byte_metric, context.now);
@@ -50,6 +53,9 @@
 void caller_answers::refuse(const exchange& it, int status, std::string_view reason,
                             const retry_advice& advice, const exchange_context& context)
 {
+    if (it.is_begun) {
+        return cut(it, reason, log_level::warning, context);
+    }
     ++counters_.refused;
     port_.record({metric_kind::counter, "hemlocknotch_refusals_total", "code", std::string{reason}, 1.0});
     if (!it.account.empty()) {
@@ -63,9 +69,7 @@
                                   const exchange_context& context)
 {
     if (it.is_begun) {
-        ++counters_.failed;
-        log_end(it, 0, end.cut_reason, end.cut_level, context);
-        port_.abort(it.id);
+        cut(it, end.cut_reason, end.cut_level, context);
     }
     else if (may_have_run) {
         ++counters_.failed;
@@ -76,6 +80,14 @@
     }
 }
 
+void caller_answers::cut(const exchange& it, std::string_view reason, log_level level,
+                         const exchange_context& context)
+{
+    ++counters_.failed;
+    log_end(it, 0, reason, level, context);
+    port_.abort(it.id);
+}
+
 void caller_answers::note_disconnected(const exchange& it, const exchange_context& context)
 {
     ++counters_.cancelled;
--- a/packages/gateway/src/caller_answers.hpp
+++ b/packages/gateway/src/caller_answers.hpp
@@ -36,8 +36,9 @@
     bool is_known = false;
 };
 
-/// Answers callers, and logs and counts how their requests end. Changes no decision about a request. Used by
-/// one thread at a time.
+/// Answers callers, and logs and counts how their requests end. Once a stream has begun, nothing but its
+/// events and its end is sent: whatever else would end the request cuts the answer off. Changes no other
+/// decision about a request. Used by one thread at a time.
 class caller_answers {
 public:
     /// `port` must outlive the object.
@@ -64,6 +65,8 @@
     [[nodiscard]] const router_counters& counters() const { return counters_; }
 
 private:
+    /// Ends a request whose caller has received a part of a stream.
+    void cut(const exchange& it, std::string_view reason, log_level level, const exchange_context& context);
     void reply_own(const exchange& it, int status, std::string_view reason, const retry_advice& advice,
                    const exchange_context& context);
     void record_time(const exchange& it, std::string_view name, instant now);
--- a/packages/gateway/src/exchange.hpp
+++ b/packages/gateway/src/exchange.hpp
@@ -23,6 +23,8 @@
     /// Maximum number of attempts of one request, including those that could not connect. Bounds the work for
     /// one request while endpoints are down.
     static constexpr unsigned attempt_limit = 5;
+    /// Answer of an endpoint that is not the one the request was meant for.
+    static constexpr int status_misdirected = 421;
 
     exchange_id id = 0;
     std::shared_ptr<const caller_request> request;
@@ -75,6 +77,12 @@
         return matched->objective > duration::zero() ? matched->objective : default_objective;
     }
 
+    /// Returns whether the answer of the open call states that the endpoint did not execute the request.
+    [[nodiscard]] bool is_rejected() const
+    {
+        return answer.is_not_executed || (head && head->status == status_misdirected);
+    }
+
     [[nodiscard]] bool is_repeatable() const
     {
         return matched->kind == request_kind::safe ||
--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -20,7 +20,6 @@
 namespace hemlocknotch::gateway {
 namespace {
 
-constexpr int status_misdirected = 421;
 constexpr int first_server_error = 500;
 constexpr int status_unavailable = 503;
 
@@ -92,6 +91,9 @@
     it->is_stream = is_success && it->matched->kind == request_kind::streaming && fields.is_event_stream;
     it->head = std::move(head);
     it->answer = fields;
+    if (it->is_begun && !it->is_stream && !it->is_rejected()) {
+        handle_failed_resumption(*it, now);
+    }
 }
 
 void router::on_part(call_id call, std::string_view bytes, instant now)
@@ -136,10 +138,7 @@
         handle_failure(it, outcome == call_outcome::complete ? call_outcome::broken : outcome, now);
         return apply_signature_events(now);
     }
-    if (it.is_begun && !it.is_stream) {
-        note_stream_not_continued(it);
-    }
-    if (it.answer.is_not_executed || it.head->status == status_misdirected) {
+    if (it.is_rejected()) {
         handle_rejection(it, now);
     }
     else if (!it.is_stream) {
@@ -155,18 +154,27 @@
     offer_waiting(now);
 }
 
-void router::note_stream_not_continued(const exchange& it)
+void router::handle_failed_resumption(exchange& it, instant now)
 {
     record_stream_not_continued(port_, it);
     if (port_.wants_log(log_level::error)) {
         port_.write_log(stream_not_continued_record(it));
     }
+    if (auto* endpoint = endpoints_.find(it.instance)) {
+        endpoints_.note_failure(*endpoint, true, now);
+    }
+    port_.cancel_call(it.call);
+    finish_call(it, now);
+    if (!retry(it, true, now)) {
+        end_unserved(it, endpoint_failed, true, now);
+    }
+    offer_waiting(now);
 }
 
 void router::handle_rejection(exchange& it, instant now)
 {
     if (auto* endpoint = endpoints_.find(it.instance)) {
-        endpoint_table::note_rejection(*endpoint, it.head->status == status_misdirected, now);
+        endpoint_table::note_rejection(*endpoint, it.head->status == exchange::status_misdirected, now);
     }
     finish_call(it, now);
     if (retry(it, false, now)) {
