Send no body with streams that must not have one

A route of streams may be asked with HEAD, and an endpoint may answer with 204 and the type of an event stream. Found while looking for further ways to bytes that are no answer.

Cause: begin_stream and end_stream did not ask whether the answer may have a body, as reply does.

Evidence: a_stream_in_answer_to_a_head_request_has_no_body and a_stream_with_a_status_that_allows_no_body_has_none failed before (the second one finds "Transfer-Encoding" and the chunk "0").

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -236,8 +236,9 @@
     }
     std::string out;
     append_head(out, head);
-    out += "Transfer-Encoding: chunked\r\n\r\n";
+    out += has_body(head.status) ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
     is_streaming_ = true;
+    is_body_omitted_ = is_head_method_ || !has_body(head.status);
     // Sent together with the first chunk.
     stream_head_ = std::move(out);
 }
@@ -248,10 +249,12 @@
         return;
     }
     auto out = std::exchange(stream_head_, {});
-    out += hex(bytes.size());
-    out += "\r\n";
-    out += bytes;
-    out += "\r\n";
+    if (!is_body_omitted_) {
+        out += hex(bytes.size());
+        out += "\r\n";
+        out += bytes;
+        out += "\r\n";
+    }
     channel_->send(out);
     if (channel_->pending_bytes() > max_unsent_bytes) {
         is_unsent_limit_exceeded_ = true;
@@ -264,7 +267,7 @@
     if (is_closed_) {
         return;
     }
-    channel_->send(std::exchange(stream_head_, {}) + "0\r\n\r\n");
+    channel_->send(std::exchange(stream_head_, {}) + (is_body_omitted_ ? "" : "0\r\n\r\n"));
     finish_answer();
 }
 
--- a/packages/daemon/src/gateway/caller_connection.hpp
+++ b/packages/daemon/src/gateway/caller_connection.hpp
@@ -104,6 +104,8 @@
     bool is_head_method_ = false;
     /// A stream has begun and not ended.
     bool is_streaming_ = false;
+    /// The stream has a head only: it answers a HEAD request, or its status allows no body.
+    bool is_body_omitted_ = false;
     /// The answer in progress is the last one of the connection.
     bool is_closing_after_answer_ = false;
     bool has_sent_continue_ = false;
--- a/packages/daemon/tests/caller_server_test.cpp
+++ b/packages/daemon/tests/caller_server_test.cpp
@@ -435,6 +435,35 @@
     BOOST_TEST(recorder.disconnected.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_in_answer_to_a_head_request_has_no_body)
+{
+    blocking_client client{port};
+    client.send("HEAD /a/b HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n");
+    BOOST_REQUIRE(loop.run_until([&] { return recorder.exchanges.size() == 1; }));
+    server.begin_stream(recorder.exchanges[0], {200, {{"Content-Type", "text/event-stream"}}});
+    server.send_part(recorder.exchanges[0], "id: 1\n\n");
+    server.end_stream(recorder.exchanges[0]);
+    client.send(head + "Content-Length: 0\r\n\r\n");
+    BOOST_REQUIRE(loop.run_until([&] { return recorder.exchanges.size() == 2; }));
+    server.reply(recorder.exchanges[1], {200, {}}, "next");
+    BOOST_REQUIRE(loop.run_until([&] { return client.receive().ends_with("next"); }));
+    const auto body = client.receive().find("\r\n\r\n") + 4;
+    BOOST_TEST(client.receive().substr(body).starts_with("HTTP/1.1 200"));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_with_a_status_that_allows_no_body_has_none)
+{
+    blocking_client client{port};
+    client.send(head + "Content-Length: 0\r\n\r\n");
+    BOOST_REQUIRE(loop.run_until([&] { return recorder.exchanges.size() == 1; }));
+    server.begin_stream(recorder.exchanges[0], {204, {{"Content-Type", "text/event-stream"}}});
+    server.end_stream(recorder.exchanges[0]);
+    BOOST_REQUIRE(loop.run_until([&] { return client.receive().find("\r\n\r\n") != std::string::npos; }));
+    BOOST_TEST(client.receive().find("Transfer-Encoding") == std::string::npos);
+    BOOST_TEST(client.receive().ends_with("\r\n\r\n"));
+    BOOST_TEST(client.receive().find("0\r\n\r\n") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
