Do not join a stream with a run that begins again

A stream that broke off is resumed after its last event.

Cause: whatever event stream the next endpoint sends was taken for the continuation, and a stream of events without ids was sent again from its beginning.

Evidence: a_resumed_stream_that_begins_again_is_not_passed_on_twice failed before with events 9 and 10 twice, and a_stream_without_event_ids_is_not_resumed_once_it_has_begun with a second call. Change: the first id of a continuation must be greater than the last one before it, where both are numbers; otherwise the call is given up like any answer that does not continue the stream. A stream that has begun without ids is not sent again.

--- a/packages/gateway/include/hemlocknotch/gateway/event_splitter.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/event_splitter.hpp
@@ -29,8 +29,13 @@
     /// Returns whether the incomplete event is larger than any event may be.
     [[nodiscard]] bool is_event_too_large() const { return held_.size() > max_event_bytes; }
 
-    /// Discards the bytes of an incomplete event; the next bytes begin a new one.
-    void drop_remainder() { held_.clear(); }
+    /// Discards the bytes of an incomplete event. The next bytes are those of another answer, which is to
+    /// continue after `last_id`.
+    void begin_continuation();
+
+    /// Returns whether the answer that was to continue the stream has sent an event that does not come after
+    /// the earlier ones. Ids that are no numbers are not compared.
+    [[nodiscard]] bool has_repeated_event() const { return has_repeated_event_; }
 
 private:
     void note_ids(std::string_view events);
@@ -38,6 +43,9 @@
     std::string held_;
     std::string complete_;
     std::string last_id_;
+    /// Whether the next event with an id is the first one of a continuation.
+    bool is_continuing_ = false;
+    bool has_repeated_event_ = false;
 };
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -1,5 +1,10 @@
 #include <hemlocknotch/gateway/event_splitter.hpp>
 
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <utility>
+
 namespace hemlocknotch::gateway {
 namespace {
 
@@ -15,6 +20,21 @@
     return 0;
 }
 
+std::optional<std::uint64_t> number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto* end = text.data() + text.size();
+    const auto [stop, ec] = std::from_chars(text.data(), end, value);
+    return ec == std::errc{} && stop == end ? std::optional{value} : std::nullopt;
+}
+
+bool is_after(std::string_view id, std::string_view earlier)
+{
+    const auto value = number(id);
+    const auto bound = number(earlier);
+    return !value || !bound || *value > *bound;
+}
+
 } // namespace
 
 std::string_view event_splitter::append(std::string_view bytes)
@@ -53,8 +73,19 @@
         if (line.ends_with('\r')) {
             line.remove_suffix(1);
         }
+        if (std::exchange(is_continuing_, false) && !is_after(line, last_id_)) {
+            has_repeated_event_ = true;
+            return;
+        }
         last_id_.assign(line);
     }
 }
 
+void event_splitter::begin_continuation()
+{
+    held_.clear();
+    is_continuing_ = true;
+    has_repeated_event_ = false;
+}
+
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/exchange.hpp
+++ b/packages/gateway/src/exchange.hpp
@@ -93,7 +93,9 @@
     /// (`was_executed`) or certainly was not.
     [[nodiscard]] bool may_retry(bool was_executed) const
     {
-        return attempts < attempt_limit &&
+        // Without the id of an event, another endpoint would begin the stream again.
+        const auto can_continue = !is_begun || !events.last_id().empty();
+        return attempts < attempt_limit && can_continue &&
                (!was_executed || (is_repeatable() && executions + 1 < matched->max_attempts));
     }
 
--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -103,7 +103,11 @@
         return;
     }
     if (it->is_stream) {
-        if (const auto events = it->events.append(bytes); !events.empty()) {
+        const auto events = it->events.append(bytes);
+        if (it->events.has_repeated_event()) {
+            return handle_failed_resumption(*it, now);
+        }
+        if (!events.empty()) {
             it->first_event_at = std::min(it->first_event_at, now);
             answers_->pass_events(*it, events, now);
             if (now - it->first_event_at >= crash_breaker::sound_run_time) {
@@ -238,7 +242,6 @@
         port_.write_log(call_failed_record(it, was_executed, port_.event_delay(), now));
     }
     was_executed ? finish_call(it, now) : finish_unsent_call(it, now);
-    it.events.drop_remainder();
     if (retry(it, was_executed, now)) {
         offer_waiting(now);
         return;
@@ -270,6 +273,7 @@
     if (endpoints_.are_all_tried(it.service, it.tried) || !service_of(it.service).retries().try_spend()) {
         return false;
     }
+    it.events.begin_continuation();
     ++answers_->counters().retries;
     answers_->counters().resumed_streams += it.is_begun ? 1U : 0U;
     send_again(it, now);
--- a/packages/gateway/tests/event_splitter_test.cpp
+++ b/packages/gateway/tests/event_splitter_test.cpp
@@ -30,9 +30,35 @@
     BOOST_TEST(it.append("id: 1\n\nid: 2\ndata") == "id: 1\n\n");
     BOOST_TEST(it.last_id() == "1");
     BOOST_TEST(it.has_remainder());
-    it.drop_remainder();
+    it.begin_continuation();
     BOOST_TEST(it.append("id: 2\ndata: x\n\n") == "id: 2\ndata: x\n\n");
     BOOST_TEST(it.last_id() == "2");
+    BOOST_TEST(!it.has_repeated_event());
+}
+
+BOOST_AUTO_TEST_CASE(finds_a_continuation_that_repeats_an_event)
+{
+    event_splitter it;
+    it.append("id: 9\n\nid: 10\n\n");
+    it.begin_continuation();
+    it.append("id: 10\n\nid: 11\n\n");
+    BOOST_TEST(it.has_repeated_event());
+    BOOST_TEST(it.last_id() == "10");
+    it.begin_continuation();
+    BOOST_TEST(!it.has_repeated_event());
+    it.append("id: 11\n\n");
+    BOOST_TEST(!it.has_repeated_event());
+    BOOST_TEST(it.last_id() == "11");
+}
+
+BOOST_AUTO_TEST_CASE(does_not_compare_ids_that_are_no_numbers)
+{
+    event_splitter it;
+    it.append("id: b\n\n");
+    it.begin_continuation();
+    it.append("id: a\n\n");
+    BOOST_TEST(!it.has_repeated_event());
+    BOOST_TEST(it.last_id() == "a");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/gateway/tests/router_retry_test.cpp
+++ b/packages/gateway/tests/router_retry_test.cpp
@@ -112,6 +112,32 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_resumed_stream_that_begins_again_is_not_passed_on_twice)
+{
+    send_request(1, "/resume/x");
+    head(port.calls[0], 200, true);
+    it.on_part(port.calls[0].call, "id: 9\ndata: x\n\nid: 10\ndata: x\n\n", now);
+    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
+    head(port.calls[1], 200, true);
+    it.on_part(port.calls[1].call, "id: 9\ndata: x\n\nid: 10\ndata: x\n\nid: 11\ndata: x\n\n", now);
+    it.on_end(port.calls[1].call, call_outcome::complete, now);
+    BOOST_TEST(answer(1).is_aborted);
+    BOOST_TEST(!answer(1).is_ended);
+    BOOST_TEST(answer(1).body == "id: 9\ndata: x\n\nid: 10\ndata: x\n\n");
+    BOOST_TEST(port.cancelled.contains(port.calls[1].call));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_without_event_ids_is_not_resumed_once_it_has_begun)
+{
+    send_request(1, "/resume/x");
+    head(port.calls[0], 200, true);
+    it.on_part(port.calls[0].call, "data: x\n\n", now);
+    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    BOOST_TEST(port.calls.size() == 1U);
+    BOOST_TEST(answer(1).is_aborted);
+}
+
 BOOST_AUTO_TEST_CASE(logs_an_answer_that_does_not_continue_a_begun_stream)
 {
     send_request(1, "/resume/x");
