Let model endpoints of the fuzz answer with something else than events

Model endpoints, for first attempts and resumptions alike, now also answer, 8 times in 100, with a failure (500, 404, 400, 429, 504), a success that is no event stream, signed or not, 204, an event stream that ends at once without an event, complete or broken, another rejection (421, or 429, 500 and 503 without execution); some bodies come a step later or break off.

request_oracle knows what each endpoint answered to each call. It also checks that a reply is the whole answer of one endpoint, status and body, or one of the statuses that routers give themselves; that a stream begins once, with the head of an event stream; that no event comes before it; that a connection is closed only within a stream; and that a stream ends after its last event, or without any where a first answer was whole without one.

The new answers are drawn from a source of their own. The other events of a seed stay as they were until the first of them, after which they differ, since the calls that are open differ.

--- a/packages/gateway/fuzz/fuzz_fleet.cpp
+++ b/packages/gateway/fuzz/fuzz_fleet.cpp
@@ -32,7 +32,9 @@
 } // namespace
 
 fuzz_fleet::fuzz_fleet(std::uint64_t seed)
-    : random_{seed}, part_crashes_{"requests with a part that crashes endpoints", counted_part_ends}
+    : random_{seed},
+      unusual_random_{seed + 1},
+      part_crashes_{"requests with a part that crashes endpoints", counted_part_ends}
 {
     configuration_ = std::make_shared<routing_configuration>(create_fuzz_configuration(1));
     for (int n = 0; n < 4; ++n) {
@@ -162,7 +164,7 @@
 void fuzz_fleet::execute(gateway_state& it, open_call& call)
 {
     if (!std::exchange(call.is_executing, true)) {
-        it.requests.at(std::stoull(call.start.request->fields.id)).note_execution();
+        request_of(it, call).note_execution();
     }
 }
 
@@ -185,9 +187,14 @@
     if (!call.is_executing && chance(6)) {
         return finish(call_outcome::not_connected);
     }
+    const auto& target = call.start.request->target;
+    const auto is_stream = target.starts_with("/stream/") || target.starts_with("/resume/");
     if (crashes != nullptr) {
         crashes->note_arrival(now_);
     }
+    else if (is_stream && answer_unusually(it, call)) {
+        return;
+    }
     if (!call.is_executing && chance(8)) {
         answer_fields fields;
         fields.is_not_executed = true;
@@ -205,16 +212,17 @@
     if (chance(8)) {
         return finish(call_outcome::broken);
     }
-    const auto& target = call.start.request->target;
-    if (target.starts_with("/stream/") || target.starts_with("/resume/")) {
+    if (is_stream) {
         return answer_stream(it, call);
     }
     answer_fields fields;
     fields.is_signed = !chance(2);
     fields.request_limit = arrivals_.state_limit(call.start.instance, now_);
     const auto status = chance(10) ? 500 : 200;
-    it.decisions->on_head(id, {status, {{"From-Endpoint", "1"}}}, fields, now_);
+    auto& request = request_of(it, call);
+    it.decisions->on_head(id, endpoint_head(id, status), fields, now_);
     if (it.calls.contains(id)) {
+        request.note_plain_answer(std::to_string(id), status, "body");
         it.decisions->on_part(id, "body", now_);
         finish(call_outcome::complete);
     }
@@ -260,11 +268,8 @@
 {
     const auto id = call.start.call;
     if (!std::exchange(call.has_head, true)) {
-        answer_fields fields;
-        fields.is_signed = true;
-        fields.is_event_stream = true;
-        fields.request_limit = arrivals_.state_limit(call.start.instance, now_);
-        it.decisions->on_head(id, {200, {}}, fields, now_);
+        request_of(it, call).note_stream_head(std::to_string(id), false);
+        it.decisions->on_head(id, endpoint_head(id, 200), stream_fields(call), now_);
     }
     std::string bytes;
     for (auto n = random_() % 3; n > 0 && call.next_event <= stream_events; --n) {
--- a/packages/gateway/fuzz/fuzz_fleet.hpp
+++ b/packages/gateway/fuzz/fuzz_fleet.hpp
@@ -43,6 +43,9 @@
         bool is_executing = false;
         bool has_head = false;
         std::uint64_t next_event = 1;
+        /// The head of an answer that is no event stream has come, with this status.
+        bool has_plain_head = false;
+        int plain_status = 0;
     };
 
     class port;
@@ -52,6 +55,14 @@
     void disconnect(gateway_state& it);
     void answer(gateway_state& it);
     void answer_stream(gateway_state& it, open_call& call);
+    /// Lets a model endpoint, now and then, answer with something else than events. Returns whether it did.
+    bool answer_unusually(gateway_state& it, open_call& call);
+    void reject_unusually(gateway_state& it, const open_call& call);
+    void end_without_events(gateway_state& it, open_call& call);
+    void begin_plain_answer(gateway_state& it, open_call& call);
+    void end_plain_answer(gateway_state& it, const open_call& call);
+    /// Ends the call, unless the gateway has cancelled it.
+    void finish_call(gateway_state& it, call_id id, call_outcome outcome);
     void change_endpoints();
     /// Cuts the calls to the endpoint and starts it anew.
     void end_endpoint(const std::string& instance);
@@ -77,9 +88,22 @@
 
     [[nodiscard]] bool chance(unsigned percent) { return random_() % 100 < percent; }
 
+    /// Draw from a source of their own, so that the other events of a seed stay as they are until one of
+    /// these answers is drawn.
+    [[nodiscard]] std::size_t draw_unusual(std::size_t n) { return unusual_random_() % n; }
+
+    [[nodiscard]] bool unusual_chance(unsigned percent) { return draw_unusual(100) < percent; }
+
+    /// Returns the head of an answer whose endpoint the oracle can tell by the call.
+    static answer_head endpoint_head(call_id id, int status);
+    static request_oracle& request_of(gateway_state& it, const open_call& call);
+    /// Returns the fields of the head of an event stream.
+    answer_fields stream_fields(const open_call& call);
+
     [[nodiscard]] std::vector<endpoint_record> records() const;
 
     std::mt19937_64 random_;
+    std::mt19937_64 unusual_random_;
     instant now_{std::chrono::seconds{1000}};
     affinity_placement model_placement_{affinity_options{}};
     random_placement plain_placement_;
--- a/packages/gateway/fuzz/fuzz_gateway.cpp
+++ b/packages/gateway/fuzz/fuzz_gateway.cpp
@@ -49,15 +49,15 @@
         return true;
     }
 
-    void reply(exchange_id exchange, const answer_head& head, std::string_view /*body*/) override
+    void reply(exchange_id exchange, const answer_head& head, std::string_view body) override
     {
-        owner_.requests.at(exchange).note_reply(head);
+        owner_.requests.at(exchange).note_reply(head, body);
         ++fleet_.ended_;
     }
 
-    void begin_stream(exchange_id exchange, const answer_head& /*head*/) override
+    void begin_stream(exchange_id exchange, const answer_head& head) override
     {
-        owner_.requests.at(exchange).note_stream_begun();
+        owner_.requests.at(exchange).note_stream_begun(head);
     }
 
     void send_part(exchange_id exchange, std::string_view bytes) override
@@ -73,7 +73,7 @@
 
     void abort(exchange_id exchange) override
     {
-        owner_.requests.at(exchange).note_end();
+        owner_.requests.at(exchange).note_abort();
         ++fleet_.ended_;
     }
 
