Do not end a begun stream whose resumption brings no event

Cause: an empty continuation was taken for the rest of the stream. It is that only where the first endpoint broke off between its last event and the end; otherwise the second one has lost the rest, and nothing tells the two apart.

Change: such a resumption is given up like any other that does not continue the stream; the caller sees a broken stream and can resume it, which costs a sound one a further request in the rare case. An empty answer to a request of the caller's own that names a last event is passed on as it is.

--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -159,8 +159,8 @@
     void send_again(exchange& it, instant now);
     void enqueue_or_refuse(exchange& it, instant now);
     void handle_failure(exchange& it, call_outcome outcome, instant now);
-    /// The endpoint that was to continue a stream has begun to answer with something else. Its answer is not
-    /// read to the end: the caller cannot be given any of it.
+    /// The endpoint that was to continue a stream answers with something else, of which the caller cannot be
+    /// given anything. The call has been cancelled or has ended.
     void handle_failed_resumption(exchange& it, instant now);
     void handle_rejection(exchange& it, instant now);
     void handle_complete_answer(exchange& it, instant now);
--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -92,6 +92,7 @@
     it->head = std::move(head);
     it->answer = fields;
     if (it->is_begun && !it->is_stream && !it->is_rejected()) {
+        port_.cancel_call(call);
         handle_failed_resumption(*it, now);
     }
 }
@@ -105,6 +106,7 @@
     if (it->is_stream) {
         const auto events = it->events.append(bytes);
         if (it->events.has_repeated_event()) {
+            port_.cancel_call(call);
             return handle_failed_resumption(*it, now);
         }
         if (!events.empty()) {
@@ -151,6 +153,10 @@
     else if (it.events.has_remainder()) {
         handle_failure(it, call_outcome::broken, now);
     }
+    else if (it.is_begun && it.first_event_at == instant::max()) {
+        // The endpoint may have lost the rest of the stream.
+        handle_failed_resumption(it, now);
+    }
     else {
         finish_stream(it, now);
     }
@@ -167,7 +173,6 @@
     if (auto* endpoint = endpoints_.find(it.instance)) {
         endpoints_.note_failure(*endpoint, true, now);
     }
-    port_.cancel_call(it.call);
     finish_call(it, now);
     if (!retry(it, true, now)) {
         end_unserved(it, endpoint_failed, true, now);
