Let an endpoint of the fuzz accept no call while it ends

Cause, traced by the calls and ends of the run: when an endpoint ended, the fuzz cut the calls that were open at that moment. The end of one of them made a waiting request go to the same endpoint, whose end was not published yet. That call was not cut, and the new start of the endpoint executed it although no connection to the old one could have been made, so that it crashed a second time under the name of its first start. The breaker counts starts, and took the two crashes for one. An endpoint that has ended is back after some seconds in the platform's words, and registered then.

Change: calls that are begun at an endpoint while it ends find no connection, as those that waited for one do. No check and no bound is touched, and one more order of events is played (a call to an endpoint that has just ended).

--- a/packages/gateway/fuzz/fuzz_fleet.cpp
+++ b/packages/gateway/fuzz/fuzz_fleet.cpp
@@ -231,18 +231,14 @@
 void fuzz_fleet::end_endpoint(const std::string& instance)
 {
     for (auto& it : gateways_) {
-        std::vector<std::pair<call_id, bool>> cut;
-        for (const auto& [id, call] : it->calls) {
-            if (call.start.instance == instance) {
-                cut.emplace_back(id, call.is_executing);
-            }
-        }
-        for (const auto& [id, was_executing] : cut) {
-            // The end of one call may cancel another one.
-            if (it->calls.erase(id) > 0) {
-                it->decisions->on_end(id, was_executing ? call_outcome::broken : call_outcome::not_connected,
-                                      now_);
-            }
+        // The end of one call may cancel others, or begin one to the endpoint, which accepts no connection.
+        const auto is_cut = [&](const auto& call) { return call.second.start.instance == instance; };
+        for (auto call = std::ranges::find_if(it->calls, is_cut); call != it->calls.end();
+             call = std::ranges::find_if(it->calls, is_cut)) {
+            const auto [id, was_executing] = std::pair{call->first, call->second.is_executing};
+            it->calls.erase(call);
+            it->decisions->on_end(id, was_executing ? call_outcome::broken : call_outcome::not_connected,
+                                  now_);
         }
     }
     restart(endpoints_.at(instance));
