Read no endpoint from an entry with an odd field

What callers could see: an entry of another writer, with a number out of range or a field missing or of another type, was taken for an endpoint, and requests were sent to its address. A port of 0 and an address with a zero byte were accepted.

--- a/packages/core/src/endpoint_address.cpp
+++ b/packages/core/src/endpoint_address.cpp
@@ -35,6 +35,9 @@
 
 bool is_numeric_address(const std::string& host)
 {
+    if (host.find('\0') != std::string::npos) {
+        return false;
+    }
     std::array<unsigned char, sizeof(in6_addr)> buf{};
     return inet_pton(AF_INET, host.c_str(), buf.data()) == 1 ||
            inet_pton(AF_INET6, host.c_str(), buf.data()) == 1;
