--- a/packages/standins/include/hemlocknotch/standins/odd_entries.hpp
+++ b/packages/standins/include/hemlocknotch/standins/odd_entries.hpp
@@ -17,4 +17,7 @@
 /// that are no registrations at all. Precondition: `sound` is a JSON object. Thread-safe.
 std::vector<odd_entry> create_odd_entries(std::string_view sound);
 
+/// Returns names under which `sound` entries name no endpoint to use. Thread-safe.
+std::vector<std::string> odd_endpoint_names();
+
 } // namespace hemlocknotch::standins
--- a/packages/standins/src/odd_entries.cpp
+++ b/packages/standins/src/odd_entries.cpp
@@ -125,4 +125,17 @@
     return out.take();
 }
 
+std::vector<std::string> odd_endpoint_names()
+{
+    return {"",
+            "a b",
+            "a\r\nX-Other: 1",
+            "a\nb",
+            std::string{"a\0b", 3},
+            "a\tb",
+            "caf\xc3\xa9",
+            "a\x7f",
+            std::string(400, 'a')};
+}
+
 } // namespace hemlocknotch::standins
