Log an entry that stays unreadable once

What operators could see: an entry of another writer that cannot be read left a line `registry-entry-unreadable` each time it was written again, and one in each full read, in the log of each gateway.

Evidence: registry_follower_suite/ an_entry_that_stays_unreadable_is_logged_once failed at both of its checks: more than three lines for an entry that turns odd three times, and further ones in a full read.

After: the registry suites of daemon_test pass.

--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -1,7 +1,5 @@
 #include "registry_follower.hpp"
 
-#include "registry_log.hpp"
-
 #include <algorithm>
 #include <utility>
 
@@ -156,6 +154,7 @@
         view_.extend_grace(now + update.grace - update.age);
     }
     const auto changes = decode(update);
+    log_unreadable(changes, false);
     notify_changed(view_.apply(changes, update.is_partial ? 0 : update.to_revision, now));
     if (update.is_partial) {
         has_partial_update_ = true;
@@ -215,7 +214,9 @@
         view_.extend_grace(now + update.grace);
     }
     note_current("gateway");
-    notify_changed(view_.replace(decode(update), update.to_revision, now));
+    const auto changes = decode(update);
+    log_unreadable(changes, true);
+    notify_changed(view_.replace(changes, update.to_revision, now));
     schedule_doubt_check();
 }
 
@@ -227,13 +228,12 @@
         auto item = it.is_removed ? gateway::registry_item{} : registry_client_.decode(it.key, it.value);
         out.push_back({it.key, it.revision, it.is_removed, std::move(item), it.value});
     }
-    log_unreadable(out);
     return out;
 }
 
-void registry_follower::log_unreadable(std::span<const gateway::registry_change> changes) const
+void registry_follower::log_unreadable(std::span<const gateway::registry_change> changes, bool is_complete)
 {
-    if (const auto record = unreadable_entries_record(changes)) {
+    if (const auto record = unreadable_.note(changes, is_complete)) {
         log_(*record);
     }
 }
@@ -269,7 +269,7 @@
         return on_failure(answer.status, requested_at);
     }
     on_success();
-    log_unreadable(answer.changes);
+    log_unreadable(answer.changes, is_full_read);
     needs_full_read_ = false;
     // What a partial update left out is read by all gateways.
     const auto is_read_by_all = std::exchange(has_partial_update_, false);
--- a/packages/daemon/src/gateway/registry_follower.hpp
+++ b/packages/daemon/src/gateway/registry_follower.hpp
@@ -6,6 +6,7 @@
 #include <hemlocknotch/gateway/registry_view.hpp>
 
 #include "../timer.hpp"
+#include "registry_log.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -99,8 +100,9 @@
     void schedule_doubt_check();
     void check_doubts();
     [[nodiscard]] std::vector<gateway::registry_change> decode(const gateway::registry_update& update) const;
-    /// Logs that some of the entries cannot be read. What was known of them before stays in force.
-    void log_unreadable(std::span<const gateway::registry_change> changes) const;
+    /// Logs that some of the entries cannot be read, unless this is known. `is_complete`: `changes` are all
+    /// entries.
+    void log_unreadable(std::span<const gateway::registry_change> changes, bool is_complete);
     void publish(std::vector<gateway::reported_change> changes, std::uint64_t from_revision,
                  instant requested_at);
     void join();
@@ -149,6 +151,7 @@
     /// `instant::max()`: none.
     instant behind_since_ = instant::max();
     registry_follower_counters counters_;
+    unreadable_entries unreadable_;
     /// Lease of the registration, granted in the era of the view; 0: none.
     std::uint64_t lease_id_ = 0;
     /// Latest era that the registry or another gateway stated; may be above the view's until it is read.
--- a/packages/daemon/src/gateway/registry_log.cpp
+++ b/packages/daemon/src/gateway/registry_log.cpp
@@ -1,7 +1,6 @@
 #include "registry_log.hpp"
 
-#include <algorithm>
-#include <string>
+#include <utility>
 #include <variant>
 
 namespace hemlocknotch::daemon {
@@ -14,11 +13,6 @@
     return item == nullptr || it.is_removed ? std::string_view{} : item->fault;
 }
 
-bool is_unreadable(const gateway::registry_change& it)
-{
-    return !fault_of(it).empty();
-}
-
 } // namespace
 
 std::string_view registry_status_text(gateway::registry_status status)
@@ -38,10 +32,26 @@
     return "no-answer";
 }
 
-std::optional<log_effect> unreadable_entries_record(std::span<const gateway::registry_change> changes)
+std::optional<log_effect> unreadable_entries::note(std::span<const gateway::registry_change> changes,
+                                                   bool is_complete)
 {
-    const auto first = std::ranges::find_if(changes, is_unreadable);
-    if (first == changes.end()) {
+    const auto before = is_complete ? std::exchange(logged_, {}) : std::set<std::string, std::less<>>{};
+    const gateway::registry_change* first = nullptr;
+    std::size_t count = 0;
+    for (const auto& it : changes) {
+        if (fault_of(it).empty()) {
+            logged_.erase(it.key);
+            continue;
+        }
+        if (logged_.size() >= max_keys) {
+            logged_.clear();
+        }
+        if (logged_.insert(it.key).second && !before.contains(it.key)) {
+            first = first == nullptr ? &it : first;
+            ++count;
+        }
+    }
+    if (first == nullptr) {
         return std::nullopt;
     }
     return log_effect{log_level::error,
@@ -49,7 +59,7 @@
                       {{"key", first->key},
                        {"revision", std::to_string(first->revision)},
                        {"reason", std::string{fault_of(*first)}},
-                       {"entries", std::to_string(std::ranges::count_if(changes, is_unreadable))}}};
+                       {"entries", std::to_string(count)}}};
 }
 
 } // namespace hemlocknotch::daemon
--- a/packages/daemon/tests/registry_follower_test.cpp
+++ b/packages/daemon/tests/registry_follower_test.cpp
@@ -255,6 +255,27 @@
     BOOST_TEST(first.view.endpoints().size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_stays_unreadable_is_logged_once)
+{
+    const auto odd = [](std::uint64_t revision) {
+        return registry_change{"e/c", revision, false, unreadable_item{"no address"}, "{}"};
+    };
+    start(first);
+    BOOST_REQUIRE(wait_for_call(first));
+    first.log_records.clear();
+    for (const auto& change :
+         {odd(7), odd(8), written("c", 9), odd(10), odd(11), removed("c", 12), odd(13)}) {
+        first.client.answer(registry_status::ok, {change}, change.revision);
+        BOOST_REQUIRE(wait_for_call(first));
+    }
+    BOOST_TEST(std::ranges::count(first.log_records, "registry-entry-unreadable", &log_effect::event) == 3);
+    // The same entries in a full read.
+    first.client.answer(registry_status::history_lost, {}, 0);
+    BOOST_REQUIRE(wait_for_call(first));
+    first.client.answer(registry_status::ok, {written("a", 4), written("b", 5), odd(13)}, 13);
+    BOOST_TEST(std::ranges::count(first.log_records, "registry-entry-unreadable", &log_effect::event) == 3);
+}
+
 BOOST_AUTO_TEST_CASE(ignores_an_update_after_a_gap_in_revisions)
 {
     start(second);
