--- a/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
+++ b/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
@@ -72,6 +72,8 @@
     std::string crashing_body;
     /// Called with the id of the request, if set, when the endpoint has crashed on `crashing_body`.
     std::function<void(const std::string&)> crashed;
+    /// Requests that have arrived, also those that it rejects.
+    std::uint64_t requests = 0;
     /// Executions by request id.
     std::map<std::string, unsigned> executions;
     /// Client account that the last request was executed for.
--- a/packages/standins/src/platform_endpoint.cpp
+++ b/packages/standins/src/platform_endpoint.cpp
@@ -81,6 +81,7 @@
 
 void platform_endpoint::on_request(const http_request& request)
 {
+    ++requests;
     const auto id = request.header("X-Request-Id").value_or("");
     if (arrived) {
         arrived(id);
