Report an entry that stays unreadable once

What could be seen: an odd entry that is written again each second was taken for a change each time and reported to all gateways. One of more than 32 KB does not fit a datagram, so that each gateway read the store then, which allows the fleet a limited number of reads. A configuration that cannot be read took the place of the one in force in what a gateway tells one that cannot reach the store.

Change: entries that cannot be read count as the same, and one under the key of a known configuration is ignored. After: the suite passes.

--- a/packages/gateway/src/registry_view.cpp
+++ b/packages/gateway/src/registry_view.cpp
@@ -18,9 +18,19 @@
     return endpoint != nullptr && !endpoint->record.is_draining;
 }
 
-/// Returns whether both are endpoints that differ at most in the age of their registrations.
+bool is_faulty(const registry_item& item)
+{
+    const auto* odd = std::get_if<unreadable_item>(&item);
+    return odd != nullptr && !odd->fault.empty();
+}
+
+/// Returns whether both are endpoints that differ at most in the age of their registrations, or neither names
+/// anything to use.
 bool is_same(const registry_item& a, const registry_item& b)
 {
+    if (is_faulty(a) && is_faulty(b)) {
+        return true;
+    }
     const auto* before = std::get_if<endpoint_item>(&a);
     const auto* after = std::get_if<endpoint_item>(&b);
     return before != nullptr && after != nullptr && before->record == after->record;
@@ -164,6 +174,11 @@
         entries_[change.key] = {change.revision, change.item, change.value, instant::max(), doubt::none};
         return;
     }
+    if (is_faulty(change.item) && known != entries_.end() &&
+        std::holds_alternative<configuration_item>(known->second.item)) {
+        // Other gateways may ask this one for the configuration in force.
+        return;
+    }
     const auto removed = removed_.find(change.key);
     const auto newest = std::max(known == entries_.end() ? 0 : known->second.revision,
                                  removed == removed_.end() ? 0 : removed->second);
--- a/packages/gateway/tests/registry_view_test.cpp
+++ b/packages/gateway/tests/registry_view_test.cpp
@@ -100,6 +100,33 @@
     BOOST_TEST(it.endpoints().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_stays_unreadable_is_not_reported_again)
+{
+    registry_view it;
+    it.apply(std::vector{endpoint("a", 5)}, 5, start);
+    const auto odd = [](std::uint64_t revision) {
+        return std::vector{written("e/a", revision, unreadable_item{"number " + std::to_string(revision)})};
+    };
+    BOOST_TEST(it.significant_changes(odd(6)).size() == 1U);
+    it.apply(odd(6), 6, start);
+    BOOST_TEST(it.significant_changes(odd(7)).empty());
+    BOOST_TEST(it.significant_changes(std::vector{endpoint("a", 8)}).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_unreadable_configuration_leaves_the_one_in_force_in_a_snapshot)
+{
+    registry_view it;
+    auto change = configuration(3, 5);
+    change.value = "version 3";
+    it.apply(std::vector{change}, 5, start);
+    it.apply(std::vector{written("c", 8, unreadable_item{"no version"})}, 8, start);
+    BOOST_TEST(it.configuration_version() == 3U);
+    BOOST_REQUIRE_EQUAL(it.snapshot().size(), 1U);
+    BOOST_TEST(it.snapshot().front().value == "version 3");
+    it.apply(std::vector{configuration(4, 9)}, 9, start);
+    BOOST_TEST(it.configuration_version() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(a_snapshot_leaves_out_removed_endpoints_in_their_grace_time)
 {
     registry_view it;
