--- a/packages/coordination/include/hemlocknotch/coordination/http_client.hpp
+++ b/packages/coordination/include/hemlocknotch/coordination/http_client.hpp
@@ -42,6 +42,8 @@
 struct http_answer {
     /// HTTP status; 0 if no answer came within the time limit or the connection failed.
     int status = 0;
+    /// An answer came whose body exceeds the client's limit; `status` is 0.
+    bool is_too_large = false;
     std::string body;
     /// Header values by lower-case name.
     std::map<std::string, std::string, std::less<>> headers;
--- a/packages/coordination/src/http_client.cpp
+++ b/packages/coordination/src/http_client.cpp
@@ -118,6 +118,7 @@
         if (request == nullptr) {
             throw std::bad_alloc{};
         }
+        evhttp_request_set_error_cb(request, &exchange::on_error);
         evkeyvalq* headers = evhttp_request_get_output_headers(request);
         evhttp_add_header(headers, "Host", host.c_str());
         if (!call.content_type.empty()) {
@@ -149,6 +150,12 @@
         event_active(that->timer_.get(), EV_TIMEOUT, 0);
     }
 
+    /// Called before `on_done`, with the same argument.
+    static void on_error(evhttp_request_error error, void* self)
+    {
+        static_cast<exchange*>(self)->answer_.is_too_large = error == EVREQ_HTTP_DATA_TOO_LONG;
+    }
+
     static void on_timer(evutil_socket_t /*fd*/, short /*what*/, void* self)
     {
         auto* that = static_cast<exchange*>(self);
--- a/packages/standins/src/platform_store.cpp
+++ b/packages/standins/src/platform_store.cpp
@@ -18,6 +18,8 @@
 constexpr int gone = 410;
 constexpr int conflict = 412;
 constexpr std::size_t page_size = 500;
+/// Number of bytes of values after which a page ends.
+constexpr std::size_t page_bytes = 1'000'000;
 
 std::string to_base64(std::string_view bytes)
 {
@@ -164,14 +166,16 @@
     const auto after = request.query("after").value_or("");
     auto found = json::array();
     bool has_more = false;
+    std::size_t bytes = 0;
     for (const auto& [key, it] : items_) {
         if (!key.starts_with(prefix) || key <= after) {
             continue;
         }
-        if (found.size() == page_size) {
+        if (found.size() == page_size || bytes > page_bytes) {
             has_more = true;
             break;
         }
+        bytes += it.value.size();
         found.push_back(describe(key, it));
     }
     request.reply_json(ok, {{"items", found}, {"has-more", has_more}, {"current-rev", revision_}});
