Let endpoints of the soak fail, fail resumptions and answer twice

Endpoints now answer requests with 500 and a body (executed), streams break off after two events and their resumption is answered 404, 500 or 200 without events, and endpoints of both services give each answer twice, successes, and failures with and without the request's id, the second copy at once or up to 0.3 s later, ahead of the next answer.

Callers notice more: bytes that come after a complete answer or while no request waits, and the begin of a success that breaks off. The record checks that a failure is one that an endpoint gave to this request, body included, or has one of the statuses of gateways. All new checks are violations; none of the old ones has changed.

--- a/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
+++ b/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
@@ -5,6 +5,7 @@
 #include <hemlocknotch/standins/kept_connection_caller.hpp>
 #include <hemlocknotch/standins/platform_store.hpp>
 #include <hemlocknotch/standins/relay_route.hpp>
+#include <hemlocknotch/standins/scripted_endpoint.hpp>
 #include <hemlocknotch/standins/soak_endpoint.hpp>
 #include <hemlocknotch/standins/soak_gateway.hpp>
 #include <hemlocknotch/standins/soak_record.hpp>
@@ -83,6 +84,13 @@
     void add_crashing_request();
     /// Lets an endpoint say that it leaves, end, and start anew.
     void begin_leaving();
+    /// Draws whether endpoints fail requests, fail resumptions, or answer each request twice, for a while.
+    void add_failing_answers();
+    void fail_requests();
+    void fail_resumptions();
+    void add_repeating_endpoint();
+    scripted_answer answer_twice(const scripted_request& request);
+    void undo_failing(std::function<void()> undo);
     /// Starts an endpoint that has ended after a random time, and at the end of the faults.
     void restart_later(soak_endpoint& it);
     /// Records what the head of an answer that `gateway` has passed on says of leaving.
@@ -111,6 +119,8 @@
     int draw_announcement(int n);
     /// The same for endpoints that crash or leave.
     int draw_ending(int n);
+    /// The same for endpoints that fail, or answer twice.
+    int draw_failing(int n);
     soak_gateway& draw_gateway();
 
     soak_options options_;
@@ -118,6 +128,7 @@
     std::minstd_rand further_random_;
     std::minstd_rand announcement_random_;
     std::minstd_rand ending_random_;
+    std::minstd_rand failing_random_;
     event_loop loop_;
     platform_store store_;
     soak_record record_;
@@ -127,6 +138,18 @@
     endless_endpoint endless_plain_;
     /// Number of their registrations so far, each of which is a new instance.
     int endless_registrations_ = 0;
+
+    /// What the endpoints that answer twice answer.
+    struct repeated_answer {
+        bool is_failure = false;
+        bool has_id = true;
+        duration delay{};
+    };
+
+    repeated_answer repeated_;
+    scripted_endpoint repeating_model_;
+    scripted_endpoint repeating_plain_;
+    int repeating_registrations_ = 0;
     /// Kind of the request that crashes endpoints, if there is one.
     std::optional<soak_request_kind> crashing_kind_;
     bool is_restoring_ = false;
--- a/packages/standins/include/hemlocknotch/standins/kept_connection_caller.hpp
+++ b/packages/standins/include/hemlocknotch/standins/kept_connection_caller.hpp
@@ -25,6 +25,10 @@
     /// The bytes received are no answer; `received` holds them.
     bool is_malformed = false;
     std::string received = {};
+    /// What came of the body of a success that is not complete.
+    std::string partial_body = {};
+    /// Bytes that came after the answer, or since the one before and before this request.
+    std::string unsolicited = {};
 };
 
 /// A caller that sends one request after the other on one connection, and keeps it until the gateway closes
@@ -46,6 +50,9 @@
     /// connection is open. Precondition: no request is in progress.
     void send(const std::string& request, duration timeout);
 
+    /// Returns whether bytes have come since the last answer that no request asked for.
+    [[nodiscard]] bool has_unsolicited() const { return !unsolicited_.empty(); }
+
 private:
     struct bufferevent_deleter {
         void operator()(bufferevent* it) const;
@@ -55,13 +62,16 @@
     static void on_event(bufferevent* from, short what, void* self);
     void connect();
     void read_answer();
-    void end(const kept_connection_answer& answer, bool keeps_connection);
+    /// Ends the request without a complete answer.
+    void end_incomplete(bool was_closed);
+    void end(kept_connection_answer answer, bool keeps_connection);
 
     event_base* base_;
     endpoint_address gateway_;
     callback done_;
     std::unique_ptr<bufferevent, bufferevent_deleter> connection_;
     std::string input_;
+    std::string unsolicited_;
     timer timeout_;
     /// Ends a request that failed at once, outside of the connection's own events.
     timer failed_;
--- a/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
+++ b/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
@@ -23,6 +23,10 @@
     bool loses_answers = false;
     /// Streams break off after so many events; 0: they do not.
     std::size_t breaks_after = 0;
+    /// One of so many requests is executed and answered 500, with a body that names it; 0: none.
+    std::size_t fails_each = 0;
+    /// Status with which resumptions are answered, in place of a stream; 0: they are resumed.
+    int resumption_status = 0;
     /// Values of the headers by which the endpoint states its limit, with rejections a pause, and that it
     /// leaves; empty: it does not.
     std::string stated_limit;
@@ -72,6 +76,8 @@
     std::string crashing_body;
     /// Called with the id of the request, if set, when the endpoint has crashed on `crashing_body`.
     std::function<void(const std::string&)> crashed;
+    /// Called with id and body of each answer that `faults.fails_each` gives, if set.
+    std::function<void(const std::string&, const std::string&)> failed;
     /// Executions by request id.
     std::map<std::string, unsigned> executions;
     /// Client account that the last request was executed for.
@@ -83,11 +89,13 @@
     struct stream;
 
     void on_request(const http_request& request);
+    void fail(const http_request& request, const std::string& id) const;
     void start_stream(const http_request& request);
     void add_announcements(const http_request& request) const;
 
     event_base* base_;
     std::string instance_;
+    std::size_t requests_ = 0;
     std::list<std::unique_ptr<stream>> streams_;
     http_server server_;
 };
--- a/packages/standins/include/hemlocknotch/standins/soak_record.hpp
+++ b/packages/standins/include/hemlocknotch/standins/soak_record.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hemlocknotch::standins {
@@ -44,6 +45,11 @@
     void check_answer(const std::string& id, int status, const std::string& body,
                       const std::string& expected_body);
 
+    /// Records that an endpoint has answered the request with a failure.
+    void note_failure(const std::string& id, int status, const std::string& body);
+    /// Checks what a caller has of the body of a success that broke off.
+    void check_partial_body(const std::string& id, const std::string& body, const std::string& expected_body);
+
     /// Records that the request `id`, one of those that crash endpoints, has crashed another one.
     void note_crash(const std::string& id, instant now);
 
@@ -74,12 +80,16 @@
     /// Returns whether each configuration that may be in force for a request sent at `at` has the second key,
     /// or lacks it.
     [[nodiscard]] bool do_all_have_key(bool has_second_key, instant at) const;
+    void check_failure(const std::string& id, const std::string& gateway, int status,
+                       const std::string& body);
     void check_configuration(const std::string& id, const soak_request& request, int status);
 
     duration bound_;
     std::vector<configuration> configurations_;
     std::map<std::string, soak_request> requests_;
     std::map<int, std::uint64_t> answers_;
+    /// Status and body of the failures that endpoints gave, by request.
+    std::multimap<std::string, std::pair<int, std::string>> failures_;
     std::vector<instant> crashes_;
     unsigned late_crashes_ = 0;
     /// By gateway and start of an endpoint: when the gateway first passed on that it leaves.
--- a/packages/standins/src/gateway_soak.cpp
+++ b/packages/standins/src/gateway_soak.cpp
@@ -29,6 +29,7 @@
 /// Interval at which endpoints write their registrations.
 constexpr duration heartbeat_interval = seconds{1};
 constexpr int status_ok = 200;
+constexpr int status_server_error = 500;
 
 std::string host_of(int number)
 {
@@ -80,10 +81,13 @@
       further_random_{static_cast<std::minstd_rand::result_type>(options.seed + 1)},
       announcement_random_{static_cast<std::minstd_rand::result_type>(options.seed + 2)},
       ending_random_{static_cast<std::minstd_rand::result_type>(options.seed + 3)},
+      failing_random_{static_cast<std::minstd_rand::result_type>(options.seed + 4)},
       store_{loop_.base(), any_port},
       record_{options.bound},
       endless_model_{loop_.base(), any_port, "X-Request-Id"},
       endless_plain_{loop_.base(), any_port, "X-Request-Id"},
+      repeating_model_{loop_.base(), any_port, [this](const auto& it) { return answer_twice(it); }},
+      repeating_plain_{loop_.base(), any_port, [this](const auto& it) { return answer_twice(it); }},
       step_{loop_.base(), [this] { advance(); }}
 {
     for (const auto* instance : {"m1", "m2", "p1", "p2", "p3"}) {
@@ -95,6 +99,9 @@
         it->endpoint().arrived = [this, endpoint = it.get()](const std::string& id) {
             record_.check_arrival(id, endpoint->start_name());
         };
+        it->endpoint().failed = [this](const std::string& id, const std::string& body) {
+            record_.note_failure(id, status_server_error, body);
+        };
     }
     if (draw_ending(2) == 0) {
         add_crashing_request();
@@ -294,6 +301,11 @@
     else if (answer.status != 0) {
         record_.check_answer(it.id, answer.status, answer.body, it.expected_body);
     }
+    record_.check_partial_body(it.id, answer.partial_body, it.expected_body);
+    if (!answer.unsolicited.empty()) {
+        record_.add_violation(it.id + " at " + it.gateway.name() + ": bytes that no request asked for: '" +
+                              answer.unsolicited + "'");
+    }
     note_leaving(it.gateway.name(), answer.head);
     it.has_served_since_healing = it.has_served_since_healing || answer.status == status_ok;
     it.pause.start(request_pause);
@@ -342,6 +354,11 @@
             total[id] += n;
         }
     }
+    for (const auto* it : {&repeating_model_, &repeating_plain_}) {
+        for (const auto& [id, n] : it->executions) {
+            total[id] += n;
+        }
+    }
     record_.check_executions(total);
 }
 
--- a/packages/standins/src/kept_connection_caller.cpp
+++ b/packages/standins/src/kept_connection_caller.cpp
@@ -40,8 +40,8 @@
     return ec == std::errc{} && end == line.data() + line.size() ? std::optional{out} : std::nullopt;
 }
 
-/// Appends the decoded chunks to `out`.
-body_state decode_chunks(std::string_view text, std::string& out)
+/// Appends the decoded chunks to `out`, and removes from `text` what was decoded.
+body_state decode_chunks(std::string_view& text, std::string& out)
 {
     constexpr int hexadecimal = 16;
     for (;;) {
@@ -58,6 +58,7 @@
             return body_state::partial;
         }
         if (*size == 0) {
+            text.remove_prefix(2);
             return body_state::complete;
         }
         out += text.substr(0, *size);
@@ -65,8 +66,8 @@
     }
 }
 
-/// Reads into `out` the body of an answer with the lower-case `head`.
-body_state read_body(std::string_view head, std::string_view rest, std::string& out)
+/// Reads into `out` the body of an answer with the lower-case `head`, and removes it from `rest`.
+body_state read_body(std::string_view head, std::string_view& rest, std::string& out)
 {
     if (head.find("transfer-encoding: chunked") != std::string_view::npos) {
         return decode_chunks(rest, out);
@@ -81,7 +82,18 @@
         return body_state::malformed;
     }
     out = rest.substr(0, *size);
-    return rest.size() < *size ? body_state::partial : body_state::complete;
+    const auto is_partial = rest.size() < *size;
+    rest.remove_prefix(out.size());
+    return is_partial ? body_state::partial : body_state::complete;
+}
+
+int status_of(std::string_view head)
+{
+    int out = 0;
+    if (head.size() > status_position) {
+        std::from_chars(head.data() + status_position, head.data() + head.size(), out);
+    }
+    return out;
 }
 
 } // namespace
@@ -95,7 +107,7 @@
     : base_{base},
       gateway_{std::move(gateway)},
       done_{std::move(done)},
-      timeout_{base, [this] { end({}, false); }},
+      timeout_{base, [this] { end_incomplete(false); }},
       failed_{base, [this] { end({}, false); }}
 {
 }
@@ -134,6 +146,10 @@
     auto* input = bufferevent_get_input(from);
     std::string bytes(evbuffer_get_length(input), '\0');
     evbuffer_remove(input, bytes.data(), bytes.size());
+    if (!that.is_waiting_) {
+        that.unsolicited_ += bytes;
+        return;
+    }
     that.input_ += bytes;
     that.read_answer();
 }
@@ -141,23 +157,21 @@
 void kept_connection_caller::read_answer()
 {
     const auto position = input_.find(head_end);
-    if (!is_waiting_ || position == std::string::npos) {
+    if (position == std::string::npos) {
         return;
     }
     const auto head = lower_case(std::string_view{input_}.substr(0, position + 2));
     kept_connection_answer answer;
-    const auto state =
-        read_body(head, std::string_view{input_}.substr(position + head_end.size()), answer.body);
+    auto rest = std::string_view{input_}.substr(position + head_end.size());
+    const auto state = read_body(head, rest, answer.body);
     if (state == body_state::partial) {
         return;
     }
-    int status = 0;
-    const auto* text = head.data() + status_position;
-    std::from_chars(text, head.data() + head.size(), status);
-    answer.status = status;
-    answer.is_malformed = state == body_state::malformed || status == 0;
+    answer.status = status_of(head);
+    answer.is_malformed = state == body_state::malformed || answer.status == 0;
     answer.received = answer.is_malformed ? input_ : "";
     answer.head = head;
+    unsolicited_ += answer.is_malformed ? std::string_view{} : rest;
     end(answer, head.find("connection: close") == std::string::npos);
 }
 
@@ -169,15 +183,31 @@
         return;
     }
     if (that.is_waiting_) {
-        that.end({.was_closed = that.is_connected_}, false);
+        that.end_incomplete(that.is_connected_);
     }
     else {
         that.connection_.reset();
     }
 }
 
-void kept_connection_caller::end(const kept_connection_answer& answer, bool keeps_connection)
+void kept_connection_caller::end_incomplete(bool was_closed)
+{
+    kept_connection_answer answer{.was_closed = was_closed};
+    const auto position = input_.find(head_end);
+    if (position != std::string::npos) {
+        const auto head = lower_case(std::string_view{input_}.substr(0, position + 2));
+        constexpr int ok = 200;
+        auto rest = std::string_view{input_}.substr(position + head_end.size());
+        if (status_of(head) == ok) {
+            read_body(head, rest, answer.partial_body);
+        }
+    }
+    end(std::move(answer), false);
+}
+
+void kept_connection_caller::end(kept_connection_answer answer, bool keeps_connection)
 {
+    answer.unsolicited = std::exchange(unsolicited_, {});
     is_waiting_ = false;
     timeout_.stop();
     failed_.stop();
--- a/packages/standins/src/platform_endpoint.cpp
+++ b/packages/standins/src/platform_endpoint.cpp
@@ -10,6 +10,7 @@
 
 constexpr int ok = 200;
 constexpr int misdirected = 421;
+constexpr int server_error = 500;
 constexpr int unavailable = 503;
 
 } // namespace
@@ -113,6 +114,9 @@
     }
     request.add_answer_header("X-Request-Id", id);
     request.add_answer_header("X-Response-Signature", "signed");
+    if (faults.fails_each > 0 && ++requests_ % faults.fails_each == 0) {
+        return fail(request, id);
+    }
     if (request.path().starts_with("/stream/")) {
         return start_stream(request);
     }
@@ -130,8 +134,20 @@
     }
 }
 
+void platform_endpoint::fail(const http_request& request, const std::string& id) const
+{
+    const auto body = "failed " + id;
+    if (failed) {
+        failed(id, body);
+    }
+    request.reply(server_error, body);
+}
+
 void platform_endpoint::start_stream(const http_request& request)
 {
+    if (faults.resumption_status != 0 && request.header("Last-Event-Id")) {
+        return request.reply(faults.resumption_status, "not resumed");
+    }
     request.add_answer_header("Content-Type", "text/event-stream");
     const auto last = request.header("Last-Event-Id").value_or("0");
     streams_.push_back(std::make_unique<stream>(base_, request, std::stoul(last) + 1, faults));
--- a/packages/standins/src/soak_record.cpp
+++ b/packages/standins/src/soak_record.cpp
@@ -1,5 +1,7 @@
 #include <hemlocknotch/standins/soak_record.hpp>
 
+#include <algorithm>
+#include <array>
 #include <cassert>
 #include <chrono>
 #include <cstddef>
@@ -14,6 +16,12 @@
 constexpr int status_misdirected = 421;
 constexpr int status_too_many = 429;
 constexpr int status_unavailable = 503;
+constexpr int status_bad_gateway = 502;
+constexpr int status_gateway_timeout = 504;
+/// Statuses with which a gateway answers by itself.
+constexpr std::array<int, 9> own_statuses{status_ok,          status_unauthorized, status_not_found,
+                                          status_timeout,     status_misdirected,  status_too_many,
+                                          status_bad_gateway, status_unavailable,  status_gateway_timeout};
 constexpr unsigned max_attempts = 2;
 /// Bound of the platform on requests that crash endpoints: so many that are sent later than `crash_bound`
 /// after the third crash.
@@ -66,9 +74,36 @@
     if (status == status_ok && body != expected_body) {
         add_violation(id + " at " + it.gateway + ": a success with the body '" + body + "'");
     }
+    check_failure(id, it.gateway, status, body);
     check_configuration(id, it, status);
 }
 
+void soak_record::note_failure(const std::string& id, int status, const std::string& body)
+{
+    failures_.emplace(id, std::pair{status, body});
+}
+
+void soak_record::check_failure(const std::string& id, const std::string& gateway, int status,
+                                const std::string& body)
+{
+    if (std::ranges::find(own_statuses, status) != own_statuses.end()) {
+        return;
+    }
+    const auto [begin, end] = failures_.equal_range(id);
+    if (std::none_of(begin, end, [&](const auto& it) { return it.second == std::pair{status, body}; })) {
+        add_violation(id + " at " + gateway + ": " + std::to_string(status) +
+                      ", which no endpoint gave, with the body '" + body + "'");
+    }
+}
+
+void soak_record::check_partial_body(const std::string& id, const std::string& body,
+                                     const std::string& expected_body)
+{
+    if (!expected_body.starts_with(body)) {
+        add_violation(id + " at " + requests_.at(id).gateway + ": a success that began with '" + body + "'");
+    }
+}
+
 void soak_record::check_configuration(const std::string& id, const soak_request& request, int status)
 {
     if (status == status_not_found) {
--- a/packages/standins/tests/soak_record_test.cpp
+++ b/packages/standins/tests/soak_record_test.cpp
@@ -45,6 +45,33 @@
     BOOST_TEST(it.violations().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(finds_a_failure_that_no_endpoint_gave)
+{
+    const auto id = add(soak_request_kind::stream);
+    const auto other = add(soak_request_kind::stream);
+    it.note_failure(id, 500, "failed");
+    it.check_answer(id, 500, "failed", "");
+    it.check_answer(other, 502, "", "");
+    BOOST_TEST(it.violations().empty());
+    it.check_answer(id, 500, "another", "");
+    BOOST_TEST(it.violations().size() == 1U);
+    it.check_answer(other, 500, "failed", "");
+    BOOST_TEST(it.violations().size() == 2U);
+    it.check_answer(other, 204, "", "");
+    BOOST_TEST(it.violations().size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(finds_other_text_in_a_stream_that_broke_off)
+{
+    const auto id = add(soak_request_kind::stream);
+    it.check_partial_body(id, "", "events");
+    it.check_partial_body(id, "eve", "events");
+    it.check_partial_body(id, "events", "events");
+    BOOST_TEST(it.violations().empty());
+    it.check_partial_body(id, "evefailed", "events");
+    BOOST_TEST(it.violations().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(finds_requests_that_still_crash_endpoints_long_after_the_third_crash)
 {
     const auto crash = [&](bool is_undisturbed) {
