Show that entries write no refusal into an answer that has begun

These paths were not tested:

- a_refusal_of_a_resumption_is_not_written_into_the_answer, resumptions_that_fail_abort_the_answer, an_answer_whose_resumption_has_no_agent_is_aborted and an_answer_of_another_status_is_not_written_into_one_without_bytes (outcome_handler_test);
- a_refusal_is_not_written_into_an_answer_that_has_begun, a_second_head_is_not_written_into_an_answer_that_has_begun, a_malformed_request_is_refused_behind_an_answer_that_has_begun (evhttp reads the next request of a connection only after the end of an answer) and an_answer_that_has_begun_does_not_look_complete_after_a_stop (caller_http_server_test).

All eight pass without any change to the code.

--- a/packages/core/tests/outcome_handler_test.cpp
+++ b/packages/core/tests/outcome_handler_test.cpp
@@ -21,6 +21,27 @@
         return sent<submit_message>().front().id;
     }
 
+    /// Sends the caller the head and two bytes of an answer.
+    request_id begin_answer()
+    {
+        const request_id id = dispatch("draft");
+        on_message(1, head_message{.id = id, .status = 200, .headers = {}});
+        on_message(1, part_message{.id = id, .offset = 0, .bytes = "ab"});
+        return id;
+    }
+
+    /// Lets an answer that has begun break off and its resumption be dispatched.
+    request_id begin_resumption()
+    {
+        const request_id id = begin_answer();
+        on_message(1, free_slots_message{.free_slots = 1});
+        on_message(1, end_message{.id = id, .outcome = verdict::may_have_run, .length = 2});
+        pass(std::chrono::milliseconds{40});
+        BOOST_REQUIRE_EQUAL(sent<submit_message>().size(), 1);
+        BOOST_TEST(sent<submit_message>().front().offset == 2U);
+        return id;
+    }
+
     /// Closes link 1 and opens link 2 to an agent with `incarnation`.
     void reconnect(std::uint64_t incarnation)
     {
@@ -153,6 +174,60 @@
     BOOST_TEST(all<reply_end_effect>().empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_refusal_of_a_resumption_is_not_written_into_the_answer)
+{
+    const request_id id = begin_resumption();
+    on_message(1, refuse_message{.id = id, .attempt = 2});
+    BOOST_TEST(all<reply_refusal_effect>().empty());
+    on(link_closed_event{1, "cut"});
+    pass(std::chrono::seconds{10});
+    BOOST_TEST(all<reply_refusal_effect>().empty());
+    BOOST_TEST(all<reply_end_effect>().empty());
+    BOOST_TEST(all<reply_abort_effect>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(resumptions_that_fail_abort_the_answer)
+{
+    const request_id id = begin_resumption();
+    on_message(1, end_message{.id = id, .attempt = 2, .outcome = verdict::may_have_run, .length = 2});
+    on_message(1, free_slots_message{.free_slots = 1});
+    pass(std::chrono::milliseconds{100});
+    BOOST_REQUIRE_EQUAL(sent<submit_message>().size(), 1);
+    on_message(1, end_message{.id = id, .attempt = 3, .outcome = verdict::may_have_run, .length = 2});
+    BOOST_TEST(all<reply_refusal_effect>().empty());
+    BOOST_TEST(all<reply_end_effect>().empty());
+    BOOST_TEST(all<reply_abort_effect>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_whose_resumption_has_no_agent_is_aborted)
+{
+    const request_id id = begin_answer();
+    on_message(1, end_message{.id = id, .outcome = verdict::may_have_run, .length = 2});
+    on(link_closed_event{1, "cut"});
+    pass(std::chrono::seconds{10});
+    BOOST_TEST(sent<submit_message>().empty());
+    BOOST_TEST(all<reply_refusal_effect>().empty());
+    BOOST_TEST(all<reply_end_effect>().empty());
+    BOOST_TEST(all<reply_abort_effect>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_another_status_is_not_written_into_one_without_bytes)
+{
+    const request_id id = dispatch("draft");
+    on_message(1, head_message{.id = id, .status = 200, .headers = {}});
+    on_message(1, free_slots_message{.free_slots = 1});
+    on_message(1, end_message{.id = id, .outcome = verdict::may_have_run, .length = 0});
+    pass(std::chrono::milliseconds{40});
+    BOOST_REQUIRE_EQUAL(sent<submit_message>().size(), 1);
+    BOOST_TEST(sent<submit_message>().front().offset == 0U);
+    on_message(1, head_message{.id = id, .attempt = 2, .status = 500, .headers = {}});
+    on_message(1, part_message{.id = id, .attempt = 2, .offset = 0, .bytes = "failed"});
+    on_message(1, end_message{.id = id, .attempt = 2, .length = 6});
+    BOOST_TEST(all<reply_part_effect>().empty());
+    BOOST_TEST(all<reply_end_effect>().empty());
+    BOOST_TEST(all<reply_refusal_effect>().empty());
+}
+
 BOOST_AUTO_TEST_CASE(aborts_an_answer_longer_than_its_end_states)
 {
     const request_id id = dispatch("transfer");
--- a/packages/daemon/tests/caller_http_server_test.cpp
+++ b/packages/daemon/tests/caller_http_server_test.cpp
@@ -141,6 +141,55 @@
     BOOST_TEST(sink.disconnected.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_refusal_is_not_written_into_an_answer_that_has_begun)
+{
+    const auto it = accepted_client();
+    const auto exchange = sink.requests.front().exchange;
+    server->start_reply({exchange, request_id{7, 1}, 200, {}});
+    server->send_part({exchange, "one\n"});
+    BOOST_TEST(loop.run_until([&] { return it->has("one\n"); }));
+    server->refuse({exchange, request_id{7, 1}, {refusal_code::endpoint_failed, verdict::may_have_run, {}}});
+    BOOST_TEST(loop.run_until([&] { return it->is_closed(); }));
+    BOOST_TEST(it->received().ends_with("4\r\none\n\r\n"), it->received());
+}
+
+BOOST_AUTO_TEST_CASE(a_second_head_is_not_written_into_an_answer_that_has_begun)
+{
+    const auto it = accepted_client();
+    const auto exchange = sink.requests.front().exchange;
+    server->start_reply({exchange, request_id{7, 1}, 200, {}});
+    server->send_part({exchange, "one\n"});
+    server->start_reply({exchange, request_id{7, 1}, 500, {{"Failed", "1"}}});
+    server->end_reply(exchange);
+    BOOST_TEST(loop.run_until([&] { return it->has("\r\n0\r\n\r\n"); }));
+    BOOST_TEST(it->received().ends_with("4\r\none\n\r\n0\r\n\r\n"), it->received());
+    BOOST_TEST(!it->has("Failed"));
+}
+
+BOOST_AUTO_TEST_CASE(a_malformed_request_is_refused_behind_an_answer_that_has_begun)
+{
+    const auto it = client(request("POST", "hello") + "no request\r\n\r\n");
+    BOOST_REQUIRE(loop.run_until([&] { return sink.requests.size() == 1; }));
+    const auto exchange = sink.requests.front().exchange;
+    server->start_reply({exchange, request_id{7, 1}, 200, {}});
+    server->send_part({exchange, "one\n"});
+    BOOST_TEST(loop.run_until([&] { return it->has("one\n"); }));
+    server->end_reply(exchange);
+    BOOST_TEST(loop.run_until([&] { return it->is_closed(); }));
+    BOOST_TEST(it->has("4\r\none\n\r\n0\r\n\r\nHTTP/1.1 400 "), it->received());
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_has_begun_does_not_look_complete_after_a_stop)
+{
+    const auto it = accepted_client();
+    const auto exchange = sink.requests.front().exchange;
+    server->start_reply({exchange, request_id{7, 1}, 200, {}});
+    server->send_part({exchange, "one\n"});
+    server.reset();
+    BOOST_TEST(loop.run_until([&] { return it->is_closed(); }));
+    BOOST_TEST(!it->has("\r\n0\r\n"), it->received());
+}
+
 BOOST_AUTO_TEST_CASE(reports_a_disconnect_before_the_answer)
 {
     const auto it = accepted_client();
