Take only status 200 as the rest of an answer

What callers could see: an answer through an agent broke off, its endpoint answered the request for the rest with 204, and the answer ended as if it were complete; with 201 or 206 and a body, that body was joined to the answer.

Cause: on_endpoint_head took each status below 300 as the rest. An endpoint goes on with an answer by 200 only (docs/INTERFACES.md).

Evidence, before the change: failure_in_place_of_the_rest_of_a_broken_answer_is_not_sent and resume_that_is_answered_with_another_status_ends_with_may_have_run fail:

agent_endpoint_test.cpp(115): critical check sent<end_message>(effects).size() == 1 has failed [0 != 1] agent_resume_test.cpp(35): check sent<head_message>(effects).empty() has failed status 201

Change: any other status ends the dispatch with may-have-run, as 300 and above did, so that the entry resumes again or closes the connection. After it both pass, with all of core_test.

--- a/packages/core/src/agent_endpoint.cpp
+++ b/packages/core/src/agent_endpoint.cpp
@@ -13,7 +13,8 @@
 /// Highest number of prompt prefixes remembered as cached.
 constexpr std::size_t max_cached_prefixes = 1024;
 
-constexpr std::uint32_t first_error_status = 300;
+/// Status with which an endpoint goes on with an answer.
+constexpr std::uint32_t status_ok = 200;
 constexpr std::uint32_t first_server_error_status = 500;
 
 /// Returns whether the service's cost unit is lines, which are charged as they are received. Otherwise each
@@ -133,8 +134,8 @@
         return;
     }
     it->last_received = context.now;
-    const bool is_stream_unknown = it->call_offset > 0 && event.status >= first_error_status;
-    if (is_stream_unknown) {
+    const bool is_continuation = event.status == status_ok;
+    if (it->call_offset > 0 && !is_continuation) {
         context.add(stop_call_effect{event.call, it->request.id, false});
         end_uncertain(context, *it, refusal_code::endpoint_failed);
         return;
--- a/packages/core/tests/agent_endpoint_test.cpp
+++ b/packages/core/tests/agent_endpoint_test.cpp
@@ -104,6 +104,22 @@
     BOOST_TEST(sent<head_message>(effects).empty());
 }
 
+BOOST_AUTO_TEST_CASE(failure_in_place_of_the_rest_of_a_broken_answer_is_not_sent)
+{
+    for (const std::uint32_t status : {204U, 500U}) {
+        running_call_fixture it{true};
+        it.answer("abc");
+        const call_id resumed_call =
+            started_call(it.handle(endpoint_end_event{it.call, call_outcome::broken}));
+        const auto effects = it.handle(endpoint_head_event{resumed_call, status, {}, 0});
+        BOOST_REQUIRE_EQUAL(sent<end_message>(effects).size(), 1);
+        BOOST_TEST((sent<end_message>(effects).front().outcome == verdict::may_have_run));
+        BOOST_TEST(sent<part_message>(it.handle(endpoint_part_event{resumed_call, "failed"})).empty());
+        BOOST_TEST(
+            sent<end_message>(it.handle(endpoint_end_event{resumed_call, call_outcome::complete})).empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(idle_call_is_replaced_up_to_max_resumes_and_then_ends_with_may_have_run)
 {
     running_call_fixture it{true};
--- a/packages/core/tests/agent_resume_test.cpp
+++ b/packages/core/tests/agent_resume_test.cpp
@@ -20,6 +20,31 @@
     BOOST_TEST((sent<end_message>(effects).front().outcome == verdict::may_have_run));
 }
 
+// Guards against a cut answer that looked complete: its resumption was answered with status 204.
+BOOST_AUTO_TEST_CASE(resume_that_is_answered_with_another_status_ends_with_may_have_run)
+{
+    configure_and_connect();
+    std::uint64_t n = 0;
+    for (const std::uint32_t status : {201U, 204U, 206U, 301U, 400U, 404U, 429U, 500U, 503U, 504U}) {
+        submit_message request = create_submit(++n, 2);
+        request.is_idempotent = true;
+        request.is_resumable = true;
+        request.offset = 10;
+        const call_id call = started_call(receive(1, request));
+        const auto effects = handle(endpoint_head_event{call, status, {}, 1});
+        BOOST_TEST(sent<head_message>(effects).empty());
+        BOOST_TEST_CONTEXT("status " << status)
+        {
+            BOOST_TEST(effects_of<stop_call_effect>(effects).size() == 1U);
+            BOOST_REQUIRE_EQUAL(sent<end_message>(effects).size(), 1);
+            BOOST_TEST((sent<end_message>(effects).front().outcome == verdict::may_have_run));
+        }
+        BOOST_TEST(sent<part_message>(handle(endpoint_part_event{call, "failed"})).empty());
+        BOOST_TEST(sent<end_message>(handle(endpoint_end_event{call, call_outcome::complete})).empty());
+        receive(1, ack_message{.id = request.id, .attempt = 2, .offset = 10, .is_final = true});
+    }
+}
+
 BOOST_AUTO_TEST_CASE(resume_of_a_known_stream_continues_at_its_offset)
 {
     configure_and_connect();
