Answer rejected HEAD requests without a body

A HEAD request that the gateway itself rejects (no id, another HTTP version, a folded or malformed header line) was answered with a head and a body. A caller reads no body after HEAD, so that the text of the rejection was bytes that are no answer, though on a connection that is closed after it.

Cause: the method was noted only once all checks had passed, and not at all where the parser fails.

Evidence: a_rejected_head_request_is_answered_without_a_body failed before for all four requests: "check client.receive().ends_with("\r\n\r\n") has failed", 4 failures. Change: the method is noted before the first check, and reject() takes it from the parser, or from the first bytes where nothing was parsed. After: caller_server_suite passes, 21 cases.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -141,6 +141,7 @@
     timer_.stop();
     const auto parser = std::exchange(parser_, nullptr);
     has_sent_continue_ = false;
+    is_head_method_ = parser->method() == "HEAD";
     const auto& connection = parser->connection_values();
     is_closing_after_answer_ = has_token(connection, "close");
     if (parser->version() != http_1_1) {
@@ -170,7 +171,6 @@
     request->method = parser->method();
     request->target = parser->target();
     request->body = std::move(parser->body());
-    is_head_method_ = request->method == "HEAD";
     if (channel_->has_peer_closed()) {
         // Under load a request may be read after its caller has disconnected; its answer would be discarded.
         return close();
@@ -182,7 +182,11 @@
 {
     owner_.on_malformed(status, reason);
     is_closing_after_answer_ = true;
-    parser_.reset();
+    if (parser_) {
+        const auto& method = parser_->method();
+        is_head_method_ = method.empty() ? input_.starts_with("HEAD ") : method == "HEAD";
+        parser_.reset();
+    }
     reply({status, {{"Content-Type", "text/plain"}}}, std::string{reason} + "\n");
 }
 
--- a/packages/daemon/tests/caller_server_test.cpp
+++ b/packages/daemon/tests/caller_server_test.cpp
@@ -451,6 +451,18 @@
     BOOST_TEST(client.receive().substr(body).starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(a_rejected_head_request_is_answered_without_a_body)
+{
+    for (const auto* request :
+         {"HEAD /a/b HTTP/1.1\r\nHost: h\r\n\r\n", "HEAD /a/b HTTP/1.0\r\nHost: h\r\nId: 1\r\n\r\n",
+          "HEAD /a/b HTTP/1.1\r\nHost: h\r\n bad\r\n\r\n", "HEAD /a/b HTTP/1.1\r\nHost h\r\n\r\n"}) {
+        blocking_client client{port};
+        client.send(request);
+        BOOST_REQUIRE(loop.run_until([&] { return client.receive().ends_with("\n") && client.is_closed(); }));
+        BOOST_TEST(client.receive().ends_with("\r\n\r\n"));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_with_a_status_that_allows_no_body_has_none)
 {
     blocking_client client{port};
