Do not send a success again that claims not to have been executed

An endpoint that answers with a signed success and with the header that states that it did not execute the request contradicts itself. Events of such a stream were passed on to the caller, and then the request was sent to a second endpoint, also where its stream must not be resumed; an unsafe request was executed once more, or refused as not executed although an endpoint had answered it.

Cause: the header alone decided at the end of an answer that it was a rejection, while its head decided that it was a stream to be passed on.

Evidence: a_success_that_claims_not_to_have_been_executed_is_not_sent_again failed before: "check port.calls.size() == first + 1 has failed [2 != 1]" and "check answer(id).status == 502 has failed [200 != 502]" for a stream, "[4 != 3]" for an unsafe request. Change: such a success is a broken answer, after which the request may have been executed, like one that is not signed. After: gateway_test passes.

--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -83,7 +83,8 @@
     }
     note_endpoint_alive(*it);
     const auto is_success = head.status >= 200 && head.status < 300;
-    if (is_success && (!fields.is_signed || fields.is_encoded)) {
+    // A success that states that it was not executed contradicts itself: it may have been.
+    if (is_success && (!fields.is_signed || fields.is_encoded || fields.is_not_executed)) {
         port_.cancel_call(call);
         return handle_failure(*it, call_outcome::broken, now);
     }
--- a/packages/gateway/tests/router_retry_test.cpp
+++ b/packages/gateway/tests/router_retry_test.cpp
@@ -138,6 +138,27 @@
     BOOST_TEST(answer(1).is_aborted);
 }
 
+BOOST_AUTO_TEST_CASE(a_success_that_claims_not_to_have_been_executed_is_not_sent_again)
+{
+    exchange_id id = 0;
+    for (const auto* target : {"/stream/x", "/unsafe/x"}) {
+        const auto first = port.calls.size();
+        send_request(++id, target);
+        answer_fields fields;
+        fields.is_signed = true;
+        fields.is_event_stream = true;
+        fields.is_not_executed = true;
+        it.on_head(port.calls[first].call, {200, {}}, fields, now);
+        it.on_part(port.calls[first].call, "id: 1\ndata: x\n\n", now);
+        it.on_end(port.calls[first].call, call_outcome::complete, now);
+        BOOST_TEST_CONTEXT(target)
+        {
+            BOOST_TEST(port.calls.size() == first + 1);
+            BOOST_TEST(answer(id).status == 502);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(logs_an_answer_that_does_not_continue_a_begun_stream)
 {
     send_request(1, "/resume/x");
