Do not complete a stream with an answer that has no content

A stream broke off after some events, and the endpoint that was to continue it answered 204 with the type of an event stream.

Cause: any success with that type was taken for a stream. An answer that can hold no event was then a continuation that ended at once.

Evidence: a_status_without_a_body_does_not_complete_a_begun_stream failed before: "check answer(1).is_aborted has failed" and "check !answer(1).is_ended has failed". Change: 204 and 205 are complete answers, which do not continue a stream. After: gateway_test passes.

--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr int first_server_error = 500;
+constexpr int status_no_content = 204;
+constexpr int status_reset_content = 205;
 constexpr int status_unavailable = 503;
 
 /// A request with less time left is not retried, since no endpoint would finish it in time.
@@ -31,6 +33,11 @@
 /// Priority of a request that has been sent before: it precedes new ones of its account.
 constexpr unsigned retry_priority = 0;
 
+bool has_content(int status)
+{
+    return status != status_no_content && status != status_reset_content;
+}
+
 } // namespace
 
 void router::recall_from_leaving_endpoints(instant now)
@@ -89,7 +96,8 @@
         return handle_failure(*it, call_outcome::broken, now);
     }
     it->attempt_timeout_at = instant::max();
-    it->is_stream = is_success && it->matched->kind == request_kind::streaming && fields.is_event_stream;
+    it->is_stream = is_success && has_content(head.status) && it->matched->kind == request_kind::streaming &&
+                    fields.is_event_stream;
     it->head = std::move(head);
     it->answer = fields;
     if (it->is_begun && !it->is_stream && !it->is_rejected()) {
--- a/packages/gateway/tests/router_retry_test.cpp
+++ b/packages/gateway/tests/router_retry_test.cpp
@@ -159,6 +159,19 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_status_without_a_body_does_not_complete_a_begun_stream)
+{
+    send_request(1, "/resume/x");
+    head(port.calls[0], 200, true);
+    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
+    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
+    head(port.calls[1], 204, true);
+    it.on_end(port.calls[1].call, call_outcome::complete, now);
+    BOOST_TEST(answer(1).is_aborted);
+    BOOST_TEST(!answer(1).is_ended);
+}
+
 BOOST_AUTO_TEST_CASE(logs_an_answer_that_does_not_continue_a_begun_stream)
 {
     send_request(1, "/resume/x");
