Do not send an event id that no header can hold

An endpoint could set headers of the request that another endpoint gets: the last event id goes into a header as it stood in the stream, with carriage returns, NUL and other control characters.

Cause: an id ends at the line feed, whatever bytes it has before that.

Evidence: an_id_that_no_header_can_hold_is_not_kept failed before for all three ids: "check it.last_id().empty() has failed", 3 failures. Change: such an id counts as empty. A stream that breaks off after it is not resumed, since nothing can be said about what the caller has. After: gateway_test passes.

--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include <hemlocknotch/gateway/event_splitter.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <optional>
@@ -8,6 +9,8 @@
 namespace hemlocknotch::gateway {
 namespace {
 
+constexpr std::string_view id_field = "id:";
+
 /// Returns the position after the last blank line in `text`; 0 if there is none.
 std::size_t end_of_events(std::string_view text)
 {
@@ -35,6 +38,17 @@
     return !value || !bound || *value > *bound;
 }
 
+/// Returns the id in an `id` line; empty where it holds a byte that no header may hold.
+std::string_view id_in(std::string_view line)
+{
+    line.remove_prefix(id_field.size());
+    if (line.starts_with(' ')) {
+        line.remove_prefix(1);
+    }
+    const auto is_control = [](char it) { return static_cast<unsigned char>(it) < ' ' || it == '\x7f'; };
+    return std::ranges::any_of(line, is_control) ? std::string_view{} : line;
+}
+
 } // namespace
 
 std::string_view event_splitter::append(std::string_view bytes)
@@ -56,28 +70,24 @@
 
 void event_splitter::note_ids(std::string_view events)
 {
-    constexpr std::string_view field = "id:";
     std::size_t begin = 0;
     while (begin < events.size()) {
         auto end = events.find('\n', begin);
         end = end == std::string_view::npos ? events.size() : end;
         auto line = events.substr(begin, end - begin);
         begin = end + 1;
-        if (!line.starts_with(field)) {
+        if (!line.starts_with(id_field)) {
             continue;
         }
-        line.remove_prefix(field.size());
-        if (line.starts_with(' ')) {
-            line.remove_prefix(1);
-        }
         if (line.ends_with('\r')) {
             line.remove_suffix(1);
         }
-        if (std::exchange(is_continuing_, false) && !is_after(line, last_id_)) {
+        const auto id = id_in(line);
+        if (std::exchange(is_continuing_, false) && !is_after(id, last_id_)) {
             has_repeated_event_ = true;
             return;
         }
-        last_id_.assign(line);
+        last_id_.assign(id);
     }
 }
 
--- a/packages/gateway/tests/event_splitter_test.cpp
+++ b/packages/gateway/tests/event_splitter_test.cpp
@@ -51,6 +51,17 @@
     BOOST_TEST(it.last_id() == "11");
 }
 
+BOOST_AUTO_TEST_CASE(an_id_that_no_header_can_hold_is_not_kept)
+{
+    using namespace std::string_view_literals;
+    for (const auto events : {"id: 2\rX: y\n\n"sv, "id: 2\0\n\n"sv, "id: 2\x7f\n\n"sv}) {
+        event_splitter it;
+        it.append("id: 1\n\n");
+        it.append(events);
+        BOOST_TEST(it.last_id().empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(does_not_compare_ids_that_are_no_numbers)
 {
     event_splitter it;
