Do not suspect an endpoint that rejects a resumption

An endpoint that answers the resumption of a stream with 404 or another 4xx has a fault in the request, as with any other request, and counted as failing all the same since such answers are given up at their heads. After two of them it got no requests for a second, and other callers less room.

Cause: handle_failed_resumption notes a failure for every answer, where handle_complete_answer does so from 500 on.

Evidence: an_endpoint_that_rejects_the_resumptions_of_callers_is_not_suspected failed before: "check is_used has failed": none of 18 requests went to the endpoint with the cached prompt. Change: a status from 300 to 499 counts as sound there too; a success that does not continue the stream is still a failure. After: gateway_test passes.

--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr int first_server_error = 500;
+constexpr int first_redirection = 300;
 constexpr int status_no_content = 204;
 constexpr int status_reset_content = 205;
 constexpr int status_unavailable = 503;
@@ -174,7 +175,9 @@
         port_.write_log(stream_not_continued_record(it));
     }
     if (auto* endpoint = endpoints_.find(it.instance)) {
-        endpoints_.note_failure(*endpoint, true, now);
+        // Other statuses are the fault of the request, not of the endpoint.
+        const auto is_failure = it.head->status < first_redirection || it.head->status >= first_server_error;
+        is_failure ? endpoints_.note_failure(*endpoint, true, now) : endpoints_.note_success(*endpoint);
     }
     port_.cancel_call(it.call);
     finish_call(it, now);
--- a/packages/gateway/tests/router_retry_test.cpp
+++ b/packages/gateway/tests/router_retry_test.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 namespace hemlocknotch::gateway {
 namespace {
 
@@ -172,6 +175,37 @@
     BOOST_TEST(!answer(1).is_ended);
 }
 
+BOOST_AUTO_TEST_CASE(an_endpoint_that_rejects_the_resumptions_of_callers_is_not_suspected)
+{
+    const auto use = [&](std::vector<std::string> names) {
+        std::vector<endpoint_record> used;
+        std::ranges::copy_if(records, std::back_inserter(used), [&](const endpoint_record& record) {
+            return std::ranges::find(names, record.instance) != names.end();
+        });
+        it.set_endpoints(used, now);
+    };
+    use({"m1"});
+    for (exchange_id id = 1; id <= 2; ++id) {
+        send_request(id, "/resume/x");
+        head(port.calls.back(), 200, true);
+        it.on_part(port.calls.back().call, "id: 1\ndata: x\n\n", now);
+    }
+    use({"m1", "m2"});
+    for (std::size_t n = 0; n < 2; ++n) {
+        it.on_end(port.calls[n].call, call_outcome::broken, now);
+        BOOST_REQUIRE_EQUAL(port.calls.size(), n + 3);
+        BOOST_REQUIRE_EQUAL(port.calls.back().instance, "m2");
+        head(port.calls.back(), 404);
+    }
+    use({"m1", "m2", "m3"});
+    bool is_used = false;
+    for (exchange_id id = 3; id <= 20; ++id) {
+        send_request(id, "/resume/x");
+        is_used = is_used || port.calls.back().instance == "m2";
+    }
+    BOOST_TEST(is_used);
+}
+
 BOOST_AUTO_TEST_CASE(logs_an_answer_that_does_not_continue_a_begun_stream)
 {
     send_request(1, "/resume/x");
