Do not continue a stream with events that have no id

A stream broke off, and the endpoint that was to continue it answered with a stream of events without ids, as an error text in an event is.

Cause: only the first id of a continuation was compared with the last one before; events without an id passed unseen, and their stream ended as the caller's.

Evidence: an_event_without_an_id_does_not_continue_a_stream failed before: "check answer(1).is_aborted has failed" and the body "id: 1 data: x event: error data: failed". Change: an event with data and no id before the first id of a continuation does not continue the stream, since nothing shows that the caller lacks it. Comments and events without data pass as before. After: gateway_test passes.

--- a/packages/gateway/include/hemlocknotch/gateway/event_splitter.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/event_splitter.hpp
@@ -34,11 +34,14 @@
     void begin_continuation();
 
     /// Returns whether the answer that was to continue the stream has sent an event that does not come after
-    /// the earlier ones. Ids that are no numbers are not compared.
+    /// the earlier ones, or has data and no id, so that nothing shows that it does. Ids that are no numbers
+    /// are not compared.
     [[nodiscard]] bool has_repeated_event() const { return has_repeated_event_; }
 
 private:
     void note_ids(std::string_view events);
+    /// Returns false where the event with this id does not continue the stream.
+    bool note_id(std::string_view id);
 
     std::string held_;
     std::string complete_;
--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <cstdint>
 #include <optional>
-#include <utility>
 
 namespace hemlocknotch::gateway {
 namespace {
@@ -70,31 +69,43 @@
 
 void event_splitter::note_ids(std::string_view events)
 {
+    bool has_data = false;
     std::size_t begin = 0;
     while (begin < events.size()) {
         auto end = events.find('\n', begin);
         end = end == std::string_view::npos ? events.size() : end;
         auto line = events.substr(begin, end - begin);
         begin = end + 1;
-        if (!line.starts_with(id_field)) {
-            continue;
-        }
         if (line.ends_with('\r')) {
             line.remove_suffix(1);
         }
-        const auto id = id_in(line);
-        if (std::exchange(is_continuing_, false) && !is_after(id, last_id_)) {
+        if (line.empty() && is_continuing_ && has_data) {
             has_repeated_event_ = true;
             return;
         }
+        has_data = !line.empty() && (has_data || line.starts_with("data"));
+        if (line.starts_with(id_field) && !note_id(id_in(line))) {
+            return;
+        }
+    }
+}
+
+bool event_splitter::note_id(std::string_view id)
+{
+    if (is_continuing_ && !id.empty()) {
+        is_continuing_ = false;
+        has_repeated_event_ = !is_after(id, last_id_);
+    }
+    if (!is_continuing_ && !has_repeated_event_) {
         last_id_.assign(id);
     }
+    return !has_repeated_event_;
 }
 
 void event_splitter::begin_continuation()
 {
     held_.clear();
-    is_continuing_ = true;
+    is_continuing_ = !last_id_.empty();
     has_repeated_event_ = false;
 }
 
--- a/packages/gateway/tests/router_retry_test.cpp
+++ b/packages/gateway/tests/router_retry_test.cpp
@@ -175,6 +175,21 @@
     BOOST_TEST(!answer(1).is_ended);
 }
 
+BOOST_AUTO_TEST_CASE(an_event_without_an_id_does_not_continue_a_stream)
+{
+    send_request(1, "/resume/x");
+    head(port.calls[0], 200, true);
+    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
+    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
+    head(port.calls[1], 200, true);
+    it.on_part(port.calls[1].call, "event: error\ndata: failed\n\n", now);
+    it.on_end(port.calls[1].call, call_outcome::complete, now);
+    BOOST_TEST(answer(1).is_aborted);
+    BOOST_TEST(!answer(1).is_ended);
+    BOOST_TEST(answer(1).body == "id: 1\ndata: x\n\n");
+}
+
 BOOST_AUTO_TEST_CASE(an_endpoint_that_rejects_the_resumptions_of_callers_is_not_suspected)
 {
     const auto use = [&](std::vector<std::string> names) {
