--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -1,13 +1,15 @@
 #include <hemlocknotch/gateway/event_splitter.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <optional>
-#include <utility>
 
 namespace hemlocknotch::gateway {
 namespace {
 
+constexpr std::string_view id_field = "id:";
+
 /// Returns the position after the last blank line in `text`; 0 if there is none.
 std::size_t end_of_events(std::string_view text)
 {
@@ -35,6 +37,17 @@
     return !value || !bound || *value > *bound;
 }
 
+/// Returns the id in an `id` line; empty where it holds a byte that no header may hold.
+std::string_view id_in(std::string_view line)
+{
+    line.remove_prefix(id_field.size());
+    if (line.starts_with(' ')) {
+        line.remove_prefix(1);
+    }
+    const auto is_control = [](char it) { return static_cast<unsigned char>(it) < ' ' || it == '\x7f'; };
+    return std::ranges::any_of(line, is_control) ? std::string_view{} : line;
+}
+
 } // namespace
 
 std::string_view event_splitter::append(std::string_view bytes)
@@ -56,35 +69,43 @@
 
 void event_splitter::note_ids(std::string_view events)
 {
-    constexpr std::string_view field = "id:";
+    bool has_data = false;
     std::size_t begin = 0;
     while (begin < events.size()) {
         auto end = events.find('\n', begin);
         end = end == std::string_view::npos ? events.size() : end;
         auto line = events.substr(begin, end - begin);
         begin = end + 1;
-        if (!line.starts_with(field)) {
-            continue;
-        }
-        line.remove_prefix(field.size());
-        if (line.starts_with(' ')) {
-            line.remove_prefix(1);
-        }
         if (line.ends_with('\r')) {
             line.remove_suffix(1);
         }
-        if (std::exchange(is_continuing_, false) && !is_after(line, last_id_)) {
+        if (line.empty() && is_continuing_ && has_data) {
             has_repeated_event_ = true;
             return;
         }
-        last_id_.assign(line);
+        has_data = !line.empty() && (has_data || line.starts_with("data"));
+        if (line.starts_with(id_field) && !note_id(id_in(line))) {
+            return;
+        }
+    }
+}
+
+bool event_splitter::note_id(std::string_view id)
+{
+    if (is_continuing_ && !id.empty()) {
+        is_continuing_ = false;
+        has_repeated_event_ = !is_after(id, last_id_);
+    }
+    if (!is_continuing_ && !has_repeated_event_) {
+        last_id_.assign(id);
     }
+    return !has_repeated_event_;
 }
 
 void event_splitter::begin_continuation()
 {
     held_.clear();
-    is_continuing_ = true;
+    is_continuing_ = !last_id_.empty();
     has_repeated_event_ = false;
 }
 
--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -21,6 +21,9 @@
 namespace {
 
 constexpr int first_server_error = 500;
+constexpr int first_redirection = 300;
+constexpr int status_no_content = 204;
+constexpr int status_reset_content = 205;
 constexpr int status_unavailable = 503;
 
 /// A request with less time left is not retried, since no endpoint would finish it in time.
@@ -31,6 +34,11 @@
 /// Priority of a request that has been sent before: it precedes new ones of its account.
 constexpr unsigned retry_priority = 0;
 
+bool has_content(int status)
+{
+    return status != status_no_content && status != status_reset_content;
+}
+
 } // namespace
 
 void router::recall_from_leaving_endpoints(instant now)
@@ -83,12 +91,14 @@
     }
     note_endpoint_alive(*it);
     const auto is_success = head.status >= 200 && head.status < 300;
-    if (is_success && (!fields.is_signed || fields.is_encoded)) {
+    // A success that states that it was not executed contradicts itself: it may have been.
+    if (is_success && (!fields.is_signed || fields.is_encoded || fields.is_not_executed)) {
         port_.cancel_call(call);
         return handle_failure(*it, call_outcome::broken, now);
     }
     it->attempt_timeout_at = instant::max();
-    it->is_stream = is_success && it->matched->kind == request_kind::streaming && fields.is_event_stream;
+    it->is_stream = is_success && has_content(head.status) && it->matched->kind == request_kind::streaming &&
+                    fields.is_event_stream;
     it->head = std::move(head);
     it->answer = fields;
     if (it->is_begun && !it->is_stream && !it->is_rejected()) {
@@ -171,7 +181,9 @@
         port_.write_log(stream_not_continued_record(it));
     }
     if (auto* endpoint = endpoints_.find(it.instance)) {
-        endpoints_.note_failure(*endpoint, true, now);
+        // Other statuses are the fault of the request, not of the endpoint.
+        const auto is_failure = it.head->status < first_redirection || it.head->status >= first_server_error;
+        is_failure ? endpoints_.note_failure(*endpoint, true, now) : endpoints_.note_success(*endpoint);
     }
     finish_call(it, now);
     if (!retry(it, true, now)) {
--- a/packages/gateway/tests/router_retry_test.cpp
+++ b/packages/gateway/tests/router_retry_test.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 namespace hemlocknotch::gateway {
 namespace {
 
@@ -138,6 +141,86 @@
     BOOST_TEST(answer(1).is_aborted);
 }
 
+BOOST_AUTO_TEST_CASE(a_success_that_claims_not_to_have_been_executed_is_not_sent_again)
+{
+    exchange_id id = 0;
+    for (const auto* target : {"/stream/x", "/unsafe/x"}) {
+        const auto first = port.calls.size();
+        send_request(++id, target);
+        answer_fields fields;
+        fields.is_signed = true;
+        fields.is_event_stream = true;
+        fields.is_not_executed = true;
+        it.on_head(port.calls[first].call, {200, {}}, fields, now);
+        it.on_part(port.calls[first].call, "id: 1\ndata: x\n\n", now);
+        it.on_end(port.calls[first].call, call_outcome::complete, now);
+        BOOST_TEST_CONTEXT(target)
+        {
+            BOOST_TEST(port.calls.size() == first + 1);
+            BOOST_TEST(answer(id).status == 502);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_status_without_a_body_does_not_complete_a_begun_stream)
+{
+    send_request(1, "/resume/x");
+    head(port.calls[0], 200, true);
+    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
+    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
+    head(port.calls[1], 204, true);
+    it.on_end(port.calls[1].call, call_outcome::complete, now);
+    BOOST_TEST(answer(1).is_aborted);
+    BOOST_TEST(!answer(1).is_ended);
+}
+
+BOOST_AUTO_TEST_CASE(an_event_without_an_id_does_not_continue_a_stream)
+{
+    send_request(1, "/resume/x");
+    head(port.calls[0], 200, true);
+    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
+    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
+    head(port.calls[1], 200, true);
+    it.on_part(port.calls[1].call, "event: error\ndata: failed\n\n", now);
+    it.on_end(port.calls[1].call, call_outcome::complete, now);
+    BOOST_TEST(answer(1).is_aborted);
+    BOOST_TEST(!answer(1).is_ended);
+    BOOST_TEST(answer(1).body == "id: 1\ndata: x\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_that_rejects_the_resumptions_of_callers_is_not_suspected)
+{
+    const auto use = [&](std::vector<std::string> names) {
+        std::vector<endpoint_record> used;
+        std::ranges::copy_if(records, std::back_inserter(used), [&](const endpoint_record& record) {
+            return std::ranges::find(names, record.instance) != names.end();
+        });
+        it.set_endpoints(used, now);
+    };
+    use({"m1"});
+    for (exchange_id id = 1; id <= 2; ++id) {
+        send_request(id, "/resume/x");
+        head(port.calls.back(), 200, true);
+        it.on_part(port.calls.back().call, "id: 1\ndata: x\n\n", now);
+    }
+    use({"m1", "m2"});
+    for (std::size_t n = 0; n < 2; ++n) {
+        it.on_end(port.calls[n].call, call_outcome::broken, now);
+        BOOST_REQUIRE_EQUAL(port.calls.size(), n + 3);
+        BOOST_REQUIRE_EQUAL(port.calls.back().instance, "m2");
+        head(port.calls.back(), 404);
+    }
+    use({"m1", "m2", "m3"});
+    bool is_used = false;
+    for (exchange_id id = 3; id <= 20; ++id) {
+        send_request(id, "/resume/x");
+        is_used = is_used || port.calls.back().instance == "m2";
+    }
+    BOOST_TEST(is_used);
+}
+
 BOOST_AUTO_TEST_CASE(logs_an_answer_that_does_not_continue_a_begun_stream)
 {
     send_request(1, "/resume/x");
