Do not take a failure without an id for the answer on a kept connection

What callers could see: 503, 429, 408 or 421, which promise that the request has not run, for a request that an endpoint was running; and, for a request that may run once, a second run at another endpoint. It takes an endpoint that writes an earlier refusal once more on a kept connection, the copy without its id. Any other failure without an id, such as 400 or 500, was passed on as the answer in the same way.

Change: such a failure is the answer only if the connection has carried no other call. Otherwise it may be a copy, and the call ends as broken: it may have run, so it is not sent again unless it is repeatable, and its caller gets 502. answer-discarded names it, with an empty id. The head does not reach the router, so that a pause, limit, load or leaving in a copy has no effect.

Weighed: reading on for an answer with the id would serve the caller if it was a copy, but would keep him until the deadline if it was a refusal of an endpoint that writes no ids. After a failure without an id a call to that endpoint therefore gets a connection of its own for 60 s, where its first answer can only be to this call: refusals, and the pauses that they state, are believed again, and further copies meet no call. Such endpoints cost a new connection for each call; PROTOCOL.md says that endpoints echo the id, and one that does loses no reuse.

After: repeated_answers_suite, endpoint_pool_suite and endless_answers_suite pass.

--- a/packages/daemon/src/gateway/endpoint_connection.cpp
+++ b/packages/daemon/src/gateway/endpoint_connection.cpp
@@ -27,6 +27,7 @@
 /// more than a late second answer has, and little work.
 constexpr std::size_t max_discarded_bytes = std::size_t{1} << 20U;
 constexpr int first_final_status = 200;
+constexpr int first_status_after_success = 300;
 
 bool requires_content_length(std::string_view method)
 {
@@ -85,6 +86,7 @@
 {
     assert(call_ == 0 && channel_ && !is_closed_);
     call_ = start.call;
+    has_carried_other_ = last_call_ != 0;
     last_call_ = start.call;
     discarded_bytes_ = 0;
     request_id_ = start.request->fields.id;
@@ -183,16 +185,12 @@
         return true;
     }
     const auto parsed_fields = dialect_.read_answer(status, fields);
-    const auto is_success = status < 300;
-    if (parsed_fields.request_id != request_id_ && (is_success || !parsed_fields.request_id.empty())) {
-        is_discarding_ = true;
-        is_reusable_after_call_ = false;
-        sink_.on_discarded(address_, {status, request_id_, parsed_fields.request_id});
-        return true;
+    const auto is_own = !request_id_.empty() && parsed_fields.request_id == request_id_;
+    if (!is_own && !process_foreign_head(parsed_fields.request_id)) {
+        return false;
     }
-    if (parsed_fields.request_id.empty()) {
-        // A second copy of it, late, would be taken for the answer of the next call.
-        is_reusable_after_call_ = false;
+    if (is_discarding_) {
+        return true;
     }
     read_keep_alive(fields);
     gateway::answer_head head{status, {}};
@@ -207,6 +205,26 @@
     return call_ != 0;
 }
 
+bool endpoint_connection::process_foreign_head(std::string_view received_id)
+{
+    const auto status = parser_->status();
+    const auto is_failure_without_id = received_id.empty() && status >= first_status_after_success;
+    is_reusable_after_call_ = false;
+    if (is_failure_without_id) {
+        owner_.on_answer_without_id(*this);
+        if (!has_carried_other_) {
+            return true;
+        }
+    }
+    is_discarding_ = true;
+    sink_.on_discarded(address_, {status, request_id_, received_id});
+    if (is_failure_without_id) {
+        end_call(call_outcome::broken);
+        return false;
+    }
+    return true;
+}
+
 void endpoint_connection::forward_body()
 {
     auto& body = parser_->body();
--- a/packages/daemon/src/gateway/endpoint_connection.hpp
+++ b/packages/daemon/src/gateway/endpoint_connection.hpp
@@ -14,10 +14,10 @@
 
 class endpoint_connection;
 
-/// Head of an answer that was received while a call was in progress and does not belong to it.
+/// Head of an answer that was received while a call was in progress and does not belong to it, or may not.
 struct discarded_answer {
     int status = 0;
-    /// Id of the request that the call sent, and the one that the answer carries.
+    /// Id of the request that the call sent, and the one that the answer carries, if any.
     std::string_view expected_id;
     std::string_view received_id;
 };
@@ -34,8 +34,8 @@
                          const gateway::answer_fields& fields) = 0;
     virtual void on_part(gateway::call_id call, std::string_view bytes) = 0;
     virtual void on_end(gateway::call_id call, gateway::call_outcome outcome) = 0;
-    /// The endpoint at `from` has sent an answer to another request, which is discarded. The views are valid
-    /// during the call.
+    /// The endpoint at `from` has sent an answer to another request, which is discarded, or one that cannot
+    /// be attributed to a request, which ends the call as broken. The views are valid during the call.
     virtual void on_discarded(const endpoint_address& from, const discarded_answer& answer) = 0;
 };
 
@@ -46,14 +46,19 @@
 
     /// The call has ended and the connection can serve another one.
     virtual void on_call_done(endpoint_connection& connection) = 0;
+    /// The endpoint has sent a failure without an id, which only the first answer of a connection may be.
+    virtual void on_answer_without_id(endpoint_connection& connection) = 0;
     /// The connection is closed. The owner destroys it later, not from within this call.
     virtual void on_closed(endpoint_connection& connection) = 0;
     [[nodiscard]] virtual instant now() const = 0;
 };
 
-/// HTTP/1.1 connection to an endpoint that serves one call at a time. An answer that carries the id of
-/// another request is read and discarded. A connection that received such an answer, one without an id, or
-/// bytes while no call was in progress, is not used for another call. Used on the event loop's thread only.
+/// HTTP/1.1 connection to an endpoint that serves one call at a time. An answer belongs to the call in
+/// progress if it carries the id of its request, or if it is a failure without an id and the connection has
+/// carried no other call. Any other answer may be a late copy of an earlier one: it is discarded if it
+/// carries an id, and otherwise ends the call as broken. A connection that received such an answer, one
+/// without an id, or bytes while no call was in progress, is not used for another call. Used on the event
+/// loop's thread only.
 class endpoint_connection final : public channel_sink {
 public:
     /// Starts to connect. `is_open` returns false where no socket could be opened. `base`, `dialect`, `sink`
@@ -74,6 +79,8 @@
 
     [[nodiscard]] const endpoint_address& address() const { return address_; }
 
+    [[nodiscard]] bool is_idle() const { return call_ == 0; }
+
     /// Returns the last call that was sent, whether it has ended or not; 0 before the first.
     [[nodiscard]] gateway::call_id last_call() const { return last_call_; }
 
@@ -97,8 +104,10 @@
 
 private:
     void read_answers();
-    /// Returns false where the sink has cancelled the call.
+    /// Returns false where the call has ended or the sink has cancelled it.
     bool process_head();
+    /// Decides on an answer without the id of the request. Returns whether the call goes on.
+    bool process_foreign_head(std::string_view received_id);
     /// Returns whether the call has ended with the answer.
     bool finish_answer();
     void forward_body();
@@ -120,6 +129,7 @@
     std::optional<gateway::call_start> waiting_;
     instant waiting_since_;
     std::string request_id_;
+    bool has_carried_other_ = false;
     bool is_head_method_ = false;
     bool has_head_ = false;
     /// The answer that is being read is discarded: it is an interim one (1xx) or belongs to another request.
--- a/packages/daemon/src/gateway/endpoint_pool.cpp
+++ b/packages/daemon/src/gateway/endpoint_pool.cpp
@@ -5,6 +5,13 @@
 #include <utility>
 
 namespace hemlocknotch::daemon {
+namespace {
+
+/// Time for which connections are used once after a failure without an id: as long as an endpoint may be full
+/// or in trouble, so that few calls meet one on a connection that has carried others.
+constexpr duration single_use_time = std::chrono::seconds{60};
+
+} // namespace
 
 endpoint_pool::endpoint_pool(event_base* base, const gateway::message_dialect& dialect,
                              endpoint_answer_sink& sink, std::function<instant()> now)
@@ -35,6 +42,9 @@
 
 endpoint_connection* endpoint_pool::acquire_idle(const gateway::call_start& start)
 {
+    if (!is_kept_open(start.address)) {
+        return nullptr;
+    }
     const auto found = by_address_.find(start.address);
     if (found == by_address_.end()) {
         return nullptr;
@@ -53,15 +63,18 @@
     return nullptr;
 }
 
+bool endpoint_pool::is_kept_open(const endpoint_address& address) const
+{
+    const auto found = single_use_until_.find(address);
+    return found == single_use_until_.end() || now_() >= found->second;
+}
+
 endpoint_connection* endpoint_pool::open(const gateway::call_start& start)
 {
     if (const auto& open = by_address_[start.address];
         start.max_connections > 0 && open.size() >= start.max_connections) {
         // An idle connection that this call cannot reuse would only take the place of a new one.
-        const auto idle = std::ranges::find_if(open, [&](const endpoint_connection* it) {
-            const auto call = calls_.find(it->last_call());
-            return call == calls_.end() || call->second != it;
-        });
+        const auto idle = std::ranges::find_if(open, &endpoint_connection::is_idle);
         if (idle == open.end()) {
             return nullptr;
         }
@@ -104,8 +117,24 @@
     return true;
 }
 
+void endpoint_pool::on_answer_without_id(endpoint_connection& connection)
+{
+    const auto now = now_();
+    std::erase_if(single_use_until_, [&](const auto& it) { return it.second <= now; });
+    single_use_until_[connection.address()] = now + single_use_time;
+    const auto open = by_address_[connection.address()];
+    for (auto* it : open) {
+        if (it->is_idle()) {
+            it->close();
+        }
+    }
+}
+
 void endpoint_pool::on_call_done(endpoint_connection& connection)
 {
+    if (!is_kept_open(connection.address())) {
+        return connection.close();
+    }
     calls_.erase(connection.last_call());
     auto& list = by_address_[connection.address()];
     std::erase(list, &connection);
--- a/packages/daemon/src/gateway/endpoint_pool.hpp
+++ b/packages/daemon/src/gateway/endpoint_pool.hpp
@@ -14,7 +14,9 @@
 
 namespace hemlocknotch::daemon {
 
-/// Pool of persistent connections to endpoints. Used on the event loop's thread only.
+/// Pool of persistent connections to endpoints. A connection is not kept for a while where the endpoint has
+/// sent a failure without an id: only the first answer of a connection can be attributed to a call without
+/// one. Used on the event loop's thread only.
 class endpoint_pool final : public endpoint_connection_owner {
 public:
     /// `base`, `dialect` and `sink` must outlive the pool. `now` returns the monotonic time.
@@ -40,6 +42,7 @@
     [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
 
     void on_call_done(endpoint_connection& connection) override;
+    void on_answer_without_id(endpoint_connection& connection) override;
     void on_closed(endpoint_connection& connection) override;
 
     [[nodiscard]] instant now() const override { return now_(); }
@@ -47,6 +50,7 @@
 private:
     /// Returns null where no idle connection to the address is reusable.
     endpoint_connection* acquire_idle(const gateway::call_start& start);
+    [[nodiscard]] bool is_kept_open(const endpoint_address& address) const;
     /// Returns null where the limit of connections is reached or no socket could be opened.
     endpoint_connection* open(const gateway::call_start& start);
     /// Destroys closed connections and reports the calls that could not be started.
@@ -60,6 +64,9 @@
     /// All connections to an address, the one used last at the end.
     std::map<endpoint_address, std::vector<endpoint_connection*>> by_address_;
     std::unordered_map<gateway::call_id, endpoint_connection*> calls_;
+    /// Endpoints that have sent a failure without an id, and until when each call there gets a connection of
+    /// its own.
+    std::map<endpoint_address, instant> single_use_until_;
     std::vector<std::unique_ptr<endpoint_connection>> closed_;
     std::vector<gateway::call_id> unstarted_calls_;
     timer deferred_;
