Send a repeated request id on a connection that has not carried it

What callers could see: 503 or 421 for a request that an endpoint was running, or a second run of it elsewhere, where its id had been refused before and the endpoint wrote that refusal once more. The same id comes twice to one connection if a caller sends its request again under its id, or if the router sends it to another instance at the same address after a 421.

Cause: the id tells the answers of two requests apart, not those of two calls with one id.

Evidence: repeated_answers_suite/a_request_with_a_repeated_id_avoids_the_ connection_that_carried_the_id, on: "check recorder.status == 200 has failed [503 != 200]", "check recorder.body == "run" has failed [full != run]".

Change: a connection keeps the hashes of the ids that it has carried, and a request whose id is among them gets another connection. Only that request does; other requests go on to use the connection, which the test checks. Two ids with one hash cost a connection and nothing else. A connection is closed after 500 calls, which bounds the list to 4 KB.

After: repeated_answers_suite, with the new test and a_connection_carries_a_bounded_number_of_calls, endpoint_pool_suite and endless_answers_suite pass.

--- a/packages/daemon/src/gateway/endpoint_connection.cpp
+++ b/packages/daemon/src/gateway/endpoint_connection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <charconv>
+#include <functional>
 #include <utility>
 
 namespace hemlocknotch::daemon {
@@ -26,9 +27,16 @@
 /// Maximum number of bytes of interim answers and of answers to other requests that are read for one call:
 /// more than a late second answer has, and little work.
 constexpr std::size_t max_discarded_bytes = std::size_t{1} << 20U;
+/// Maximum number of calls of a connection, which bounds the memory for their ids.
+constexpr std::size_t max_calls = 500;
 constexpr int first_final_status = 200;
 constexpr int first_status_after_success = 300;
 
+std::size_t hash_of(std::string_view id)
+{
+    return std::hash<std::string_view>{}(id);
+}
+
 bool requires_content_length(std::string_view method)
 {
     return method != "GET" && method != "HEAD" && method != "DELETE" && method != "OPTIONS";
@@ -76,21 +84,23 @@
     }
 }
 
-bool endpoint_connection::is_reusable(instant now, bool is_unrepeatable) const
+bool endpoint_connection::is_reusable(instant now, const gateway::call_start& start) const
 {
-    const auto limit = is_unrepeatable ? std::min(idle_timeout_, unrepeatable_idle_timeout) : idle_timeout_;
-    return !is_closed_ && call_ == 0 && now - idle_since_ < limit;
+    const auto limit =
+        start.is_unrepeatable ? std::min(idle_timeout_, unrepeatable_idle_timeout) : idle_timeout_;
+    return !is_closed_ && call_ == 0 && now - idle_since_ < limit &&
+           std::ranges::find(carried_ids_, hash_of(start.request->fields.id)) == carried_ids_.end();
 }
 
 void endpoint_connection::send(const gateway::call_start& start)
 {
     assert(call_ == 0 && channel_ && !is_closed_);
     call_ = start.call;
-    has_carried_other_ = last_call_ != 0;
     last_call_ = start.call;
     discarded_bytes_ = 0;
     request_id_ = start.request->fields.id;
     is_head_method_ = start.request->method == "HEAD";
+    carried_ids_.push_back(hash_of(request_id_));
     if (channel_->is_connected()) {
         channel_->send(serialize_request(start, dialect_));
         return;
@@ -212,7 +222,8 @@
     is_reusable_after_call_ = false;
     if (is_failure_without_id) {
         owner_.on_answer_without_id(*this);
-        if (!has_carried_other_) {
+        if (carried_ids_.size() == 1) {
+            // The endpoint has received no other request here.
             return true;
         }
     }
@@ -249,7 +260,8 @@
     }
     const auto call = std::exchange(call_, 0);
     // An endpoint that answered before it read the complete body would parse the rest as the next request.
-    if (is_keep_alive && input_.empty() && is_reusable_after_call_ && channel_->pending_bytes() == 0) {
+    if (is_keep_alive && input_.empty() && is_reusable_after_call_ && channel_->pending_bytes() == 0 &&
+        carried_ids_.size() < max_calls) {
         idle_since_ = owner_.now();
         owner_.on_call_done(*this);
     }
--- a/packages/daemon/src/gateway/endpoint_connection.hpp
+++ b/packages/daemon/src/gateway/endpoint_connection.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hemlocknotch::daemon {
 
@@ -54,11 +55,11 @@
 };
 
 /// HTTP/1.1 connection to an endpoint that serves one call at a time. An answer belongs to the call in
-/// progress if it carries the id of its request, or if it is a failure without an id and the connection has
-/// carried no other call. Any other answer may be a late copy of an earlier one: it is discarded if it
-/// carries an id, and otherwise ends the call as broken. A connection that received such an answer, one
-/// without an id, or bytes while no call was in progress, is not used for another call. Used on the event
-/// loop's thread only.
+/// progress if it carries the id of its request, which the connection carries once at most, or if it is a
+/// failure without an id and the connection has carried no other call. Any other answer may be a late copy of
+/// an earlier one: it is discarded if it carries an id, and otherwise ends the call as broken. A connection
+/// that received such an answer, one without an id, or bytes while no call was in progress, is not used for
+/// another call. Used on the event loop's thread only.
 class endpoint_connection final : public channel_sink {
 public:
     /// Starts to connect. `is_open` returns false where no socket could be opened. `base`, `dialect`, `sink`
@@ -84,10 +85,10 @@
     /// Returns the last call that was sent, whether it has ended or not; 0 before the first.
     [[nodiscard]] gateway::call_id last_call() const { return last_call_; }
 
-    /// Returns whether a call can be sent at `now`: no other one is in progress and the connection has been
-    /// idle for so short a time that the endpoint has probably not closed it. The limit is stricter for a
-    /// request that may be executed only once.
-    [[nodiscard]] bool is_reusable(instant now, bool is_unrepeatable) const;
+    /// Returns whether a call can be sent at `now`: no other one is in progress, the connection has not
+    /// carried the request's id before, and it has been idle for so short a time that the endpoint has
+    /// probably not closed it. The limit is stricter for a request that may be executed only once.
+    [[nodiscard]] bool is_reusable(instant now, const gateway::call_start& start) const;
 
     /// Sends a request, or keeps it until the connection is established. Precondition: the connection is open
     /// and no call is in progress.
@@ -129,7 +130,8 @@
     std::optional<gateway::call_start> waiting_;
     instant waiting_since_;
     std::string request_id_;
-    bool has_carried_other_ = false;
+    /// Hashes of the request ids that the connection has carried, of the call in progress included.
+    std::vector<std::size_t> carried_ids_;
     bool is_head_method_ = false;
     bool has_head_ = false;
     /// The answer that is being read is discarded: it is an interim one (1xx) or belongs to another request.
--- a/packages/daemon/src/gateway/endpoint_pool.cpp
+++ b/packages/daemon/src/gateway/endpoint_pool.cpp
@@ -53,7 +53,7 @@
     auto& list = found->second;
     const auto now = now_();
     for (auto it = list.rbegin(); it != list.rend(); ++it) {
-        if ((*it)->is_reusable(now, start.is_unrepeatable)) {
+        if ((*it)->is_reusable(now, start)) {
             auto* connection = *it;
             list.erase(std::next(it).base());
             list.push_back(connection);
--- a/packages/daemon/tests/repeated_answers_test.cpp
+++ b/packages/daemon/tests/repeated_answers_test.cpp
@@ -99,6 +99,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_request_with_a_repeated_id_avoids_the_connection_that_carried_the_id)
+{
+    // The copy is that of the first refusal, which the id of the later request would not tell apart.
+    endpoint.repeated = refusal("Id: 1\r\n");
+    endpoint.answers = {refusal("Id: 1\r\n"), answer("1", "run"), answer("3", "three")};
+    call("1");
+    BOOST_REQUIRE(wait_for_end());
+    BOOST_TEST(recorder.status == 503);
+    call("1");
+    BOOST_REQUIRE(wait_for_end());
+    BOOST_TEST(recorder.status == 200);
+    BOOST_TEST(recorder.body == "run");
+    BOOST_TEST(endpoint.accepted == 2U);
+    call("3");
+    BOOST_REQUIRE(wait_for_end());
+    BOOST_TEST(recorder.body == "three");
+    BOOST_TEST(endpoint.accepted == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(an_endpoint_whose_refusals_have_no_id_is_served_on_a_connection_for_each_call)
 {
     fixed_now = clock.now();
@@ -140,6 +159,19 @@
     BOOST_TEST(pool.connection_count() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_carries_a_bounded_number_of_calls)
+{
+    constexpr std::size_t limit = 500;
+    fixed_now = clock.now();
+    for (std::size_t n = 1; n <= limit + 1; ++n) {
+        const auto id = std::to_string(n);
+        endpoint.answers = {answer(id, "x")};
+        call(id);
+        BOOST_REQUIRE(wait_for_end());
+        BOOST_REQUIRE(endpoint.accepted == (n <= limit ? 1U : 2U));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
