Do not send a request on a connection with unread bytes

What callers could see: the verdict of a late copy of an earlier refusal, which had arrived on an idle connection and was not read yet when the next request was sent there. In a gateway that is short of processor time this window is as long as the delay of its events. With an id such a copy was discarded, but the request then shared the connection with an endpoint out of step; without one it was the answer.

Cause: a connection counts as idle until the loop has read what arrived.

Evidence, on: repeated_answers_suite/what_arrives_while_a_ connection_is_idle_does_not_reach_the_next_call: "check it.endpoint. accepted == 2U has failed [1 != 2]" for copies with and without id, and the status and body of the copy; what_arrives_before_the_request_is_ sent_is_not_its_answer: "check recorder.status == 0 has failed [503 != 0]".

Change: before an idle connection is used, one look into the kernel's buffer; a connection with unread bytes, or one that the endpoint has closed, is closed and another one is taken. Nothing is lost, since the request was not sent. The same look follows the establishment of a new connection; where bytes have come before the request, the call ends as not connected, which is true. The look is a system call for each call.

Left: bytes that an endpoint sends on a new connection, unasked, and that arrive after the request was sent cannot be told from its answer where they have no id.

After: repeated_answers_suite, endpoint_pool_suite and endless_answers_suite pass.

--- a/packages/daemon/src/gateway/endpoint_connection.cpp
+++ b/packages/daemon/src/gateway/endpoint_connection.cpp
@@ -118,9 +118,14 @@
     auto start = *std::exchange(waiting_, std::nullopt);
     start.remaining -= owner_.now() - waiting_since_;
     sink_.on_connected(call_);
-    if (call_ != 0) {
-        channel_->send(serialize_request(start, dialect_));
+    if (call_ == 0) {
+        return;
+    }
+    if (!channel_->is_quiet()) {
+        // What arrived before the request was sent is no answer to it.
+        return end_call(call_outcome::not_connected);
     }
+    channel_->send(serialize_request(start, dialect_));
 }
 
 void endpoint_connection::close()
--- a/packages/daemon/src/gateway/endpoint_connection.hpp
+++ b/packages/daemon/src/gateway/endpoint_connection.hpp
@@ -90,6 +90,10 @@
     /// probably not closed it. The limit is stricter for a request that may be executed only once.
     [[nodiscard]] bool is_reusable(instant now, const gateway::call_start& start) const;
 
+    /// Returns whether nothing has arrived since the last call ended, not even the end of the connection.
+    /// Precondition: no call is in progress.
+    [[nodiscard]] bool is_quiet() const { return channel_ && channel_->is_quiet(); }
+
     /// Sends a request, or keeps it until the connection is established. Precondition: the connection is open
     /// and no call is in progress.
     void send(const gateway::call_start& start);
--- a/packages/daemon/src/gateway/endpoint_pool.cpp
+++ b/packages/daemon/src/gateway/endpoint_pool.cpp
@@ -45,22 +45,33 @@
     if (!is_kept_open(start.address)) {
         return nullptr;
     }
+    for (auto* it = find_idle(start); it != nullptr; it = find_idle(start)) {
+        if (!it->is_quiet()) {
+            // What has arrived belongs to no request.
+            it->close();
+            continue;
+        }
+        auto& list = by_address_[start.address];
+        std::erase(list, it);
+        list.push_back(it);
+        return it;
+    }
+    return nullptr;
+}
+
+endpoint_connection* endpoint_pool::find_idle(const gateway::call_start& start) const
+{
     const auto found = by_address_.find(start.address);
     if (found == by_address_.end()) {
         return nullptr;
     }
     // The endpoint is least likely to have closed the connection that was used last.
-    auto& list = found->second;
     const auto now = now_();
-    for (auto it = list.rbegin(); it != list.rend(); ++it) {
-        if ((*it)->is_reusable(now, start)) {
-            auto* connection = *it;
-            list.erase(std::next(it).base());
-            list.push_back(connection);
-            return connection;
-        }
-    }
-    return nullptr;
+    const auto& list = found->second;
+    const auto it = std::find_if(list.rbegin(), list.rend(), [&](const endpoint_connection* connection) {
+        return connection->is_reusable(now, start);
+    });
+    return it == list.rend() ? nullptr : *it;
 }
 
 bool endpoint_pool::is_kept_open(const endpoint_address& address) const
--- a/packages/daemon/src/gateway/endpoint_pool.hpp
+++ b/packages/daemon/src/gateway/endpoint_pool.hpp
@@ -50,6 +50,7 @@
 private:
     /// Returns null where no idle connection to the address is reusable.
     endpoint_connection* acquire_idle(const gateway::call_start& start);
+    [[nodiscard]] endpoint_connection* find_idle(const gateway::call_start& start) const;
     [[nodiscard]] bool is_kept_open(const endpoint_address& address) const;
     /// Returns null where the limit of connections is reached or no socket could be opened.
     endpoint_connection* open(const gateway::call_start& start);
--- a/packages/daemon/src/gateway/socket_channel.cpp
+++ b/packages/daemon/src/gateway/socket_channel.cpp
@@ -130,6 +130,13 @@
     return fd_ >= 0 && ::recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool socket_channel::is_quiet() const
+{
+    char next = 0;
+    return fd_ >= 0 && ::recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void socket_channel::pause_reading()
 {
     if (fd_ >= 0) {
--- a/packages/daemon/src/gateway/socket_channel.hpp
+++ b/packages/daemon/src/gateway/socket_channel.hpp
@@ -81,6 +81,10 @@
     /// Returns whether bytes have arrived that were not passed to the sink yet.
     [[nodiscard]] bool has_unread_bytes() const;
 
+    /// Returns whether the connection is open as far as the kernel knows and no bytes have arrived that were
+    /// not passed to the sink yet.
+    [[nodiscard]] bool is_quiet() const;
+
     /// Stop and resume reading, so that TCP flow control slows down a peer that sends faster than its bytes
     /// can be processed.
     void pause_reading();
--- a/packages/daemon/tests/repeated_answers_test.cpp
+++ b/packages/daemon/tests/repeated_answers_test.cpp
@@ -118,6 +118,34 @@
     BOOST_TEST(endpoint.accepted == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(what_arrives_while_a_connection_is_idle_does_not_reach_the_next_call)
+{
+    for (const auto& copy : {refusal(""), refusal("Id: 1\r\n"), refusal("Id: 2\r\n")}) {
+        pool_fixture it;
+        it.endpoint.answers = {answer("1", "one"), answer("2", "two")};
+        it.call("1");
+        BOOST_REQUIRE(it.wait_for_end());
+        it.endpoint.send_now(copy);
+        it.call("2", true);
+        BOOST_REQUIRE(it.wait_for_end());
+        BOOST_TEST(it.recorder.status == 200, copy);
+        BOOST_TEST(it.recorder.body == "two", copy);
+        BOOST_TEST(it.endpoint.accepted == 2U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(what_arrives_before_the_request_is_sent_is_not_its_answer)
+{
+    recorder.connected = [&](gateway::call_id /*call*/) { endpoint.send_now(refusal("")); };
+    endpoint.answers = {answer("1", "one")};
+    call("1");
+    BOOST_REQUIRE(wait_for_end());
+    BOOST_TEST((recorder.outcome == call_outcome::not_connected));
+    BOOST_TEST(recorder.status == 0);
+    BOOST_REQUIRE(loop.run_until([&] { return endpoint.accepted == 1; }));
+    BOOST_TEST(endpoint.received.empty());
+}
+
 BOOST_AUTO_TEST_CASE(an_endpoint_whose_refusals_have_no_id_is_served_on_a_connection_for_each_call)
 {
     fixed_now = clock.now();
