Do not read on after a copy of an answer whose length is unknown

What callers could see: a status that stands in the body of an answer instead of the answer, such as 503 for a request that was run. It takes an endpoint that writes its answer to a HEAD request once more before the answer to a POST on the same connection, and a caller whose content the endpoint sends back.

Cause: an answer with the id of another request is discarded by the length that its head states. An answer to HEAD states the length of a body that does not follow, so that the head of the next answer is taken for it, and the body of that one for an answer.

Evidence: repeated_answers_suite/a_copy_of_an_answer_to_head_does_not_ turn_the_body_of_the_next_answer_into_an_answer, on: "check (recorder.outcome == call_outcome::broken) has failed", "check recorder.status == 0 has failed [503 != 0]".

Change: on a connection that has carried both HEAD and other requests, such a copy ends the call as broken. Closing the connection after each HEAD request would do too, and cost a connection for each.

After: repeated_answers_suite, endpoint_pool_suite and endless_answers_suite pass.

--- a/packages/daemon/src/gateway/endpoint_connection.cpp
+++ b/packages/daemon/src/gateway/endpoint_connection.cpp
@@ -99,7 +99,9 @@
     last_call_ = start.call;
     discarded_bytes_ = 0;
     request_id_ = start.request->fields.id;
-    is_head_method_ = start.request->method == "HEAD";
+    const auto was_head_method = std::exchange(is_head_method_, start.request->method == "HEAD");
+    has_carried_both_kinds_ =
+        has_carried_both_kinds_ || (!carried_ids_.empty() && was_head_method != is_head_method_);
     carried_ids_.push_back(hash_of(request_id_));
     if (channel_->is_connected()) {
         channel_->send(serialize_request(start, dialect_));
@@ -234,7 +236,7 @@
     }
     is_discarding_ = true;
     sink_.on_discarded(address_, {status, request_id_, received_id});
-    if (is_failure_without_id) {
+    if (is_failure_without_id || has_carried_both_kinds_) {
         end_call(call_outcome::broken);
         return false;
     }
--- a/packages/daemon/src/gateway/endpoint_connection.hpp
+++ b/packages/daemon/src/gateway/endpoint_connection.hpp
@@ -137,6 +137,8 @@
     /// Hashes of the request ids that the connection has carried, of the call in progress included.
     std::vector<std::size_t> carried_ids_;
     bool is_head_method_ = false;
+    /// Both HEAD and other requests were carried, so that the end of an answer to an unknown one is unknown.
+    bool has_carried_both_kinds_ = false;
     bool has_head_ = false;
     /// The answer that is being read is discarded: it is an interim one (1xx) or belongs to another request.
     bool is_discarding_ = false;
--- a/packages/daemon/tests/repeated_answers_test.cpp
+++ b/packages/daemon/tests/repeated_answers_test.cpp
@@ -187,6 +187,26 @@
     BOOST_TEST(pool.connection_count() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_copy_of_an_answer_to_head_does_not_turn_the_body_of_the_next_answer_into_an_answer)
+{
+    const auto own = answer("2", refusal("Id: 2\r\n"));
+    const auto head_length = own.find("\r\n\r\n") + 4;
+    const auto to_head =
+        "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nContent-Length: " + std::to_string(head_length) +
+        "\r\n\r\n";
+    endpoint.repeated = to_head;
+    endpoint.answers = {to_head, own};
+    method = "HEAD";
+    call("1");
+    BOOST_REQUIRE(wait_for_end());
+    BOOST_TEST(recorder.status == 200);
+    method = "POST";
+    call("2");
+    BOOST_REQUIRE(wait_for_end());
+    BOOST_TEST((recorder.outcome == call_outcome::broken));
+    BOOST_TEST(recorder.status == 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_carries_a_bounded_number_of_calls)
 {
     constexpr std::size_t limit = 500;
