Pass on 408, 429 and 503 only with the endpoint's word that nothing ran

What callers could see: 503, 429 or 408 for a request that has run, where an endpoint answers so without the header that states that it did not execute the request. Only that header, and 421, state it; the callers' protocol takes the statuses for a promise.

Cause: on_end looks at the header for its own decisions, and passed the answer on as any other failure where it was missing.

Evidence: router_retry_suite/does_not_pass_on_a_status_that_promises_ more_than_the_endpoint_says, before: "check answer(n).status == 502 has failed [408 != 502]", "[429 != 502]", "[503 != 502]".

Change: such an answer is a failed call that may have run: repeatable requests are sent again within the limits, others get 502. A pause that it states is kept as before. The endpoint counts as failed rather than as full, since it has not said that it rejects. Weighed: the answer of the endpoint is not passed on unchanged then; a true verdict matters more, as the caller would send an unsafe request again.

--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -12,6 +12,8 @@
 #include "service_admission.hpp"
 #include "unserved_end.hpp"
 
+#include <algorithm>
+#include <array>
 #include <cassert>
 #include <chrono>
 #include <utility>
@@ -23,6 +25,8 @@
 constexpr int status_misdirected = 421;
 constexpr int first_server_error = 500;
 constexpr int status_unavailable = 503;
+/// Statuses that tell a caller that its request was not executed and will not be.
+constexpr std::array promising_statuses{408, 429, status_unavailable};
 
 /// A request with less time left is not retried, since no endpoint would finish it in time.
 constexpr duration min_remaining = std::chrono::milliseconds{20};
@@ -182,6 +186,10 @@
 
 void router::handle_complete_answer(exchange& it, instant now)
 {
+    if (std::ranges::find(promising_statuses, it.head->status) != promising_statuses.end()) {
+        // The endpoint has not said that it did not execute the request.
+        return handle_failure(it, call_outcome::broken, now);
+    }
     const auto is_failure = it.head->status >= first_server_error;
     if (!is_failure) {
         note_sound_run(it, now);
--- a/packages/gateway/tests/router_retry_test.cpp
+++ b/packages/gateway/tests/router_retry_test.cpp
@@ -120,6 +120,20 @@
     BOOST_TEST(answer(1).status == 502);
 }
 
+BOOST_AUTO_TEST_CASE(does_not_pass_on_a_status_that_promises_more_than_the_endpoint_says)
+{
+    // Without the endpoint's word that it has not executed the request.
+    exchange_id n = 0;
+    for (const auto status : {408, 429, 503}) {
+        send_request(++n, "/unsafe/x");
+        const auto calls = port.calls.size();
+        head(port.calls.back(), status);
+        it.on_end(port.calls.back().call, call_outcome::complete, now);
+        BOOST_TEST(port.calls.size() == calls);
+        BOOST_TEST(answer(n).status == 502);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(keeps_retries_within_the_limit)
 {
     unsigned retries = 0;
