Let endpoints of the soak write rejections once more

The stand-in's rejections carry the id of their request now, as the platform says of its endpoints; before, no connection was kept after one, and the fault could not show.

--- a/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
+++ b/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
@@ -83,6 +83,8 @@
     void add_crashing_request();
     /// Lets an endpoint say that it leaves, end, and start anew.
     void begin_leaving();
+    /// Lets an endpoint reject some requests and write the rejections once more on their connections.
+    void add_repeated_answers();
     /// Starts an endpoint that has ended after a random time, and at the end of the faults.
     void restart_later(soak_endpoint& it);
     /// Records what the head of an answer that `gateway` has passed on says of leaving.
@@ -111,6 +113,8 @@
     int draw_announcement(int n);
     /// The same for endpoints that crash or leave.
     int draw_ending(int n);
+    /// The same for endpoints that repeat answers.
+    int draw_repeated(int n);
     soak_gateway& draw_gateway();
 
     soak_options options_;
@@ -118,6 +122,7 @@
     std::minstd_rand further_random_;
     std::minstd_rand announcement_random_;
     std::minstd_rand ending_random_;
+    std::minstd_rand repeated_random_;
     event_loop loop_;
     platform_store store_;
     soak_record record_;
--- a/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
+++ b/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
@@ -13,12 +13,22 @@
 #include <memory>
 #include <string>
 
+struct evhttp_connection;
+
 namespace hemlocknotch::standins {
 
 /// Faults of an endpoint that can be switched on.
 struct platform_endpoint_faults {
     /// Requests are rejected as not executed.
     bool is_full = false;
+    /// One of so many requests is rejected as not executed; 0: none is.
+    unsigned requests_per_rejection = 0;
+    /// The last rejection of a connection is written there once more, before the answer of the next request,
+    /// which is executed.
+    bool repeats_rejections = false;
+    /// Such a copy, or the rejection itself, has no id.
+    bool repeats_without_id = false;
+    bool rejects_without_id = false;
     /// Requests are executed and their connection closed without an answer.
     bool loses_answers = false;
     /// Streams break off after so many events; 0: they do not.
@@ -60,6 +70,9 @@
     /// Closes every connection and accepts no more until `listen`.
     void crash();
 
+    /// Writes the last rejection of each connection once more, where no stream is in progress on it.
+    void repeat_rejections();
+
     /// Listens at `address` after a crash. Throws std::runtime_error where it cannot.
     void listen(const endpoint_address& address) { server_.listen(address); }
 
@@ -83,12 +96,19 @@
     struct stream;
 
     void on_request(const http_request& request);
+    void reject(const http_request& request, int status, const std::string& id);
+    /// Writes the last rejection of the connection once more, if there was one.
+    void repeat_rejection(evhttp_connection* connection) const;
+    void forget_connection(evhttp_connection* connection);
     void start_stream(const http_request& request);
     void add_announcements(const http_request& request) const;
 
     event_base* base_;
     std::string instance_;
     std::list<std::unique_ptr<stream>> streams_;
+    /// The id of the last rejection of each connection that has carried one and no stream since.
+    std::map<evhttp_connection*, std::string> rejected_ids_;
+    unsigned request_count_ = 0;
     http_server server_;
 };
 
--- a/packages/standins/src/gateway_soak.cpp
+++ b/packages/standins/src/gateway_soak.cpp
@@ -80,6 +80,7 @@
       further_random_{static_cast<std::minstd_rand::result_type>(options.seed + 1)},
       announcement_random_{static_cast<std::minstd_rand::result_type>(options.seed + 2)},
       ending_random_{static_cast<std::minstd_rand::result_type>(options.seed + 3)},
+      repeated_random_{static_cast<std::minstd_rand::result_type>(options.seed + 4)},
       store_{loop_.base(), any_port},
       record_{options.bound},
       endless_model_{loop_.base(), any_port, "X-Request-Id"},
--- a/packages/standins/src/platform_endpoint.cpp
+++ b/packages/standins/src/platform_endpoint.cpp
@@ -1,6 +1,9 @@
 #include <hemlocknotch/standins/platform_endpoint.hpp>
 
+#include <event2/bufferevent.h>
+#include <event2/http.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 
 #include <chrono>
 #include <utility>
@@ -86,17 +89,22 @@
         arrived(id);
     }
     has_seen_key = has_seen_key || request.header("X-Credential").has_value();
+    if (faults.repeats_rejections) {
+        repeat_rejection(evhttp_request_get_connection(request.get()));
+    }
     if (request.header("X-Target-Instance").value_or(instance_) != instance_) {
         request.add_answer_header("X-Instance-Id", instance_);
-        return request.reply(misdirected, "");
+        return reject(request, misdirected, id);
     }
     add_announcements(request);
-    if (faults.is_full) {
+    const auto is_drawn =
+        faults.requests_per_rejection > 0 && ++request_count_ % faults.requests_per_rejection == 0;
+    if (faults.is_full || is_drawn) {
         request.add_answer_header("X-Not-Executed", "1");
         if (!faults.stated_pause.empty()) {
             request.add_answer_header("Retry-After", faults.stated_pause);
         }
-        return request.reply(unavailable, "");
+        return reject(request, unavailable, id);
     }
     ++executions[id];
     last_account = request.header("X-Tenant").value_or("");
@@ -119,6 +127,47 @@
     request.reply(ok, request.body());
 }
 
+void platform_endpoint::reject(const http_request& request, int status, const std::string& id)
+{
+    if (!faults.rejects_without_id) {
+        request.add_answer_header("X-Request-Id", id);
+    }
+    auto* connection = evhttp_request_get_connection(request.get());
+    rejected_ids_[connection] = id;
+    evhttp_connection_set_closecb(
+        connection,
+        [](evhttp_connection* closed, void* self) {
+            static_cast<platform_endpoint*>(self)->forget_connection(closed);
+        },
+        this);
+    request.reply(status, "");
+}
+
+void platform_endpoint::repeat_rejection(evhttp_connection* connection) const
+{
+    const auto found = rejected_ids_.find(connection);
+    if (found == rejected_ids_.end()) {
+        return;
+    }
+    const auto id = faults.repeats_without_id ? std::string{} : "X-Request-Id: " + found->second + "\r\n";
+    const auto copy =
+        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + id + "Content-Length: 0\r\n\r\n";
+    ::send(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), copy.data(), copy.size(),
+           MSG_NOSIGNAL);
+}
+
+void platform_endpoint::repeat_rejections()
+{
+    for (const auto& [connection, id] : rejected_ids_) {
+        repeat_rejection(connection);
+    }
+}
+
+void platform_endpoint::forget_connection(evhttp_connection* connection)
+{
+    rejected_ids_.erase(connection);
+}
+
 void platform_endpoint::add_announcements(const http_request& request) const
 {
     if (!faults.stated_limit.empty()) {
@@ -132,6 +181,7 @@
 
 void platform_endpoint::start_stream(const http_request& request)
 {
+    forget_connection(evhttp_request_get_connection(request.get()));
     request.add_answer_header("Content-Type", "text/event-stream");
     const auto last = request.header("Last-Event-Id").value_or("0");
     streams_.push_back(std::make_unique<stream>(base_, request, std::stoul(last) + 1, faults));
