--- a/packages/daemon/src/metric_catalog.cpp
+++ b/packages/daemon/src/metric_catalog.cpp
@@ -107,6 +107,9 @@
     metric_description{
         "hemlocknotch_gateway_prompt_tokens_total",
         "Tokens of prompts sent to endpoints, by whether they are kept there or have to be read."},
+    metric_description{
+        "hemlocknotch_gateway_discarded_answers_total",
+        "Answers of endpoints that belong to another request than the one in progress, or may."},
     metric_description{"hemlocknotch_gateway_streams_not_continued_total",
                        "Answers to resumed requests that do not continue the stream, by endpoint."},
     metric_description{"hemlocknotch_refusals_total", "Refused requests or dispatches, by refusal code."},
