--- a/packages/daemon/src/gateway/endpoint_connection.cpp
+++ b/packages/daemon/src/gateway/endpoint_connection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <charconv>
+#include <functional>
 #include <utility>
 
 namespace hemlocknotch::daemon {
@@ -26,7 +27,15 @@
 /// Maximum number of bytes of interim answers and of answers to other requests that are read for one call:
 /// more than a late second answer has, and little work.
 constexpr std::size_t max_discarded_bytes = std::size_t{1} << 20U;
+/// Maximum number of calls of a connection, which bounds the memory for their ids.
+constexpr std::size_t max_calls = 500;
 constexpr int first_final_status = 200;
+constexpr int first_status_after_success = 300;
+
+std::size_t hash_of(std::string_view id)
+{
+    return std::hash<std::string_view>{}(id);
+}
 
 bool requires_content_length(std::string_view method)
 {
@@ -75,10 +84,12 @@
     }
 }
 
-bool endpoint_connection::is_reusable(instant now, bool is_unrepeatable) const
+bool endpoint_connection::is_reusable(instant now, const gateway::call_start& start) const
 {
-    const auto limit = is_unrepeatable ? std::min(idle_timeout_, unrepeatable_idle_timeout) : idle_timeout_;
-    return !is_closed_ && call_ == 0 && now - idle_since_ < limit;
+    const auto limit =
+        start.is_unrepeatable ? std::min(idle_timeout_, unrepeatable_idle_timeout) : idle_timeout_;
+    return !is_closed_ && call_ == 0 && now - idle_since_ < limit &&
+           std::ranges::find(carried_ids_, hash_of(start.request->fields.id)) == carried_ids_.end();
 }
 
 void endpoint_connection::send(const gateway::call_start& start)
@@ -88,7 +99,10 @@
     last_call_ = start.call;
     discarded_bytes_ = 0;
     request_id_ = start.request->fields.id;
-    is_head_method_ = start.request->method == "HEAD";
+    const auto was_head_method = std::exchange(is_head_method_, start.request->method == "HEAD");
+    has_carried_both_kinds_ =
+        has_carried_both_kinds_ || (!carried_ids_.empty() && was_head_method != is_head_method_);
+    carried_ids_.push_back(hash_of(request_id_));
     if (channel_->is_connected()) {
         channel_->send(serialize_request(start, dialect_));
         return;
@@ -106,9 +120,14 @@
     auto start = *std::exchange(waiting_, std::nullopt);
     start.remaining -= owner_.now() - waiting_since_;
     sink_.on_connected(call_);
-    if (call_ != 0) {
-        channel_->send(serialize_request(start, dialect_));
+    if (call_ == 0) {
+        return;
     }
+    if (!channel_->is_quiet()) {
+        // What arrived before the request was sent is no answer to it.
+        return end_call(call_outcome::not_connected);
+    }
+    channel_->send(serialize_request(start, dialect_));
 }
 
 void endpoint_connection::close()
@@ -183,16 +202,12 @@
         return true;
     }
     const auto parsed_fields = dialect_.read_answer(status, fields);
-    const auto is_success = status < 300;
-    if (parsed_fields.request_id != request_id_ && (is_success || !parsed_fields.request_id.empty())) {
-        is_discarding_ = true;
-        is_reusable_after_call_ = false;
-        sink_.on_discarded(address_, {status, request_id_, parsed_fields.request_id});
-        return true;
+    const auto is_own = !request_id_.empty() && parsed_fields.request_id == request_id_;
+    if (!is_own && !process_foreign_head(parsed_fields.request_id)) {
+        return false;
     }
-    if (parsed_fields.request_id.empty()) {
-        // A second copy of it, late, would be taken for the answer of the next call.
-        is_reusable_after_call_ = false;
+    if (is_discarding_) {
+        return true;
     }
     read_keep_alive(fields);
     gateway::answer_head head{status, {}};
@@ -207,6 +222,27 @@
     return call_ != 0;
 }
 
+bool endpoint_connection::process_foreign_head(std::string_view received_id)
+{
+    const auto status = parser_->status();
+    const auto is_failure_without_id = received_id.empty() && status >= first_status_after_success;
+    is_reusable_after_call_ = false;
+    if (is_failure_without_id) {
+        owner_.on_answer_without_id(*this);
+        if (carried_ids_.size() == 1) {
+            // The endpoint has received no other request here.
+            return true;
+        }
+    }
+    is_discarding_ = true;
+    sink_.on_discarded(address_, {status, request_id_, received_id});
+    if (is_failure_without_id || has_carried_both_kinds_) {
+        end_call(call_outcome::broken);
+        return false;
+    }
+    return true;
+}
+
 void endpoint_connection::forward_body()
 {
     auto& body = parser_->body();
@@ -231,7 +267,8 @@
     }
     const auto call = std::exchange(call_, 0);
     // An endpoint that answered before it read the complete body would parse the rest as the next request.
-    if (is_keep_alive && input_.empty() && is_reusable_after_call_ && channel_->pending_bytes() == 0) {
+    if (is_keep_alive && input_.empty() && is_reusable_after_call_ && channel_->pending_bytes() == 0 &&
+        carried_ids_.size() < max_calls) {
         idle_since_ = owner_.now();
         owner_.on_call_done(*this);
     }
--- a/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
+++ b/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
@@ -91,6 +91,8 @@
     void add_repeating_endpoint();
     scripted_answer answer_twice(const scripted_request& request);
     void undo_failing(std::function<void()> undo);
+    /// Lets an endpoint reject some requests and write the rejections once more on their connections.
+    void add_repeated_answers();
     /// Starts an endpoint that has ended after a random time, and at the end of the faults.
     void restart_later(soak_endpoint& it);
     /// Records what the head of an answer that `gateway` has passed on says of leaving.
@@ -121,6 +123,8 @@
     int draw_ending(int n);
     /// The same for endpoints that fail, or answer twice.
     int draw_failing(int n);
+    /// The same for endpoints that repeat answers.
+    int draw_repeated(int n);
     soak_gateway& draw_gateway();
 
     soak_options options_;
@@ -129,6 +133,7 @@
     std::minstd_rand announcement_random_;
     std::minstd_rand ending_random_;
     std::minstd_rand failing_random_;
+    std::minstd_rand repeated_random_;
     event_loop loop_;
     platform_store store_;
     soak_record record_;
--- a/packages/standins/src/gateway_soak_faults.cpp
+++ b/packages/standins/src/gateway_soak_faults.cpp
@@ -56,6 +56,7 @@
         begin_leaving();
     }
     add_failing_answers();
+    add_repeated_answers();
     while (!undos_.empty() && undos_.front().first <= now()) {
         const auto undo = std::move(undos_.front().second);
         undos_.pop_front();
