Do not join an answer and a rest of another media type

What callers could see: an answer through an agent broke off, its endpoint answered the request for the rest with 200 and, for instance, a page of text, and that text was joined to the answer, which ended as complete.

Cause: neither agent nor entry looked at what the head of the rest says; the entry only knew the status that it had sent.

Evidence, before the change: rest_of_a_broken_answer_in_another_media_type_is_not_sent and a_resumption_in_another_media_type_is_not_written_into_the_answer fail:

agent_endpoint_test.cpp(135): critical check sent<end_message>(effects).size() == 1 has failed [0 != 1] outcome_handler_test.cpp(212): critical check sent<submit_message>().size() == 1 has failed [0 != 1]

Change: an agent ends the dispatch with may-have-run where answer and rest state different media types. For a further dispatch, whose agent has no head to compare with, the entry keeps the media type that it sent, cancels the dispatch, and resumes again or closes the connection. Parameters and case do not count, and a rest without Content-Type is still taken.

Not covered: an endpoint that says the right status and media type and sends something else.

--- a/packages/core/src/agent_endpoint.cpp
+++ b/packages/core/src/agent_endpoint.cpp
@@ -2,6 +2,7 @@
 
 #include "agent_answers.hpp"
 #include "agent_submits.hpp"
+#include "media_type.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -113,6 +114,13 @@
     context.send(link, refuse_message{id, attempt, refusal_code::endpoint_failed, {}});
 }
 
+/// Returns whether the head is that of the rest of the dispatch's answer.
+bool is_continuation(const agent_dispatch& value, const endpoint_head_event& event)
+{
+    return event.status == status_ok &&
+           (!value.head || may_continue(media_type_of(value.head->headers), media_type_of(event.headers)));
+}
+
 bool is_call_idle(const agent_context& context, const agent_dispatch& it)
 {
     if (it.call == 0) {
@@ -134,8 +142,7 @@
         return;
     }
     it->last_received = context.now;
-    const bool is_continuation = event.status == status_ok;
-    if (it->call_offset > 0 && !is_continuation) {
+    if (it->call_offset > 0 && !is_continuation(*it, event)) {
         context.add(stop_call_effect{event.call, it->request.id, false});
         end_uncertain(context, *it, refusal_code::endpoint_failed);
         return;
--- a/packages/core/src/entry_request.hpp
+++ b/packages/core/src/entry_request.hpp
@@ -88,6 +88,8 @@
     /// Name of the only agent that can resume the answer; empty if any agent may run the request.
     std::string pinned_agent;
     answer_progress answer;
+    /// Media type of the answer sent to the caller; empty if it states none.
+    std::string media_type;
 
     /// Returns whether it has been sent to an agent that has not yet reported its end.
     [[nodiscard]] bool is_outstanding() const
--- a/packages/core/src/outcome_handler.cpp
+++ b/packages/core/src/outcome_handler.cpp
@@ -1,9 +1,12 @@
 #include "outcome_handler.hpp"
 
+#include "media_type.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <chrono>
 #include <string>
+#include <string_view>
 
 namespace hemlocknotch {
 namespace {
@@ -56,13 +59,16 @@
     answer_progress& answer = request->answer;
     // The head of a dispatch that resumes an answer only confirms that the endpoint knows the stream, so its
     // status may differ.
-    if (answer.is_head_sent() && request->dispatched_from == 0 && answer.status() != value.status) {
+    const bool is_other_status = request->dispatched_from == 0 && answer.status() != value.status;
+    const std::string_view media_type = media_type_of(value.headers);
+    if (answer.is_head_sent() && (is_other_status || !may_continue(request->media_type, media_type))) {
         on_unresolvable(step, *request);
         return;
     }
     request->head_attempt = value.attempt;
     if (!answer.is_head_sent()) {
         answer.set_head_sent(value.status);
+        request->media_type = media_type;
         const std::chrono::duration<double> elapsed = step.now() - request->arrived;
         step.count(metric_kind::histogram, "hemlocknotch_first_byte_seconds", elapsed.count());
         if (request->exchange != 0) {
--- a/packages/core/tests/agent_endpoint_test.cpp
+++ b/packages/core/tests/agent_endpoint_test.cpp
@@ -120,6 +120,23 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(rest_of_a_broken_answer_in_another_media_type_is_not_sent)
+{
+    running_call_fixture it{true};
+    it.handle(endpoint_head_event{it.call, 200, {{"Content-Type", "application/x-ndjson"}}, 0});
+    it.handle(endpoint_part_event{it.call, "abc"});
+    const call_id first_resume = started_call(it.handle(endpoint_end_event{it.call, call_outcome::broken}));
+    it.handle(endpoint_head_event{first_resume, 200, {{"Content-Type", "application/x-ndjson"}}, 0});
+    BOOST_TEST(sent<part_message>(it.handle(endpoint_part_event{first_resume, "d"})).size() == 1U);
+    const call_id resumed_call =
+        started_call(it.handle(endpoint_end_event{first_resume, call_outcome::broken}));
+    const auto effects =
+        it.handle(endpoint_head_event{resumed_call, 200, {{"content-type", "text/plain"}}, 0});
+    BOOST_REQUIRE_EQUAL(sent<end_message>(effects).size(), 1);
+    BOOST_TEST((sent<end_message>(effects).front().outcome == verdict::may_have_run));
+    BOOST_TEST(sent<part_message>(it.handle(endpoint_part_event{resumed_call, "failed"})).empty());
+}
+
 BOOST_AUTO_TEST_CASE(idle_call_is_replaced_up_to_max_resumes_and_then_ends_with_may_have_run)
 {
     running_call_fixture it{true};
--- a/packages/core/tests/outcome_handler_test.cpp
+++ b/packages/core/tests/outcome_handler_test.cpp
@@ -199,6 +199,31 @@
     BOOST_TEST(all<reply_abort_effect>().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_resumption_in_another_media_type_is_not_written_into_the_answer)
+{
+    const request_id id = dispatch("draft");
+    on_message(1,
+               head_message{.id = id, .status = 200, .headers = {{"Content-Type", "application/x-ndjson"}}});
+    on_message(1, part_message{.id = id, .offset = 0, .bytes = "ab"});
+    for (const std::uint32_t attempt : {2U, 3U}) {
+        on_message(1, free_slots_message{.free_slots = 1});
+        on_message(1, end_message{.id = id, .attempt = 1, .outcome = verdict::may_have_run, .length = 2});
+        pass(std::chrono::milliseconds{100});
+        BOOST_REQUIRE_EQUAL(sent<submit_message>().size(), 1);
+        BOOST_TEST(sent<submit_message>().front().attempt == attempt);
+        const auto type = std::string{attempt == 2 ? "text/plain" : "application/x-ndjson"};
+        on_message(1, head_message{
+                          .id = id, .attempt = attempt, .status = 200, .headers = {{"content-type", type}}});
+    }
+    on_message(1, part_message{.id = id, .attempt = 2, .offset = 2, .bytes = "failed"});
+    BOOST_TEST(all<reply_part_effect>().empty());
+    on_message(1, part_message{.id = id, .attempt = 3, .offset = 2, .bytes = "cd"});
+    BOOST_REQUIRE_EQUAL(all<reply_part_effect>().size(), 1);
+    BOOST_TEST(all<reply_part_effect>().front().bytes == "cd");
+    on_message(1, end_message{.id = id, .attempt = 3, .length = 4});
+    BOOST_TEST(all<reply_end_effect>().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_whose_resumption_has_no_agent_is_aborted)
 {
     const request_id id = begin_answer();
