--- a/packages/gateway/tests/router_retry_test.cpp
+++ b/packages/gateway/tests/router_retry_test.cpp
@@ -221,6 +221,44 @@
     BOOST_TEST(is_used);
 }
 
+BOOST_AUTO_TEST_CASE(a_rejected_resumption_is_sent_to_a_further_endpoint_and_continues)
+{
+    send_request(1, "/resume/x");
+    head(port.calls[0], 200, true);
+    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
+    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
+    reject(port.calls[1]);
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 3U);
+    BOOST_TEST(port.calls[2].resume_after == "1");
+    head(port.calls[2], 200, true);
+    it.on_part(port.calls[2].call, "id: 2\ndata: x\n\n", now);
+    it.on_end(port.calls[2].call, call_outcome::complete, now);
+    BOOST_TEST(answer(1).is_ended);
+    BOOST_TEST(answer(1).body == "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(a_failed_resumption_is_sent_to_a_further_endpoint_within_the_limit)
+{
+    auto document = create_document(2);
+    document.routes[4].max_attempts = 3;
+    it.set_configuration(std::make_shared<routing_configuration>(std::move(document)), now);
+    send_request(1, "/resume/x");
+    head(port.calls[0], 200, true);
+    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
+    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
+    head(port.calls[1], 500);
+    BOOST_REQUIRE_EQUAL(port.calls.size(), 3U);
+    BOOST_TEST(port.cancelled.contains(port.calls[1].call));
+    head(port.calls[2], 200, true);
+    it.on_part(port.calls[2].call, "id: 2\ndata: x\n\n", now);
+    it.on_end(port.calls[2].call, call_outcome::complete, now);
+    BOOST_TEST(answer(1).is_ended);
+    BOOST_TEST(!answer(1).is_aborted);
+    BOOST_TEST(answer(1).body == "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+}
+
 BOOST_AUTO_TEST_CASE(logs_an_answer_that_does_not_continue_a_begun_stream)
 {
     send_request(1, "/resume/x");
