Write odd entries in the soak

Another writer's entry that names no endpoint to use is written every 0.8 s or so, in one of some hundred forms: under a new name with the address of an endpoint that no sound entry has, removed up to 5 s later, or over the entry of a sound endpoint, which its next heartbeat repairs. That nothing is sent to that address is checked.

--- a/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
+++ b/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
@@ -3,6 +3,7 @@
 #include <hemlocknotch/standins/endless_endpoint.hpp>
 #include <hemlocknotch/standins/event_loop.hpp>
 #include <hemlocknotch/standins/kept_connection_caller.hpp>
+#include <hemlocknotch/standins/platform_endpoint.hpp>
 #include <hemlocknotch/standins/platform_store.hpp>
 #include <hemlocknotch/standins/relay_route.hpp>
 #include <hemlocknotch/standins/soak_endpoint.hpp>
@@ -83,6 +84,11 @@
     void add_crashing_request();
     /// Lets an endpoint say that it leaves, end, and start anew.
     void begin_leaving();
+    /// Now and then writes an entry that names no endpoint to use, under a new name or over that of a sound
+    /// endpoint.
+    void add_odd_entries();
+    /// Returns an odd form of the entry `sound`.
+    std::string draw_odd_value(const std::string& sound);
     /// Starts an endpoint that has ended after a random time, and at the end of the faults.
     void restart_later(soak_endpoint& it);
     /// Records what the head of an answer that `gateway` has passed on says of leaving.
@@ -111,6 +117,8 @@
     int draw_announcement(int n);
     /// The same for endpoints that crash or leave.
     int draw_ending(int n);
+    /// The same for odd entries.
+    int draw_odd(int n);
     soak_gateway& draw_gateway();
 
     soak_options options_;
@@ -118,6 +126,7 @@
     std::minstd_rand further_random_;
     std::minstd_rand announcement_random_;
     std::minstd_rand ending_random_;
+    std::minstd_rand odd_entry_random_;
     event_loop loop_;
     platform_store store_;
     soak_record record_;
@@ -127,6 +136,10 @@
     endless_endpoint endless_plain_;
     /// Number of their registrations so far, each of which is a new instance.
     int endless_registrations_ = 0;
+    /// Endpoint whose address only odd entries have.
+    platform_endpoint unnamed_endpoint_;
+    /// Number of odd entries under new names so far.
+    int odd_registrations_ = 0;
     /// Kind of the request that crashes endpoints, if there is one.
     std::optional<soak_request_kind> crashing_kind_;
     bool is_restoring_ = false;
--- a/packages/standins/src/gateway_soak.cpp
+++ b/packages/standins/src/gateway_soak.cpp
@@ -80,10 +80,12 @@
       further_random_{static_cast<std::minstd_rand::result_type>(options.seed + 1)},
       announcement_random_{static_cast<std::minstd_rand::result_type>(options.seed + 2)},
       ending_random_{static_cast<std::minstd_rand::result_type>(options.seed + 3)},
+      odd_entry_random_{static_cast<std::minstd_rand::result_type>(options.seed + 4)},
       store_{loop_.base(), any_port},
       record_{options.bound},
       endless_model_{loop_.base(), any_port, "X-Request-Id"},
       endless_plain_{loop_.base(), any_port, "X-Request-Id"},
+      unnamed_endpoint_{loop_.base(), any_port, "unnamed"},
       step_{loop_.base(), [this] { advance(); }}
 {
     for (const auto* instance : {"m1", "m2", "p1", "p2", "p3"}) {
@@ -96,6 +98,9 @@
             record_.check_arrival(id, endpoint->start_name());
         };
     }
+    unnamed_endpoint_.arrived = [this](const std::string& id) {
+        record_.add_violation(id + " was sent to the address of an odd entry");
+    };
     if (draw_ending(2) == 0) {
         add_crashing_request();
     }
--- a/packages/standins/src/gateway_soak_faults.cpp
+++ b/packages/standins/src/gateway_soak_faults.cpp
@@ -55,6 +55,7 @@
     if (draw_ending(steps_per_leaving) == 0) {
         begin_leaving();
     }
+    add_odd_entries();
     while (!undos_.empty() && undos_.front().first <= now()) {
         const auto undo = std::move(undos_.front().second);
         undos_.pop_front();
