Log fields that are no UTF-8 in the text format

What operators could see: an entry or agent that logs as text and gets a field with a byte that is no UTF-8, such as the message of a parser that quotes what it could not read, ends by an exception. The JSON format replaced such bytes already; gateways use it only.

Evidence: event_log_suite/ a_field_that_is_no_utf8_is_logged_in_both_formats was ended by an exception in the text format. No run of an entry or agent showed it.

Change: the text format replaces such bytes, too. After: the case passes.

--- a/packages/daemon/src/event_log.cpp
+++ b/packages/daemon/src/event_log.cpp
@@ -82,7 +82,8 @@
     if (format == log_format::text) {
         std::string out = std::string{time} + " " + std::string{name_of(record.level)} + " " + record.event;
         for (const auto& field : record.fields) {
-            out += " " + field.name + "=" + nlohmann::json(field.value).dump();
+            out += " " + field.name + "=" +
+                   nlohmann::json(field.value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
         }
         return out;
     }
