--- a/packages/standins/src/gateway_soak.cpp
+++ b/packages/standins/src/gateway_soak.cpp
@@ -83,12 +83,14 @@
       ending_random_{static_cast<std::minstd_rand::result_type>(options.seed + 3)},
       failing_random_{static_cast<std::minstd_rand::result_type>(options.seed + 4)},
       repeated_random_{static_cast<std::minstd_rand::result_type>(options.seed + 5)},
+      odd_entry_random_{static_cast<std::minstd_rand::result_type>(options.seed + 6)},
       store_{loop_.base(), any_port},
       record_{options.bound},
       endless_model_{loop_.base(), any_port, "X-Request-Id"},
       endless_plain_{loop_.base(), any_port, "X-Request-Id"},
       repeating_model_{loop_.base(), any_port, [this](const auto& it) { return answer_twice(it); }},
       repeating_plain_{loop_.base(), any_port, [this](const auto& it) { return answer_twice(it); }},
+      unnamed_endpoint_{loop_.base(), any_port, "unnamed"},
       step_{loop_.base(), [this] { advance(); }}
 {
     for (const auto* instance : {"m1", "m2", "p1", "p2", "p3"}) {
@@ -104,6 +106,9 @@
             record_.note_failure(id, status_server_error, body);
         };
     }
+    unnamed_endpoint_.arrived = [this](const std::string& id) {
+        record_.add_violation(id + " was sent to the address of an odd entry");
+    };
     if (draw_ending(2) == 0) {
         add_crashing_request();
     }
--- a/packages/standins/src/gateway_soak_faults.cpp
+++ b/packages/standins/src/gateway_soak_faults.cpp
@@ -57,6 +57,7 @@
     }
     add_failing_answers();
     add_repeated_answers();
+    add_odd_entries();
     while (!undos_.empty() && undos_.front().first <= now()) {
         const auto undo = std::move(undos_.front().second);
         undos_.pop_front();
