Hold back removals only after an outage that was seen

Cause: a gateway that was cut off took its own cut for an outage of the store, and the grace time that it stated in its next update was taken over by all others. So they held back the removal that the same update brought. The class: what another gateway states is taken over without asking what this one knows itself.

Now registry_contact keeps since when the store has answered anyone without a gap, as far as a gateway knows, and updates and registry pages state it. A grace time begins only with an outage that the gateway saw itself: reads failed and it heard of no answer meanwhile. What others state can only shorten it, to the earliest known return of the store, and only where it reaches over the gap. A gateway that hears of a grace time and had answers all the while reads at once, and its update ends the grace of the one that was cut off. The grace time of updates stays in the format; gateways of earlier versions read it as before.

The fuzz plays outages of the store with lapsed registrations, cuts of single views, and statements between them. Its oracle used to excuse a removal by the view's own grace time; it now knows who had a cut or an outage. It also demands that a lapsed living endpoint stays in use.

--- a/packages/daemon/src/gateway/gateway_pages.cpp
+++ b/packages/daemon/src/gateway/gateway_pages.cpp
@@ -58,6 +58,7 @@
     update.to_revision = view_.revision();
     update.age = now - follower_.current_as_of();
     update.grace = view_.remaining_grace(now);
+    update.answering_for = now - follower_.answering_since();
     update.changes = view_.snapshot();
     const auto bytes = encode_update(std::move(update), std::numeric_limits<std::size_t>::max());
     return {ok, std::string{bytes.begin(), bytes.end()}};
--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -22,8 +22,6 @@
 constexpr duration max_retry_delay = std::chrono::seconds{1};
 /// Time in which a change usually arrives from the gateway that read it, although another one has it already.
 constexpr duration update_time = std::chrono::milliseconds{100};
-/// Failures for at least this time count as an outage, after which registrations may have expired.
-constexpr duration outage_threshold = std::chrono::milliseconds{500};
 /// Time to live of the registration, and the time between renewals, which allows for two failed ones.
 constexpr duration lease_time_to_live = std::chrono::seconds{5};
 constexpr duration lease_renewal_interval = std::chrono::milliseconds{1500};
@@ -46,6 +44,7 @@
       log_{std::move(log)},
       publish_{std::move(publish)},
       fetch_from_peers_{std::move(fetch_from_peers)},
+      contact_{options.max_age + max_read_jitter + gateway::registry_contact::outage_threshold, now_()},
       read_timer_{base, [this] { needs_full_read_ ? read() : watch(); }},
       lease_timer_{base, [this] { lease_id_ == 0 ? join() : renew(); }},
       grace_timer_{base, [this] { notify_changed(view_.on_timer(now_())); }},
@@ -125,6 +124,9 @@
                {"revision", std::to_string(revision)}}});
     }
     view_.begin_era(era, now_());
+    if (is_restore) {
+        contact_.begin(now_());
+    }
     latest_era_ = std::max(latest_era_, era);
     if (is_restore && std::exchange(lease_id_, 0) != 0) {
         // The number may belong to another lease by now, so the old one is neither renewed nor ended.
@@ -144,6 +146,7 @@
         return;
     }
     const auto now = now_();
+    const auto is_rebuttal_due = weigh_statement(update);
     if (needs_full_read_ || update.from_revision > view_.revision()) {
         // Changes in between are missing; this gateway's own next read returns them.
         return note_gap(update);
@@ -152,9 +155,6 @@
         (update.is_partial && update.to_revision == view_.revision())) {
         return; // Everything up to there is known.
     }
-    if (update.grace > duration::zero()) {
-        view_.extend_grace(now + update.grace - update.age);
-    }
     const auto changes = decode(update);
     notify_changed(view_.apply(changes, update.is_partial ? 0 : update.to_revision, now));
     if (update.is_partial) {
@@ -182,11 +182,31 @@
     }
     current_as_of_ = std::max(current_as_of_, now - update.age);
     note_current("update");
-    if (is_reachable() && !has_partial_update_) {
+    if (!is_reachable() || has_partial_update_) {
+        return;
+    }
+    if (is_rebuttal_due) {
+        read_timer_.start(draw_spread(read_spread));
+    }
+    else {
         schedule_read();
     }
 }
 
+bool registry_follower::weigh_statement(const gateway::registry_update& update)
+{
+    const auto now = now_();
+    const auto as_of = now - update.age;
+    const auto since = update.answering_for ? now - *update.answering_for : as_of;
+    const auto has_grace = update.grace > duration::zero();
+    if (contact_.note_statement(since, as_of, has_grace || !is_reachable())) {
+        view_.on_registry_recovered(since);
+    }
+    view_.limit_grace(contact_.answering_since());
+    notify_changed(view_.on_timer(now));
+    return has_grace && contact_.can_rebut(since);
+}
+
 void registry_follower::apply_snapshot(const gateway::registry_update& update)
 {
     const auto is_of_present_era = update.era == 0 || update.era == view_.era();
@@ -211,9 +231,7 @@
     needs_full_read_ = false;
     has_partial_update_ = false;
     current_as_of_ = std::max(current_as_of_, now - update.age);
-    if (update.grace > duration::zero()) {
-        view_.extend_grace(now + update.grace);
-    }
+    weigh_statement(update);
     note_current("gateway");
     notify_changed(view_.replace(decode(update), update.to_revision, now));
     schedule_doubt_check();
@@ -268,7 +286,7 @@
     if (answer.status != registry_status::ok) {
         return on_failure(answer.status, requested_at);
     }
-    on_success();
+    on_success(requested_at);
     log_unreadable(answer.changes);
     needs_full_read_ = false;
     // What a partial update left out is read by all gateways.
@@ -302,6 +320,7 @@
     update.digest = view_.digest();
     update.age = now_() - requested_at;
     update.grace = view_.remaining_grace(now_());
+    update.answering_for = now_() - contact_.answering_since();
     update.changes = std::move(changes);
     publish_(std::move(update));
 }
@@ -350,20 +369,17 @@
     read_timer_.start(retry_delay_);
 }
 
-void registry_follower::on_success()
+void registry_follower::on_success(instant requested_at)
 {
     retry_delay_ = duration::zero();
     const auto since = std::exchange(failed_since_, instant::max());
+    if (contact_.note_read(since, requested_at, now_())) {
+        view_.on_registry_recovered(now_());
+    }
     if (since == instant::max()) {
         return;
     }
-    const auto outage_duration = now_() - since;
-    // Where other gateways read the registry meanwhile, it was out of reach for this gateway only, and no
-    // registration has lapsed.
-    if (outage_duration >= outage_threshold && current_as_of_ <= since) {
-        view_.on_registry_recovered(now_());
-    }
-    log_({log_level::info, "registry-back", {{"after_ms", milliseconds_text(outage_duration)}}});
+    log_({log_level::info, "registry-back", {{"after_ms", milliseconds_text(now_() - since)}}});
 }
 
 void registry_follower::note_configuration(std::uint64_t version, std::string_view gateway)
--- a/packages/daemon/src/gateway/registry_follower.hpp
+++ b/packages/daemon/src/gateway/registry_follower.hpp
@@ -2,6 +2,7 @@
 
 #include <hemlocknotch/core/log_record.hpp>
 #include <hemlocknotch/gateway/registry_client.hpp>
+#include <hemlocknotch/gateway/registry_contact.hpp>
 #include <hemlocknotch/gateway/registry_update.hpp>
 #include <hemlocknotch/gateway/registry_view.hpp>
 
@@ -74,6 +75,9 @@
     /// Returns the time as of which the view is known to be current.
     [[nodiscard]] instant current_as_of() const { return current_as_of_; }
 
+    /// Returns the time from which on the registry is known to have answered some gateway without a gap.
+    [[nodiscard]] instant answering_since() const { return contact_.answering_since(); }
+
     [[nodiscard]] bool is_reachable() const { return failed_since_ == instant::max(); }
 
     [[nodiscard]] const registry_follower_counters& counters() const { return counters_; }
@@ -92,7 +96,10 @@
     /// restore do not all reach the registry at once.
     duration draw_spread(duration for_each_gateway);
     void on_failure(gateway::registry_status status, instant requested_at);
-    void on_success();
+    void on_success(instant requested_at);
+    /// Weighs what another gateway states of the registry's answers: it may show that removals are held back
+    /// for nothing. Returns whether the other one does so itself and this gateway knows better.
+    bool weigh_statement(const gateway::registry_update& update);
     void schedule_read();
     /// Learns the configuration that another gateway has, unless it has come meanwhile.
     void fetch_configuration();
@@ -121,6 +128,7 @@
     log_callback log_;
     update_callback publish_;
     std::function<void()> fetch_from_peers_;
+    gateway::registry_contact contact_;
     std::minstd_rand random_{std::random_device{}()};
     /// Runs until the next read or watch of the registry, or until the retry of a failed one.
     timer read_timer_;
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t change_overhead_bytes = 32;
 /// First element of an update. Reports begin with a string, the name of the gateway.
 constexpr int update_tag = 1;
+/// Stands in an update for a time that is not stated.
+constexpr duration not_stated{-1};
 /// Maximum number of datagrams that are read per event, so that a flood of them does not delay requests.
 constexpr int max_datagrams_per_read = 64;
 
@@ -153,7 +155,8 @@
     return json::to_cbor(json{update_tag, update.gateway, update.from_revision, update.to_revision,
                               update.digest, update.age.count(), update.is_partial, std::move(changes),
                               update.grace.count(), std::move(update.registry_page), update.era,
-                              update.configuration_version});
+                              update.configuration_version,
+                              update.answering_for.value_or(not_stated).count()});
 }
 
 std::vector<std::vector<std::uint8_t>> encode_updates(gateway::registry_update update, std::size_t max_bytes)
@@ -214,6 +217,11 @@
             out.era = value.at(10).get<std::uint64_t>();
             out.configuration_version = value.at(11).get<std::uint64_t>();
         }
+        if (value.size() > 12) {
+            const duration answering_for{value.at(12).get<std::int64_t>()};
+            out.answering_for =
+                answering_for < duration::zero() ? std::nullopt : std::optional{answering_for};
+        }
         return out;
     }
     catch (const json::exception&) {
--- a/packages/daemon/tests/gateway_parts_test.cpp
+++ b/packages/daemon/tests/gateway_parts_test.cpp
@@ -161,6 +161,7 @@
     update.to_revision = 9;
     update.age = std::chrono::milliseconds{12};
     update.grace = std::chrono::milliseconds{1700};
+    update.answering_for = std::chrono::milliseconds{2300};
     update.changes = {{"a", 6, false, std::string("\0\xff", 2)}, {"b", 7, true, ""}};
     const auto back = decode_update(encode_update(update, max_datagram_update_bytes));
     BOOST_REQUIRE(back);
@@ -168,6 +169,9 @@
     BOOST_TEST(back->to_revision == 9U);
     BOOST_TEST((back->age == update.age));
     BOOST_TEST((back->grace == update.grace));
+    BOOST_TEST((back->answering_for == update.answering_for));
+    update.answering_for.reset();
+    BOOST_TEST(!decode_update(encode_update(update, max_datagram_update_bytes))->answering_for);
     BOOST_TEST(!back->is_partial);
     BOOST_REQUIRE_EQUAL(back->changes.size(), 2U);
     BOOST_TEST(back->changes[0].value == update.changes[0].value);
--- a/packages/daemon/tests/registry_follower_test.cpp
+++ b/packages/daemon/tests/registry_follower_test.cpp
@@ -179,6 +179,22 @@
         return it.published.back();
     }
 
+    /// Lets only `reader` read the registry for 4 s, while `cut` fails to. Returns what `cut` publishes after
+    /// its return, when it reads `changes`.
+    registry_update cut_off_and_return(member& cut, member& reader, std::vector<registry_change> changes,
+                                       std::uint64_t revision)
+    {
+        start(cut);
+        start(reader);
+        BOOST_REQUIRE(wait_for_call(cut));
+        cut.client.answer(registry_status::unknown);
+        for (int n = 0; n < 8; ++n) {
+            now += std::chrono::milliseconds{500};
+            read_and_publish(reader, {}, 6);
+        }
+        return read_and_publish(cut, std::move(changes), revision);
+    }
+
     test_loop loop;
     instant now{std::chrono::seconds{100}};
     member first{*this, "g1"};
@@ -339,6 +355,24 @@
     BOOST_TEST(second.view.endpoints().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(the_cut_of_one_gateway_holds_back_no_removal_at_the_others)
+{
+    const auto update = cut_off_and_return(first, second, {removed("a", 7)}, 7);
+    second.follower.apply_update(update);
+    BOOST_REQUIRE_EQUAL(second.view.endpoints().size(), 1U);
+    BOOST_TEST(second.view.endpoints()[0].instance == "b");
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_gateway_that_was_cut_off_holds_back_no_removal_once_another_says_that_the_store_was_there)
+{
+    second.follower.apply_update(cut_off_and_return(first, second, {removed("a", 7)}, 7));
+    now += std::chrono::milliseconds{50};
+    first.follower.apply_update(read_and_publish(second, {}, 7));
+    BOOST_REQUIRE_EQUAL(first.view.endpoints().size(), 1U);
+    BOOST_TEST(first.view.endpoints()[0].instance == "b");
+}
+
 BOOST_AUTO_TEST_CASE(registers_again_when_its_registration_is_missing_though_its_lease_holds)
 {
     start(first);
--- a/packages/gateway/fuzz/fuzz_registry.cpp
+++ b/packages/gateway/fuzz/fuzz_registry.cpp
@@ -1,5 +1,6 @@
 #include "fuzz_registry.hpp"
 
+#include "fuzz_registry_observer.hpp"
 #include "invariant_violation.hpp"
 
 #include <algorithm>
@@ -14,11 +15,11 @@
 constexpr std::size_t endpoint_count = 6;
 constexpr std::size_t domain_count = 2;
 constexpr std::size_t observer_count = 4;
-constexpr std::string_view endpoint_prefix = "e/";
 constexpr std::string_view domain_prefix = "o/";
 constexpr std::string_view configuration_key = "c";
 /// Time within which everything that a restore has lost is written again.
 constexpr milliseconds longest_rewrite{3000};
+constexpr milliseconds shortest_outage{2000};
 
 std::string name_of(std::string_view key)
 {
@@ -27,23 +28,6 @@
 
 } // namespace
 
-/// A view, and what has been delivered to it.
-struct fuzz_registry::observer {
-    registry_view view;
-
-    struct departure {
-        std::uint64_t stamp = 0;
-        bool is_removal = false;
-    };
-
-    /// The last drain or removal of each endpoint that was delivered.
-    std::map<std::string, departure> departures;
-    /// Failure domains of which the last delivered change says that they are out of service, and its era.
-    std::map<std::string, std::uint64_t> out_of_service;
-    std::uint64_t highest_version = 0;
-    instant era_began_at{};
-};
-
 fuzz_registry::fuzz_registry(std::uint64_t seed) : random_{seed}
 {
     write_configuration();
@@ -51,7 +35,7 @@
         write_endpoint(std::to_string(n), endpoint_phase::ready);
     }
     for (std::size_t n = 0; n < observer_count; ++n) {
-        observers_.push_back(std::make_unique<observer>());
+        observers_.push_back(std::make_unique<observer>(now_));
         read(*observers_.back(), true);
     }
     copy_ = state_;
@@ -63,14 +47,16 @@
 void fuzz_registry::step()
 {
     now_ += milliseconds{random_() % 200};
-    while (!lost_.empty() && lost_.front().first <= now_) {
+    while (!is_down_ && !lost_.empty() && lost_.front().first <= now_) {
         const auto key = lost_.front().second;
         lost_.pop_front();
         write_again(key);
     }
     auto& it = *observers_[random_() % observers_.size()];
     const auto name = std::to_string(random_() % endpoint_count);
-    switch (random_() % 12) {
+    constexpr std::uint64_t last_write = 6;
+    const auto event = random_() % 20;
+    switch (is_down_ && event <= last_write ? std::uint64_t{7} : event) {
     case 0:
     case 1:
         if (truth_.endpoints[name] != endpoint_phase::absent) {
@@ -98,6 +84,22 @@
     case 7:
         learn_from(it, *observers_[random_() % observers_.size()]);
         break;
+    case 8:
+        if (is_down_ && now_ - down_at_ >= shortest_outage) {
+            end_outage();
+        }
+        else if (!is_down_ && chance(10)) {
+            begin_outage();
+        }
+        break;
+    case 9:
+        it.is_cut = it.is_cut ? chance(40) : chance(25);
+        break;
+    case 10:
+    case 11:
+    case 12:
+        tell(it, *observers_[random_() % observers_.size()]);
+        break;
     default:
         read(it, chance(10));
     }
@@ -109,6 +111,12 @@
 
 void fuzz_registry::settle()
 {
+    if (is_down_) {
+        end_outage();
+    }
+    for (const auto& it : observers_) {
+        it->is_cut = false;
+    }
     for (const auto& [at, key] : std::exchange(lost_, {})) {
         write_again(key);
     }
@@ -204,6 +212,7 @@
     written_since_copy_.insert(key);
     ++last_stamp_;
     if (key.starts_with(endpoint_prefix)) {
+        lapsed_.erase(name_of(key));
         const auto phase = truth_.endpoints.at(name_of(key));
         if (phase == endpoint_phase::ready) {
             truth_.last_ready[name_of(key)] = last_stamp_;
@@ -245,6 +254,7 @@
 {
     ++era_;
     ++restores_;
+    lapsed_.clear();
     state_ = copy_;
     for (const auto& key : std::exchange(written_since_copy_, {})) {
         lost_.emplace_back(now_ + milliseconds{random_() % longest_rewrite.count()}, key);
@@ -254,12 +264,16 @@
 
 void fuzz_registry::read(observer& it, bool is_full)
 {
+    if (is_down_ || it.is_cut) {
+        it.failed_since = std::min(it.failed_since, now_);
+        return;
+    }
     const auto is_new_era = it.view.era() != era_;
     std::vector<registry_change> changes;
     if (is_new_era) {
-        it.view.begin_era(era_, now_);
-        it.era_began_at = now_;
+        it.begin_era(era_, now_);
     }
+    note_answered(it);
     if (is_full || is_new_era || it.view.revision() < state_.compacted) {
         for (const auto& [key, item] : state_.items) {
             changes.push_back({key, item.revision, false, item.item, ""});
@@ -278,7 +292,7 @@
 
 void fuzz_registry::learn_from(observer& it, const observer& other)
 {
-    if (&it == &other || other.view.position() <= it.view.position()) {
+    if (&it == &other || it.is_cut || other.is_cut || other.view.position() <= it.view.position()) {
         return;
     }
     std::vector<registry_change> changes;
@@ -293,9 +307,9 @@
         changes.push_back({reported.key, reported.revision, false, stored->second.item, ""});
     }
     if (it.view.era() != era_) {
-        it.view.begin_era(era_, now_);
-        it.era_began_at = now_;
+        it.begin_era(era_, now_);
     }
+    tell(it, other);
     for (const auto& change : changes) {
         const auto& stored = state_.items.at(change.key);
         note_delivered(it, change.key, {stored.revision, stored.stamp, change.key, false, stored.item});
@@ -352,15 +366,22 @@
     for (const auto& endpoint : it.view.endpoints()) {
         const auto departure = it.departures.find(endpoint.instance);
         const auto ready = truth_.last_ready.find(endpoint.instance);
-        // A removal in the grace time may be a registration that lapsed, and takes effect after it.
+        // A removal after an outage may be a registration that lapsed, and takes effect later.
         if (endpoint.is_draining || departure == it.departures.end() ||
-            (departure->second.is_removal && it.view.remaining_grace(now_) > duration::zero())) {
+            (departure->second.is_removal && now_ < it.may_hold_until)) {
             continue;
         }
         if (ready == truth_.last_ready.end() || ready->second < departure->second.stamp) {
             throw invariant_violation{"endpoint " + endpoint.instance + " is used after it drained or left"};
         }
     }
+    for (const auto& name : it.kept) {
+        const auto used = it.view.endpoints();
+        if (lapsed_.contains(name) &&
+            std::ranges::find(used, name, &endpoint_record::instance) == used.end()) {
+            throw invariant_violation{"endpoint " + name + " is not used though it lapsed in an outage only"};
+        }
+    }
     const auto out = it.view.out_of_service();
     for (const auto& [domain, era] : it.out_of_service) {
         const auto is_out = truth_.out_of_service.find(domain);
--- a/packages/gateway/fuzz/fuzz_registry.hpp
+++ b/packages/gateway/fuzz/fuzz_registry.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <hemlocknotch/gateway/registry_contact.hpp>
 #include <hemlocknotch/gateway/registry_view.hpp>
 
 #include <cstdint>
@@ -16,8 +17,8 @@
 
 namespace hemlocknotch::gateway {
 
-/// Several views of a registry that is restored from older copies at random, with an oracle that knows the
-/// order in which everything was really written. Used by one thread.
+/// Several views of a registry that is away, out of reach for some of them, and restored from older copies at
+/// random, with an oracle that knows when and in which order everything really happened. Used by one thread.
 class fuzz_registry {
 public:
     explicit fuzz_registry(std::uint64_t seed);
@@ -81,6 +82,13 @@
     void put(const std::string& key, registry_item item);
     void erase(const std::string& key);
     void restore();
+    void begin_outage();
+    /// Lets registrations lapse, most of them of endpoints that register again.
+    void end_outage();
+    /// Tells the contact and the view of `it` that a read was answered.
+    void note_answered(observer& it);
+    /// Lets `it` weigh what `other` states of the registry's answers.
+    void tell(observer& it, const observer& other);
     void read(observer& it, bool is_full);
     void learn_from(observer& it, const observer& other);
     void replace(observer& it, std::span<const registry_change> changes, std::uint64_t revision);
@@ -103,6 +111,10 @@
     std::uint64_t era_ = 1;
     std::uint64_t last_stamp_ = 0;
     std::uint64_t restores_ = 0;
+    bool is_down_ = false;
+    instant down_at_{};
+    /// Living endpoints of which the registration lapsed in the last outage and is not yet written again.
+    std::set<std::string> lapsed_;
     std::vector<std::unique_ptr<observer>> observers_;
 };
 
--- a/packages/gateway/include/hemlocknotch/gateway/registry_update.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_update.hpp
@@ -3,6 +3,7 @@
 #include <hemlocknotch/core/time.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,8 +33,11 @@
     std::uint64_t digest = 0;
     /// Time since the registry was read.
     duration age{};
-    /// Remaining grace time of registrations that lapsed in an outage of the registry; zero: none.
+    /// Remaining grace time after an outage of the registry that the reporting gateway saw; zero: none.
     duration grace{};
+    /// Time for which the registry has answered the reporting gateway, or others that it heard of, without a
+    /// gap, when the update was sent. Nothing: not stated, by gateways of earlier versions.
+    std::optional<duration> answering_for;
     /// Some change was too large for the report; receivers have to read it from the registry.
     bool is_partial = false;
     /// Version of the configuration that the reporting gateway has in force; 0: none, or not stated.
--- a/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
@@ -71,12 +71,13 @@
     /// Applies changes, which may be in any order and repeated.
     registry_difference apply(std::span<const registry_change> changes, std::uint64_t revision, instant now);
 
-    /// Tells the view that the registry answers again after an outage. Until the grace time from `now` is
-    /// over, removals of endpoints that were ready take no effect.
-    void on_registry_recovered(instant now);
+    /// Tells the view that the registry answers again since `at`, after an outage that this gateway saw
+    /// itself. Until the grace time from `at` is over, removals of endpoints that were ready take no effect.
+    void on_registry_recovered(instant at);
 
-    /// Extends the grace time to `until`, as another gateway has reported it. Never shortens it.
-    void extend_grace(instant until);
+    /// Ends the grace time where it would end if the registry had answered again since `answering_since`, as
+    /// other gateways know. Never extends it. `on_timer` makes removals final that were held back for longer.
+    void limit_grace(instant answering_since);
 
     /// Returns the remaining grace time at `now`; zero: none.
     [[nodiscard]] duration remaining_grace(instant now) const;
--- a/packages/gateway/src/registry_view.cpp
+++ b/packages/gateway/src/registry_view.cpp
@@ -56,7 +56,7 @@
     revision_ = 0;
     era_ = era;
     if (!entries_.empty()) {
-        extend_grace(now + reregistration_grace);
+        on_registry_recovered(now);
     }
 }
 
@@ -229,14 +229,23 @@
     remove(it, now, difference);
 }
 
-void registry_view::on_registry_recovered(instant now)
+void registry_view::on_registry_recovered(instant at)
 {
-    extend_grace(now + reregistration_grace);
+    grace_until_ = std::max(grace_until_, at + reregistration_grace);
 }
 
-void registry_view::extend_grace(instant until)
+void registry_view::limit_grace(instant answering_since)
 {
-    grace_until_ = std::max(grace_until_, until);
+    const auto until = answering_since + reregistration_grace;
+    if (until >= grace_until_) {
+        return;
+    }
+    grace_until_ = until;
+    for (auto& [key, it] : entries_) {
+        if (it.used_until != instant::max() && is_ready_endpoint(it.item)) {
+            it.used_until = std::min(it.used_until, until);
+        }
+    }
 }
 
 duration registry_view::remaining_grace(instant now) const
--- a/packages/gateway/tests/registry_view_test.cpp
+++ b/packages/gateway/tests/registry_view_test.cpp
@@ -91,6 +91,23 @@
     BOOST_TEST(it.endpoints().empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_removal_that_is_held_back_becomes_final_once_the_outage_is_known_to_have_been_none)
+{
+    registry_view it;
+    it.apply(std::vector{endpoint("a", 5), endpoint("b", 6)}, 6, start);
+    it.on_registry_recovered(start);
+    it.apply(std::vector{removed("e/a", 7)}, 7, start);
+    it.limit_grace(start + std::chrono::seconds{1});
+    BOOST_TEST((it.next_due() == start + registry_view::reregistration_grace));
+    it.limit_grace(start - std::chrono::seconds{1});
+    const auto due = start - std::chrono::seconds{1} + registry_view::reregistration_grace;
+    BOOST_TEST((it.next_due() == due));
+    it.on_timer(due);
+    BOOST_REQUIRE_EQUAL(it.endpoints().size(), 1U);
+    it.apply(std::vector{removed("e/b", 8)}, 8, due);
+    BOOST_TEST(it.endpoints().empty());
+}
+
 BOOST_AUTO_TEST_CASE(an_unreadable_entry_removes_its_endpoint)
 {
     registry_view it;
