Count a silence of the store with the longest read

The time without news that counts as an outage left out how long a read takes that is answered. It now counts 1.5 s for it.

--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -44,7 +44,7 @@
       log_{std::move(log)},
       publish_{std::move(publish)},
       fetch_from_peers_{std::move(fetch_from_peers)},
-      contact_{options.max_age + max_read_jitter + gateway::registry_contact::outage_threshold, now_()},
+      contact_{options.max_age + max_read_jitter + gateway::registry_contact::longest_read, now_()},
       read_timer_{base, [this] { needs_full_read_ ? read() : watch(); }},
       lease_timer_{base, [this] { lease_id_ == 0 ? join() : renew(); }},
       grace_timer_{base, [this] { notify_changed(view_.on_timer(now_())); }},
--- a/packages/gateway/include/hemlocknotch/gateway/registry_contact.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_contact.hpp
@@ -20,6 +20,9 @@
     /// gateway states is compared with what another one knows within the same time.
     static constexpr duration outage_threshold = std::chrono::milliseconds{500};
 
+    /// Longest time that a read of the registry takes which is answered.
+    static constexpr duration longest_read = std::chrono::milliseconds{1500};
+
     /// `max_silence` is the longest time in which a gateway that lacks nothing hears of no answer of the
     /// registry. Nothing is known of the time before `now`.
     registry_contact(duration max_silence, instant now);
