State a grace time in the test of one gateway's cut

the_cut_of_one_gateway_holds_back_no_removal_at_the_others passed on the code before in its present form: whether the gateway that was cut off stated a grace time there depended on when its read was requested.

--- a/packages/daemon/tests/registry_follower_test.cpp
+++ b/packages/daemon/tests/registry_follower_test.cpp
@@ -378,7 +378,8 @@
 
 BOOST_AUTO_TEST_CASE(the_cut_of_one_gateway_holds_back_no_removal_at_the_others)
 {
-    const auto update = cut_off_and_return(first, second, {removed("a", 7)}, 7);
+    auto update = cut_off_and_return(first, second, {removed("a", 7)}, 7);
+    update.grace = registry_view::reregistration_grace;
     second.follower.apply_update(update);
     BOOST_REQUIRE_EQUAL(second.view.endpoints().size(), 1U);
     BOOST_TEST(second.view.endpoints()[0].instance == "b");
