Give the broken stream of the retry tests one place

Six cases of router_retry_suite began and broke off the same stream in the same four lines. Behaviour and assertions are unchanged; router_retry_suite passes.

--- a/packages/gateway/tests/router_retry_test.cpp
+++ b/packages/gateway/tests/router_retry_test.cpp
@@ -8,7 +8,18 @@
 namespace hemlocknotch::gateway {
 namespace {
 
-BOOST_FIXTURE_TEST_SUITE(router_retry_suite, router_fixture)
+struct router_retry_fixture : router_fixture {
+    /// Sends request 1, of a resumable stream, to an endpoint that breaks off after one event.
+    void break_stream_after_first_event()
+    {
+        send_request(1, "/resume/x");
+        head(port.calls[0], 200, true);
+        it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
+        it.on_end(port.calls[0].call, call_outcome::broken, now);
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(router_retry_suite, router_retry_fixture)
 
 BOOST_AUTO_TEST_CASE(does_not_retry_an_unsafe_request_that_may_have_been_executed)
 {
@@ -78,10 +89,7 @@
 
 BOOST_AUTO_TEST_CASE(sends_no_second_answer_into_a_stream_whose_resumption_is_rejected)
 {
-    send_request(1, "/resume/x");
-    head(port.calls[0], 200, true);
-    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
-    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    break_stream_after_first_event();
     BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
     for (std::size_t n = 1; n < port.calls.size(); ++n) {
         reject(port.calls[n]);
@@ -164,10 +172,7 @@
 
 BOOST_AUTO_TEST_CASE(a_status_without_a_body_does_not_complete_a_begun_stream)
 {
-    send_request(1, "/resume/x");
-    head(port.calls[0], 200, true);
-    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
-    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    break_stream_after_first_event();
     BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
     head(port.calls[1], 204, true);
     it.on_end(port.calls[1].call, call_outcome::complete, now);
@@ -177,10 +182,7 @@
 
 BOOST_AUTO_TEST_CASE(an_event_without_an_id_does_not_continue_a_stream)
 {
-    send_request(1, "/resume/x");
-    head(port.calls[0], 200, true);
-    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
-    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    break_stream_after_first_event();
     BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
     head(port.calls[1], 200, true);
     it.on_part(port.calls[1].call, "event: error\ndata: failed\n\n", now);
@@ -223,10 +225,7 @@
 
 BOOST_AUTO_TEST_CASE(a_rejected_resumption_is_sent_to_a_further_endpoint_and_continues)
 {
-    send_request(1, "/resume/x");
-    head(port.calls[0], 200, true);
-    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
-    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    break_stream_after_first_event();
     BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
     reject(port.calls[1]);
     BOOST_REQUIRE_EQUAL(port.calls.size(), 3U);
@@ -243,10 +242,7 @@
     auto document = create_document(2);
     document.routes[4].max_attempts = 3;
     it.set_configuration(std::make_shared<routing_configuration>(std::move(document)), now);
-    send_request(1, "/resume/x");
-    head(port.calls[0], 200, true);
-    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
-    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    break_stream_after_first_event();
     BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
     head(port.calls[1], 500);
     BOOST_REQUIRE_EQUAL(port.calls.size(), 3U);
@@ -261,10 +257,7 @@
 
 BOOST_AUTO_TEST_CASE(logs_an_answer_that_does_not_continue_a_begun_stream)
 {
-    send_request(1, "/resume/x");
-    head(port.calls[0], 200, true);
-    it.on_part(port.calls[0].call, "id: 1\ndata: x\n\n", now);
-    it.on_end(port.calls[0].call, call_outcome::broken, now);
+    break_stream_after_first_event();
     BOOST_REQUIRE_EQUAL(port.calls.size(), 2U);
     head(port.calls[1], 500);
     it.on_end(port.calls[1].call, call_outcome::complete, now);
