Take no request that may outlast a planned stop, and answer all at its end

Cause: a stop changed nothing about requests. Connections were closed once idle, but a request whose last bytes came late on a busy connection, one that waited in the queue, and one that its endpoint had rejected were begun at an endpoint whatever time was left. At the end of the grace the loop was left with requests open: their connections were closed, though it is known of each whether it may have run.

Change: the router knows when its gateway ends. From the end of intake on a request that no endpoint has received is begun only where its time limit ends by then; others are refused at once, truthfully (503, "stopping"), be they new, waiting, rejected by an endpoint, not connected, or recalled. At the end each open request gets its final answer: 503 where nothing was sent, 502 where it may have run; a begun stream is cut off. The process then waits for callers to take these answers. stop_schedule has the times and fits them into any grace: before, a grace of less than 2.6 s ended by force before the stop did anything.

--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -9,18 +9,15 @@
 namespace hemlocknotch::daemon {
 namespace {
 
-/// Time for the load balancer to notice that this instance accepts no more connections: it checks once a
-/// second and removes an instance after two failed checks.
-constexpr duration balancer_delay = std::chrono::milliseconds{2600};
 constexpr duration stop_check_interval = std::chrono::milliseconds{200};
+/// The same once all requests have ended and only answers are on their way.
+constexpr duration exit_check_interval = std::chrono::milliseconds{20};
 /// Age at which the view of the registry is refreshed, as a part of the shortest time within which its
 /// changes must take effect. The rest covers the jitter of reads, one failed read, and the report to other
 /// gateways.
 constexpr double view_age_share = 0.4;
 /// Age at which the registry is logged as stale, as a part of the same time: two refreshes are overdue.
 constexpr double stale_age_share = 0.8;
-/// Time by which the process ends before it would be ended by force.
-constexpr duration stop_margin = std::chrono::milliseconds{700};
 /// File descriptors that are reserved for files and for sockets other than callers' and endpoints'
 /// connections.
 constexpr std::size_t reserved_descriptors = 250;
@@ -110,6 +107,7 @@
           base, [this] { return clock_.now(); },
           [this](duration it) { record_seconds("hemlocknotch_gateway_request_delay_seconds", it); }},
       registry_age_{part_of_bound(settings, stale_age_share), [this](const log_effect& it) { log(it); }},
+      stop_schedule_{settings.stop_grace},
       stop_timer_{base, [this] { continue_stop(); }}
 {
 }
@@ -158,21 +156,34 @@
     stop_requested_at_ = clock_.now();
     log({log_level::info, "stopping", {{"open_requests", std::to_string(callers_.serving_count())}}});
     callers_.begin_stop();
-    stop_timer_.start(balancer_delay);
+    stop_timer_.start(stop_schedule_.end_of_intake());
 }
 
 void gateway_shell::continue_stop()
 {
+    const auto now = clock_.now();
+    const auto passed = now - stop_requested_at_;
+    if (!std::exchange(has_intake_ended_, true)) {
+        router_.begin_stop(stop_requested_at_ + stop_schedule_.end_of_requests(), now);
+        schedule_router_timer();
+    }
     callers_.close_idle_connections();
-    const auto passed = clock_.now() - stop_requested_at_;
+    if (passed >= stop_schedule_.end_of_requests() && !std::exchange(have_requests_ended_, true)) {
+        log({log_level::info,
+             "ending-requests",
+             {{"open_requests", std::to_string(router_.exchange_count())}}});
+        router_.end_all(now);
+        follower_.leave();
+    }
     const auto is_idle = callers_.serving_count() == 0 && callers_.connection_count() == 0;
-    if (is_idle || passed >= settings_.stop_grace - stop_margin) {
+    if (is_idle || passed >= stop_schedule_.end_of_process()) {
         follower_.leave();
-        log({log_level::info, "stopped", {{"open_requests", std::to_string(callers_.serving_count())}}});
+        log({log_level::info, "stopped", {{"connections", std::to_string(callers_.connection_count())}}});
         event_base_loopbreak(base_);
         return;
     }
-    stop_timer_.start(stop_check_interval);
+    const auto until_end = stop_schedule_.end_of_requests() - passed;
+    stop_timer_.start(have_requests_ended_ ? exit_check_interval : std::min(stop_check_interval, until_end));
 }
 
 void gateway_shell::apply_registry_difference(const gateway::registry_difference& difference)
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -24,6 +24,7 @@
 #include "report_exchange.hpp"
 #include "request_delay_probe.hpp"
 #include "signature_block_registrar.hpp"
+#include "stop_schedule.hpp"
 
 #include <boost/leaf/result.hpp>
 
@@ -66,7 +67,8 @@
     void reload();
 
     /// Serves the requests in progress and then ends the event loop, at the latest shortly before the stop
-    /// grace of the settings is over.
+    /// grace of the settings is over. Requests that are read late and may outlast it are refused; those that
+    /// are still open at its end get a final answer.
     void stop();
 
 private:
@@ -148,8 +150,11 @@
     request_delay_probe request_delay_;
     registry_age_monitor registry_age_;
     bool is_overloaded_ = false;
+    stop_schedule stop_schedule_;
     timer stop_timer_;
     instant stop_requested_at_ = instant::max();
+    bool has_intake_ended_ = false;
+    bool have_requests_ended_ = false;
     std::uint64_t malformed_count_ = 0;
     std::uint64_t discarded_count_ = 0;
 };
--- a/packages/gateway/fuzz/fuzz_fleet.cpp
+++ b/packages/gateway/fuzz/fuzz_fleet.cpp
@@ -34,6 +34,7 @@
 fuzz_fleet::fuzz_fleet(std::uint64_t seed)
     : random_{seed},
       unusual_random_{seed + 1},
+      stop_random_{seed + 2},
       part_crashes_{"requests with a part that crashes endpoints", counted_part_ends}
 {
     configuration_ = std::make_shared<routing_configuration>(create_fuzz_configuration(1));
@@ -103,6 +104,7 @@
     else {
         advance_time();
     }
+    advance_stop(it);
     send_urgent_reports();
     check_deadlines(it);
 }
--- a/packages/gateway/fuzz/fuzz_fleet.hpp
+++ b/packages/gateway/fuzz/fuzz_fleet.hpp
@@ -75,6 +75,8 @@
     /// Sends the report of one gateway to the others, of which some do not receive it.
     void send_report(gateway_state& from, unsigned loss_percent);
     void advance_time();
+    /// Now and then lets the gateway stop, and checks what it does at the end.
+    void advance_stop(gateway_state& it);
     void check_deadlines(gateway_state& it);
     void check_arrival(const call_start& start);
     void execute(gateway_state& it, open_call& call);
@@ -104,6 +106,7 @@
 
     std::mt19937_64 random_;
     std::mt19937_64 unusual_random_;
+    std::mt19937_64 stop_random_;
     instant now_{std::chrono::seconds{1000}};
     affinity_placement model_placement_{affinity_options{}};
     random_placement plain_placement_;
--- a/packages/gateway/fuzz/fuzz_gateway.cpp
+++ b/packages/gateway/fuzz/fuzz_gateway.cpp
@@ -24,6 +24,7 @@
         request.check_call(fleet_.now_);
         fleet_.check_arrival(start);
         check_announcements(start.instance);
+        check_stop(request);
         if (++owner_.attempts[request.id] > 1) {
             ++fleet_.extra_attempts_;
         }
@@ -95,6 +96,14 @@
     void write_state_log(const log_effect& /*record*/) override {}
 
 private:
+    /// Checks that a gateway that stops begins no request that may outlast it.
+    void check_stop(const request_oracle& request)
+    {
+        if (owner_.stops_at && request.ends_at > *owner_.stops_at && owner_.attempts[request.id] == 0) {
+            throw invariant_violation{"a request that may outlast the gateway was begun while it stops"};
+        }
+    }
+
     /// Checks that an endpoint gets what it told this gateway to take.
     void check_announcements(const std::string& instance)
     {
--- a/packages/gateway/fuzz/fuzz_gateway.hpp
+++ b/packages/gateway/fuzz/fuzz_gateway.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hemlocknotch::gateway {
@@ -35,6 +36,8 @@
     };
 
     std::map<std::string, pause> pauses;
+    /// When it ends; empty unless it stops.
+    std::optional<instant> stops_at;
     /// Start times of endpoints that told this gateway that they leave.
     std::map<std::string, std::uint64_t> left;
 };
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -136,6 +136,12 @@
     /// Returns when `on_timer` is to be called next.
     [[nodiscard]] instant next_due(instant now) const;
 
+    /// The gateway stops and ends at `ends_at`. From now on a request is begun at an endpoint only where its
+    /// time limit ends by then, so that it is answered in any case. Others that wait or come are refused.
+    void begin_stop(instant ends_at, instant now);
+    /// Ends all requests, each with what is known of its execution. Streams that have begun are cut off.
+    void end_all(instant now);
+
     [[nodiscard]] bool has_configuration() const { return configuration_ != nullptr; }
 
     [[nodiscard]] std::size_t exchange_count() const;
@@ -157,6 +163,9 @@
     void send(exchange& it, endpoint_state& endpoint, instant now);
     void recall_from_leaving_endpoints(instant now);
     void send_again(exchange& it, instant now);
+    /// Refuses a request that no endpoint has received and that the gateway may not live to answer. Returns
+    /// whether it was refused; `it` is invalid then.
+    bool refuse_before_stop(exchange& it, instant now);
     void enqueue_or_refuse(exchange& it, instant now);
     void handle_failure(exchange& it, call_outcome outcome, instant now);
     /// The endpoint that was to continue a stream answers with something else, of which the caller cannot be
@@ -204,6 +213,8 @@
     router_port& port_;
     std::shared_ptr<const routing_configuration> configuration_;
     std::vector<endpoint_record> records_;
+    /// When the gateway ends; `instant::max()` unless it stops.
+    instant stops_at_ = instant::max();
     endpoint_table endpoints_;
     /// Creates and applies the load reports that the gateways exchange.
     std::unique_ptr<fleet_reports> reports_;
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -144,6 +144,9 @@
 
 void router::admit(exchange& it, instant now)
 {
+    if (refuse_before_stop(it, now)) {
+        return;
+    }
     if (const auto decision = decide_signatures(it, now); !decision.is_permitted()) {
         return refuse_signature(it, decision, now);
     }
--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -52,7 +52,9 @@
         assert(it != nullptr);
         if (port_.recall_call(it->call)) {
             finish_unsent_call(*it, now);
-            send_again(*it, now);
+            if (!refuse_before_stop(*it, now)) {
+                send_again(*it, now);
+            }
         }
     }
 }
@@ -292,6 +294,9 @@
     }
     it.executions += was_executed ? 1U : 0U;
     it.tried.push_back(it.instance);
+    if (refuse_before_stop(it, now)) {
+        return true;
+    }
     if (!decide_signatures(it, now).is_permitted()) {
         return false;
     }
--- a/packages/gateway/src/unserved_end.hpp
+++ b/packages/gateway/src/unserved_end.hpp
@@ -42,7 +42,12 @@
                                                 .failed_status = 504,
                                                 .failed_reason = "timed-out",
                                                 .refused_reason = "timed-out-waiting"};
-
+/// The gateway stops.
+inline constexpr unserved_end gateway_stopped{.cut_reason = "stopped",
+                                              .cut_level = log_level::warning,
+                                              .failed_status = 502,
+                                              .failed_reason = "stopped",
+                                              .refused_reason = "stopping"};
 /// A part of its prompt is suspected of crashing endpoints, or blocked for that.
 inline constexpr unserved_end prompt_part_restricted{.cut_reason = "prompt-part-blocked",
                                                      .cut_level = log_level::warning,
