Reset connections in the soak, and check that stops cut no request

Half of the callers reach their gateway through a relay.

Some requests are sent slowly, some may take longer than a planned stop, and now and then an endpoint answers nothing. A caller whose connection is closed without an answer after an endpoint received its request is a violation, unless the gateway was killed or a relay stands between.

--- a/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
+++ b/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
@@ -61,6 +61,8 @@
 
     /// Body of the request that crashes endpoints.
     static constexpr std::string_view crashing_body = "crash";
+    /// Longest time of a request, which is longer than a planned stop.
+    static constexpr std::chrono::seconds patient_timeout{12};
 
     enum class stage : std::uint8_t { starting, faulty, healing, checking, stopping, done };
 
@@ -92,6 +94,16 @@
     void add_repeating_endpoint();
     scripted_answer answer_twice(const scripted_request& request);
     void undo_failing(std::function<void()> undo);
+    /// Now and then resets connections of endpoints, callers and the store, once or in a series, beside
+    /// endpoints of models that fail a part of their requests.
+    void add_resets();
+    void reset_connections();
+    /// Now and then registers an endpoint of the plain service that answers nothing, for a while.
+    void add_mute_endpoint();
+    /// Sends a request at once, or its last bytes later.
+    void send_bytes(caller_state& it, const std::string& request, duration timeout);
+    /// Checks that a request was not cut without an answer once an endpoint had received it.
+    void check_cut(const caller_state& it, const kept_connection_answer& answer);
     /// Lets an endpoint reject some requests and write the rejections once more on their connections.
     void add_repeated_answers();
     /// Now and then writes an entry that names no endpoint to use, under a new name or over that of a sound
@@ -133,6 +145,8 @@
     int draw_repeated(int n);
     /// The same for odd entries.
     int draw_odd(int n);
+    /// The same for resets and for requests that are sent slowly.
+    int draw_reset(int n);
     soak_gateway& draw_gateway();
 
     soak_options options_;
@@ -143,6 +157,7 @@
     std::minstd_rand failing_random_;
     std::minstd_rand repeated_random_;
     std::minstd_rand odd_entry_random_;
+    std::minstd_rand reset_random_;
     event_loop loop_;
     platform_store store_;
     soak_record record_;
@@ -164,6 +179,9 @@
     scripted_endpoint repeating_model_;
     scripted_endpoint repeating_plain_;
     int repeating_registrations_ = 0;
+    /// Endpoint that takes requests and answers nothing.
+    scripted_endpoint mute_;
+    int mute_registrations_ = 0;
     /// Endpoint whose address only odd entries have.
     platform_endpoint unnamed_endpoint_;
     /// Number of odd entries under new names so far.
--- a/packages/standins/include/hemlocknotch/standins/kept_connection_caller.hpp
+++ b/packages/standins/include/hemlocknotch/standins/kept_connection_caller.hpp
@@ -50,6 +50,9 @@
     /// connection is open. Precondition: no request is in progress.
     void send(const std::string& request, duration timeout);
 
+    /// Sends more bytes of the request in progress. Ignored where it has ended.
+    void send_more(const std::string& bytes);
+
     /// Returns whether bytes have come since the last answer that no request asked for.
     [[nodiscard]] bool has_unsolicited() const { return !unsolicited_.empty(); }
 
--- a/packages/standins/include/hemlocknotch/standins/relay_connection.hpp
+++ b/packages/standins/include/hemlocknotch/standins/relay_connection.hpp
@@ -26,6 +26,9 @@
     /// With `is_silent`, passes nothing on until told otherwise; what comes meanwhile is passed on then.
     void set_silent(bool is_silent);
 
+    /// Lets both ends be reset, not closed in an orderly way, when this object is destroyed.
+    void reset_when_destroyed();
+
     /// Passes on what comes from the accepted socket, and holds back what comes from the target.
     void set_one_way();
 
--- a/packages/standins/include/hemlocknotch/standins/relay_route.hpp
+++ b/packages/standins/include/hemlocknotch/standins/relay_route.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
@@ -57,6 +58,9 @@
     /// Makes the connections that are open now silent for good; new ones follow the mode.
     void silence_open();
 
+    /// Resets each open connection, at both ends, for which `is_chosen` returns true.
+    void reset_open(const std::function<bool()>& is_chosen);
+
     /// Returns the number of open connections.
     [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
 
--- a/packages/standins/include/hemlocknotch/standins/soak_gateway.hpp
+++ b/packages/standins/include/hemlocknotch/standins/soak_gateway.hpp
@@ -51,6 +51,12 @@
 
     [[nodiscard]] relay_route& store_link() { return store_link_; }
 
+    /// Returns the relay by which some of its callers reach it.
+    [[nodiscard]] relay_route& caller_link() { return caller_link_; }
+
+    /// Returns whether the process was not killed since `since`.
+    [[nodiscard]] bool is_not_killed_since(instant since) const { return killed_at_ < since; }
+
     [[nodiscard]] const std::string& name() const { return name_; }
 
     [[nodiscard]] const std::string& log_path() const { return log_path_; }
@@ -69,10 +75,12 @@
     std::string settings_path_;
     std::string log_path_;
     relay_route store_link_;
+    relay_route caller_link_;
     std::unique_ptr<child_process> process_;
     bool is_stopping_ = false;
     bool is_paused_ = false;
     instant disturbed_at_{};
+    instant killed_at_{};
 };
 
 } // namespace hemlocknotch::standins
--- a/packages/standins/src/gateway_soak.cpp
+++ b/packages/standins/src/gateway_soak.cpp
@@ -1,6 +1,7 @@
 #include <hemlocknotch/standins/gateway_soak.hpp>
 #include <hemlocknotch/standins/platform_configuration.hpp>
 
+#include "gateway_soak_caller.hpp"
 #include "loopback_block.hpp"
 
 #include <algorithm>
@@ -23,6 +24,8 @@
 /// Longest time for a start, for healing, and for the end of the processes.
 constexpr duration stage_limit = seconds{30};
 constexpr duration caller_timeout = seconds{4};
+/// One of so many requests may take longer than a planned stop.
+constexpr int requests_per_patient_one = 4;
 constexpr duration request_pause = milliseconds{30};
 /// One of so many requests is the one that crashes the endpoints of the plain service, where there is one.
 constexpr int requests_per_crash = 20;
@@ -57,24 +60,6 @@
 
 } // namespace
 
-/// A caller and its request in progress.
-struct gateway_soak::caller_state {
-    caller_state(gateway_soak& soak, soak_gateway& to)
-        : gateway{to},
-          caller{soak.loop_.base(), to.callers(),
-                 [this, &soak](const kept_connection_answer& it) { soak.handle_answer(*this, it); }},
-          pause{soak.loop_.base(), [this, &soak] { soak.send_request(*this); }}
-    {
-    }
-
-    soak_gateway& gateway;
-    kept_connection_caller caller;
-    timer pause;
-    std::string id;
-    std::string expected_body;
-    bool has_served_since_healing = false;
-};
-
 gateway_soak::gateway_soak(const soak_options& options, const soak_paths& paths)
     : options_{options},
       random_{static_cast<std::minstd_rand::result_type>(options.seed)},
@@ -84,12 +69,14 @@
       failing_random_{static_cast<std::minstd_rand::result_type>(options.seed + 4)},
       repeated_random_{static_cast<std::minstd_rand::result_type>(options.seed + 5)},
       odd_entry_random_{static_cast<std::minstd_rand::result_type>(options.seed + 6)},
+      reset_random_{static_cast<std::minstd_rand::result_type>(options.seed + 7)},
       store_{loop_.base(), any_port},
       record_{options.bound},
       endless_model_{loop_.base(), any_port, "X-Request-Id"},
       endless_plain_{loop_.base(), any_port, "X-Request-Id"},
       repeating_model_{loop_.base(), any_port, [this](const auto& it) { return answer_twice(it); }},
       repeating_plain_{loop_.base(), any_port, [this](const auto& it) { return answer_twice(it); }},
+      mute_{loop_.base(), any_port, [](const auto& /*request*/) { return scripted_answer{}; }},
       unnamed_endpoint_{loop_.base(), any_port, "unnamed"},
       step_{loop_.base(), [this] { advance(); }}
 {
@@ -112,7 +99,7 @@
     if (draw_ending(2) == 0) {
         add_crashing_request();
     }
-    store_.put("op/config", create_platform_configuration(version_));
+    store_.put("op/config", create_platform_configuration(version_, true, 0, patient_timeout));
     record_.note_configuration(has_second_key_, now());
     const std::vector<std::string> seeds{soak_gateway::registry_page_at(host_of(1)),
                                          soak_gateway::registry_page_at(host_of(2))};
@@ -121,7 +108,7 @@
             std::make_unique<soak_gateway>(loop_.base(), paths, n, host_of(n), seeds, store_.address()));
         gateways_.back()->start();
         for (int k = 0; k < options_.callers; ++k) {
-            callers_.push_back(std::make_unique<caller_state>(*this, *gateways_.back()));
+            callers_.push_back(std::make_unique<caller_state>(*this, *gateways_.back(), k % 2 == 0));
             callers_.back()->pause.start(request_pause);
         }
     }
@@ -284,22 +271,26 @@
     request.is_gateway_in_touch = is_in_touch(it.gateway);
     request.is_gateway_undisturbed = it.gateway.is_undisturbed_since(now() - contact_time);
     it.id = record_.add(request);
+    it.sent_at = request.sent_at;
     const auto is_stream = request.kind == soak_request_kind::stream;
     const auto* target = is_stream                                   ? "/stream/x"
                          : request.kind == soak_request_kind::unsafe ? "/unsafe/x"
                                                                      : "/safe/x";
     const auto body = is_crashing ? std::string{crashing_body} : "body of " + it.id;
     it.expected_body = is_stream ? whole_stream() : body;
-    it.caller.send("POST " + std::string{target} + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + it.id +
-                       "\r\nX-Deadline-Ms: " +
-                       std::to_string(std::chrono::duration_cast<milliseconds>(caller_timeout).count()) +
-                       "\r\nX-Credential: " + (request.has_second_key ? "key-2" : "key-1") +
-                       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
-                   caller_timeout + seconds{1});
+    const auto timeout = draw_reset(requests_per_patient_one) == 0 ? patient_timeout : caller_timeout;
+    send_bytes(it,
+               "POST " + std::string{target} + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + it.id +
+                   "\r\nX-Deadline-Ms: " +
+                   std::to_string(std::chrono::duration_cast<milliseconds>(timeout).count()) +
+                   "\r\nX-Credential: " + (request.has_second_key ? "key-2" : "key-1") +
+                   "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+               timeout + seconds{1});
 }
 
 void gateway_soak::handle_answer(caller_state& it, const kept_connection_answer& answer)
 {
+    it.rest_timer.stop();
     if (answer.is_malformed) {
         record_.add_violation(it.id + " at " + it.gateway.name() + ": no HTTP answer: '" + answer.received +
                               "'");
@@ -308,6 +299,7 @@
         record_.check_answer(it.id, answer.status, answer.body, it.expected_body);
     }
     record_.check_partial_body(it.id, answer.partial_body, it.expected_body);
+    check_cut(it, answer);
     if (!answer.unsolicited.empty()) {
         record_.add_violation(it.id + " at " + it.gateway.name() + ": bytes that no request asked for: '" +
                               answer.unsolicited + "'");
@@ -360,7 +352,7 @@
             total[id] += n;
         }
     }
-    for (const auto* it : {&repeating_model_, &repeating_plain_}) {
+    for (const auto* it : {&repeating_model_, &repeating_plain_, &mute_}) {
         for (const auto& [id, n] : it->executions) {
             total[id] += n;
         }
--- a/packages/standins/src/gateway_soak_faults.cpp
+++ b/packages/standins/src/gateway_soak_faults.cpp
@@ -58,6 +58,8 @@
     add_failing_answers();
     add_repeated_answers();
     add_odd_entries();
+    add_resets();
+    add_mute_endpoint();
     while (!undos_.empty() && undos_.front().first <= now()) {
         const auto undo = std::move(undos_.front().second);
         undos_.pop_front();
@@ -185,8 +187,8 @@
 {
     has_second_key_ = draw(2) == 0;
     ++version_;
-    store_.put("op/config",
-               create_platform_configuration(version_, has_second_key_, draw(4) == 0 ? many_routes : 0));
+    store_.put("op/config", create_platform_configuration(version_, has_second_key_,
+                                                          draw(4) == 0 ? many_routes : 0, patient_timeout));
     record_.note_configuration(has_second_key_, now());
 }
 
--- a/packages/standins/src/kept_connection_caller.cpp
+++ b/packages/standins/src/kept_connection_caller.cpp
@@ -126,6 +126,13 @@
     timeout_.start(timeout);
 }
 
+void kept_connection_caller::send_more(const std::string& bytes)
+{
+    if (is_waiting_) {
+        bufferevent_write(connection_.get(), bytes.data(), bytes.size());
+    }
+}
+
 void kept_connection_caller::connect()
 {
     is_connected_ = false;
--- a/packages/standins/src/platform_configuration.cpp
+++ b/packages/standins/src/platform_configuration.cpp
@@ -9,13 +9,14 @@
 
 using nlohmann::json;
 
-json create_route(const std::string& prefix, const char* kind, const char* service, bool is_resumable)
+json create_route(const std::string& prefix, const char* kind, const char* service, bool is_resumable,
+                  std::chrono::milliseconds timeout)
 {
     return {{"name", prefix},
             {"hostname", "h"},
             {"prefix", prefix},
             {"route-type", kind},
-            {"timeout-ms", 5000},
+            {"timeout-ms", timeout.count()},
             {"priority", 1},
             {"backend", service},
             {"max-attempts", 2},
@@ -26,13 +27,15 @@
 
 } // namespace
 
-std::string create_platform_configuration(std::uint64_t version, bool has_second_key, int further_routes)
+std::string create_platform_configuration(std::uint64_t version, bool has_second_key, int further_routes,
+                                          std::chrono::milliseconds timeout)
 {
-    auto routes = json::array({create_route("/stream/", "streaming", "model", true),
-                               create_route("/unsafe/", "unsafe", "plain", false),
-                               create_route("/safe/", "safe", "plain", false)});
+    auto routes = json::array({create_route("/stream/", "streaming", "model", true, timeout),
+                               create_route("/unsafe/", "unsafe", "plain", false, timeout),
+                               create_route("/safe/", "safe", "plain", false, timeout)});
     for (int n = 0; n < further_routes; ++n) {
-        routes.push_back(create_route("/further-" + std::to_string(n) + "/", "safe", "plain", false));
+        routes.push_back(
+            create_route("/further-" + std::to_string(n) + "/", "safe", "plain", false, timeout));
     }
     auto keys = json::array({"key-1"});
     if (has_second_key) {
--- a/packages/standins/src/relay_connection.cpp
+++ b/packages/standins/src/relay_connection.cpp
@@ -68,6 +68,14 @@
     }
 }
 
+void relay_connection::reset_when_destroyed()
+{
+    constexpr linger discard{.l_onoff = 1, .l_linger = 0};
+    for (bufferevent* it : {near_.get(), far_.get()}) {
+        setsockopt(bufferevent_getfd(it), SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+    }
+}
+
 void relay_connection::set_one_way()
 {
     set_silent(true);
--- a/packages/standins/src/relay_route.cpp
+++ b/packages/standins/src/relay_route.cpp
@@ -90,6 +90,17 @@
     }
 }
 
+void relay_route::reset_open(const std::function<bool()>& is_chosen)
+{
+    connections_.remove_if([&](const open_connection& it) {
+        if (!is_chosen()) {
+            return false;
+        }
+        it.connection->reset_when_destroyed();
+        return true;
+    });
+}
+
 void relay_route::on_accepted(evconnlistener* /*listener*/, int fd, sockaddr* /*from*/, int /*n*/, void* self)
 {
     static_cast<relay_route*>(self)->accept(fd);
--- a/packages/standins/src/soak_gateway.cpp
+++ b/packages/standins/src/soak_gateway.cpp
@@ -31,7 +31,8 @@
       host_{host},
       settings_path_{paths.directory + "/" + name_ + ".json"},
       log_path_{paths.directory + "/" + name_ + ".log"},
-      store_link_{base, store}
+      store_link_{base, store},
+      caller_link_{base, callers()}
 {
     std::ofstream file{settings_path_};
     file << nlohmann::json{{"instance", name_},
@@ -78,6 +79,7 @@
     is_stopping_ = false;
     is_paused_ = false;
     disturb(SIGKILL);
+    killed_at_ = disturbed_at_;
 }
 
 void soak_gateway::pause()
