Give slow callers the whole of their last answer

What callers could see: an answer framed by its length that ends early, where the caller takes longer than two seconds for it, on a connection that is closed after the answer: on each connection during a planned stop, while many connections are open, and where the caller asked for it.

Cause: the time that a caller has to close its side was counted from the moment at which the answer was complete in the gateway, not from the one at which the caller had taken it. What the kernel had not accepted by then was discarded. The idle timeout of a kept connection did the same.

Found by reading the ways in which a stop ends connections.

Change: a connection whose caller has taken some of the unsent bytes since the last look is given as much time again. One that takes nothing is still closed, for which there is a test as well.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t max_pipelined_bytes = std::size_t{1} << 20U;
 /// Maximum number of bytes of an answer that are buffered for a slow caller; bounds memory.
 constexpr std::size_t max_unsent_bytes = std::size_t{8} << 20U;
-/// Time that a caller may take to close the connection after its last answer.
+/// Time that a caller may take to close the connection after its last answer, or to take some of an answer.
 constexpr duration close_timeout = std::chrono::seconds{2};
 /// Added to the idle timeout, so that a request that a caller sends just before the timeout is still read.
 constexpr duration idle_timeout_margin = std::chrono::milliseconds{500};
@@ -280,6 +280,7 @@
     exchange_ = 0;
     is_streaming_ = false;
     is_head_method_ = false;
+    unsent_bytes_ = channel_->pending_bytes();
     // The head of a stream may have been sent before the stop began, without `Connection: close`.
     is_closing_after_answer_ = is_closing_after_answer_ || owner_.is_closing_after_answers();
     if (is_closing_after_answer_) {
@@ -294,6 +295,12 @@
     }
 }
 
+bool caller_connection::is_taking_answer()
+{
+    const auto before = std::exchange(unsent_bytes_, channel_->pending_bytes());
+    return unsent_bytes_ < before;
+}
+
 void caller_connection::abort()
 {
     const auto exchange = std::exchange(exchange_, 0);
@@ -344,7 +351,7 @@
         return;
     }
     if (!is_serving() && (is_closing_after_answer_ || !parser_)) {
-        return close();
+        return is_taking_answer() ? timer_.start(close_timeout) : close();
     }
     if (parser_ && !is_serving()) {
         reject(status_request_timeout, "The request was not received in time.");
--- a/packages/daemon/src/gateway/caller_connection.hpp
+++ b/packages/daemon/src/gateway/caller_connection.hpp
@@ -7,6 +7,7 @@
 #include "message_parser.hpp"
 #include "socket_channel.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -87,6 +88,8 @@
     void handle_request();
     void reject(int status, std::string_view reason);
     void finish_answer();
+    /// Returns whether the caller has taken bytes of the answers that are still unsent since the last call.
+    bool is_taking_answer();
     void on_timeout();
     void enter_idle();
     void close();
@@ -101,6 +104,8 @@
     std::string stream_head_;
     std::unique_ptr<request_parser> parser_;
     gateway::exchange_id exchange_ = 0;
+    /// Bytes that were unsent when the last answer ended, or when that was checked last.
+    std::size_t unsent_bytes_ = 0;
     bool is_head_method_ = false;
     /// A stream has begun and not ended.
     bool is_streaming_ = false;
--- a/packages/daemon/tests/caller_server_test.cpp
+++ b/packages/daemon/tests/caller_server_test.cpp
@@ -71,6 +71,9 @@
 public:
     explicit blocking_client(unsigned short port) : fd_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)}
     {
+        // Little is on its way to a caller that reads slowly.
+        constexpr int buffer_size = 1 << 16;
+        ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &buffer_size, sizeof buffer_size);
         const auto to =
             detail::socket_address::of(*endpoint_address::parse("127.0.0.1:" + std::to_string(port)));
         BOOST_REQUIRE(::connect(fd_, to.get(), static_cast<socklen_t>(to.length())) == 0);
@@ -101,6 +104,15 @@
         return received_;
     }
 
+    /// Takes up to `size` bytes of what has arrived, and forgets them. Returns how many.
+    std::size_t skip(std::size_t size)
+    {
+        std::vector<char> buf(size);
+        const auto n = ::recv(fd_, buf.data(), buf.size(), MSG_DONTWAIT);
+        is_closed_ = is_closed_ || n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+        return n > 0 ? static_cast<std::size_t>(n) : 0;
+    }
+
     [[nodiscard]] bool is_closed() const { return is_closed_; }
 
 private:
@@ -419,6 +431,36 @@
     BOOST_TEST((std::chrono::steady_clock::now() - began < std::chrono::seconds{15}));
 }
 
+// Guards against whole answers that are cut because their callers read slowly.
+BOOST_AUTO_TEST_CASE(a_caller_that_reads_its_last_answer_slowly_gets_all_of_it)
+{
+    constexpr std::size_t size = std::size_t{24} << 20U;
+    constexpr std::size_t slow_part = std::size_t{1} << 17U;
+    constexpr auto slow_for = std::chrono::seconds{5};
+    blocking_client client{port};
+    client.send("GET /a/b HTTP/1.1\r\nHost: h\r\nId: 1\r\nConnection: close\r\n\r\n");
+    BOOST_REQUIRE(loop.run_until([&] { return recorder.exchanges.size() == 1; }));
+    server.reply(recorder.exchanges[0], {200, {}}, std::string(size, 'x'));
+    const auto began = std::chrono::steady_clock::now();
+    std::size_t received = 0;
+    BOOST_TEST(loop.run_until([&] {
+        const auto is_slow = std::chrono::steady_clock::now() - began < slow_for;
+        received += client.skip(is_slow ? slow_part / 4 : size);
+        return client.is_closed();
+    }));
+    BOOST_TEST(received > size);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_stops_reading_its_last_answer_is_disconnected)
+{
+    constexpr std::size_t size = std::size_t{24} << 20U;
+    blocking_client client{port};
+    client.send("GET /a/b HTTP/1.1\r\nHost: h\r\nId: 1\r\nConnection: close\r\n\r\n");
+    BOOST_REQUIRE(loop.run_until([&] { return recorder.exchanges.size() == 1; }));
+    server.reply(recorder.exchanges[0], {200, {}}, std::string(size, 'x'));
+    BOOST_TEST(loop.run_until([&] { return server.connection_count() == 0; }));
+}
+
 BOOST_AUTO_TEST_CASE(a_complete_answer_is_not_written_into_a_begun_stream)
 {
     blocking_client client{port};
