Take no success whose signature concerns the connection only

An endpoint that lists its signature header in `Connection` makes it a header of the connection, which is not passed on; the answer counted as signed all the same.

Change: what an answer says is read from the headers that are passed on. Such a success is broken; one whose id is listed is no answer to the request.

--- a/packages/daemon/src/gateway/endpoint_connection.cpp
+++ b/packages/daemon/src/gateway/endpoint_connection.cpp
@@ -201,15 +201,6 @@
         is_discarding_ = true;
         return true;
     }
-    const auto parsed_fields = dialect_.read_answer(status, fields);
-    const auto is_own = !request_id_.empty() && parsed_fields.request_id == request_id_;
-    if (!is_own && !process_foreign_head(parsed_fields.request_id)) {
-        return false;
-    }
-    if (is_discarding_) {
-        return true;
-    }
-    read_keep_alive(fields);
     gateway::answer_head head{status, {}};
     head.headers.reserve(fields.size());
     for (auto& it : fields) {
@@ -218,6 +209,16 @@
             head.headers.push_back(std::move(it));
         }
     }
+    // What concerns the connection only is not passed on, and thus says nothing to the caller.
+    const auto parsed_fields = dialect_.read_answer(status, head.headers);
+    const auto is_own = !request_id_.empty() && parsed_fields.request_id == request_id_;
+    if (!is_own && !process_foreign_head(parsed_fields.request_id)) {
+        return false;
+    }
+    if (is_discarding_) {
+        return true;
+    }
+    read_keep_alive(fields);
     sink_.on_head(call_, std::move(head), parsed_fields);
     return call_ != 0;
 }
