--- a/packages/gateway/src/router_stop.cpp
+++ b/packages/gateway/src/router_stop.cpp
@@ -1,14 +1,9 @@
-#include <hemlocknotch/gateway/crash_breaker.hpp>
 #include <hemlocknotch/gateway/router.hpp>
 
-#include "call_table.hpp"
 #include "caller_answers.hpp"
-#include "endpoint_announcements.hpp"
 #include "exchange.hpp"
 #include "exchange_table.hpp"
-#include "fleet_reports.hpp"
 #include "retry_after.hpp"
-#include "service_admission.hpp"
 #include "unserved_end.hpp"
 
 namespace hemlocknotch::gateway {
--- a/packages/gateway/src/unserved_end.hpp
+++ b/packages/gateway/src/unserved_end.hpp
@@ -48,6 +48,7 @@
                                               .failed_status = 502,
                                               .failed_reason = "stopped",
                                               .refused_reason = "stopping"};
+
 /// A part of its prompt is suspected of crashing endpoints, or blocked for that.
 inline constexpr unserved_end prompt_part_restricted{.cut_reason = "prompt-part-blocked",
                                                      .cut_level = log_level::warning,
