Discard what is unsent of a call that is given up

Cause: a call that is given up closed its connection in the orderly way, after which the kernel goes on delivering what it holds. The bytes reach the endpoint when the partition ends.

Change: a connection that is closed while its call is in progress, or that breaks, is reset, which discards them.

Resetting also where the peer had closed its side made no difference and is left out.

--- a/packages/daemon/src/gateway/endpoint_connection.cpp
+++ b/packages/daemon/src/gateway/endpoint_connection.cpp
@@ -136,8 +136,9 @@
         return;
     }
     is_closed_ = true;
-    call_ = 0;
-    channel_->close();
+    // The request of a call that is given up must not reach its endpoint later.
+    const auto is_given_up = std::exchange(call_, 0) != 0;
+    is_given_up ? channel_->reset() : channel_->close();
     owner_.on_closed(*this);
 }
 
--- a/packages/daemon/src/gateway/endpoint_connection.hpp
+++ b/packages/daemon/src/gateway/endpoint_connection.hpp
@@ -98,7 +98,8 @@
     /// and no call is in progress.
     void send(const gateway::call_start& start);
 
-    /// Closes at once. The sink is not called for the call any more.
+    /// Closes at once. The sink is not called for the call any more, and what its endpoint has not received
+    /// of its request is discarded.
     void close();
 
     void on_connected() override;
--- a/packages/daemon/src/gateway/socket_channel.cpp
+++ b/packages/daemon/src/gateway/socket_channel.cpp
@@ -165,6 +165,14 @@
     fd_ = -1;
 }
 
+void socket_channel::reset()
+{
+    if (fd_ >= 0) {
+        set_option(fd_, SOL_SOCKET, SO_LINGER, linger{.l_onoff = 1, .l_linger = 0});
+    }
+    close();
+}
+
 void socket_channel::close_when_drained()
 {
     if (fd_ < 0) {
@@ -277,7 +285,7 @@
 void socket_channel::end(channel_end reason)
 {
     auto* sink = sink_;
-    close();
+    reason == channel_end::orderly ? close() : reset();
     if (sink != nullptr) {
         sink->on_end(reason);
     }
--- a/packages/daemon/src/gateway/socket_channel.hpp
+++ b/packages/daemon/src/gateway/socket_channel.hpp
@@ -94,6 +94,10 @@
     /// called any more.
     void close();
 
+    /// Closes at once and discards the sent bytes that the peer has not acknowledged, so that a partition
+    /// between the two cannot deliver them later. The peer sees a reset.
+    void reset();
+
     /// Shuts down the sending side once all bytes are in the kernel's send buffer. Bytes that still arrive
     /// are read and discarded.
     void close_when_drained();
--- a/packages/daemon/tests/endpoint_pool_fixture.hpp
+++ b/packages/daemon/tests/endpoint_pool_fixture.hpp
@@ -36,6 +36,14 @@
 
     void close_all() { streams_.clear(); }
 
+    /// Reads from the connections that were accepted while `reads` was false.
+    void resume_reading()
+    {
+        for (const auto& it : streams_) {
+            bufferevent_enable(it.get(), EV_READ);
+        }
+    }
+
     /// Hands bytes to the kernel at once, on every connection, which is accepted first where it waits.
     void send_now(const std::string& bytes)
     {
@@ -57,7 +65,12 @@
     bool closes_after_answer = false;
     /// The connection is reset then, not closed in an orderly way.
     bool resets = false;
+    /// Reads what connections bring.
+    bool reads = true;
     std::size_t accepted = 0;
+    /// Connections that the other side has ended, and whether it reset the last one.
+    std::size_t ended = 0;
+    bool was_reset = false;
     std::string received;
     unsigned short port = 0;
 
@@ -74,8 +87,18 @@
         auto* stream = bufferevent_socket_new(that.base_, fd, BEV_OPT_CLOSE_ON_FREE);
         that.answered_.erase(stream);
         that.streams_.emplace_back(stream);
-        bufferevent_setcb(stream, on_read, on_written, nullptr, self);
-        bufferevent_enable(stream, EV_READ | EV_WRITE);
+        bufferevent_setcb(stream, on_read, on_written, on_event, self);
+        bufferevent_enable(stream, EV_WRITE);
+        if (that.reads) {
+            bufferevent_enable(stream, EV_READ);
+        }
+    }
+
+    static void on_event(bufferevent* /*stream*/, short what, void* self)
+    {
+        auto& that = *static_cast<scripted_endpoint*>(self);
+        that.ended += (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0 ? 1U : 0U;
+        that.was_reset = (what & BEV_EVENT_ERROR) != 0;
     }
 
     static void on_read(bufferevent* stream, void* self)
--- a/packages/daemon/tests/endpoint_pool_test.cpp
+++ b/packages/daemon/tests/endpoint_pool_test.cpp
@@ -191,6 +191,31 @@
     BOOST_TEST(recorder.discarded_ids == std::vector<std::string>{"1"}, boost::test_tools::per_element());
 }
 
+// Guards against requests that are given up in a partition and reach their endpoint when it has ended.
+BOOST_AUTO_TEST_CASE(what_is_unsent_of_a_request_is_discarded_when_its_call_is_cancelled)
+{
+    endpoint.reads = false;
+    body.assign(std::size_t{16} << 20U, 'x');
+    call("1");
+    BOOST_REQUIRE(loop.run_until([&] { return endpoint.accepted == 1; }));
+    // Until the buffers of the connection are full.
+    BOOST_REQUIRE(loop.run_until([&, n = 0]() mutable { return ++n > 20; }));
+    pool.cancel(recorder.last_call);
+    endpoint.resume_reading();
+    BOOST_REQUIRE(loop.run_until([&] { return endpoint.ended > 0; }));
+    BOOST_TEST(endpoint.was_reset);
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_without_a_call_is_closed_in_an_orderly_way)
+{
+    endpoint.answers = {"HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nConnection: close\r\n"
+                        "Content-Length: 3\r\n\r\nabc"};
+    call("1");
+    BOOST_REQUIRE(wait_for_end());
+    BOOST_REQUIRE(loop.run_until([&] { return endpoint.ended > 0; }));
+    BOOST_TEST(!endpoint.was_reset);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
