Split the tests of callers' connections and of the registry's follower

Cause: each new fault of a stop or an outage added its cases to the file of the class. Their fixtures are headers now; how connections end, and outages and restores of the store, have files of their own.

--- /dev/null
+++ b/packages/daemon/tests/caller_server_closing_test.cpp
@@ -0,0 +1,152 @@
+#include "caller_server_fixture.hpp"
+
+#include <chrono>
+
+namespace hemlocknotch::daemon {
+namespace {
+
+// How connections of callers end: after their answers, at a limit and in a planned stop.
+BOOST_FIXTURE_TEST_SUITE(caller_server_closing_suite, server_fixture)
+
+BOOST_AUTO_TEST_CASE(aborted_stream_ends_without_a_final_chunk)
+{
+    raw_client client{loop.base(), port, head + "\r\n"};
+    BOOST_REQUIRE(loop.run_until([&] { return recorder.requests.size() == 1; }));
+    server.begin_stream(recorder.exchanges[0], {200, {{"Content-Type", "text/event-stream"}}});
+    server.send_part(recorder.exchanges[0], "id: 1\n\n");
+    BOOST_REQUIRE(loop.run_until([&] { return client.has("7\r\nid: 1\n\n\r\n"); }));
+    server.abort(recorder.exchanges[0]);
+    BOOST_REQUIRE(loop.run_until([&] { return client.is_closed(); }));
+    BOOST_TEST(!client.has("0\r\n\r\n"));
+    BOOST_TEST(recorder.disconnected.empty());
+}
+
+BOOST_AUTO_TEST_CASE(reuses_a_connection_until_the_server_stops)
+{
+    recorder.server = &server;
+    raw_client client{loop.base(), port, head + "Content-Length: 1\r\n\r\na"};
+    BOOST_REQUIRE(loop.run_until([&] { return client.has("\r\n\r\na"); }));
+    BOOST_TEST(!client.has("Connection: close"));
+    server.begin_stop();
+    client.send(head + "Content-Length: 1\r\n\r\nb");
+    BOOST_REQUIRE(loop.run_until([&] { return client.is_closed(); }));
+    BOOST_TEST(client.has("Connection: close\r\nContent-Length: 1\r\n\r\nb"));
+}
+
+BOOST_AUTO_TEST_CASE(closes_a_connection_after_a_stream_begun_before_the_stop)
+{
+    raw_client client{loop.base(), port, head + "\r\n"};
+    BOOST_REQUIRE(loop.run_until([&] { return recorder.requests.size() == 1; }));
+    server.begin_stream(recorder.exchanges[0], {200, {}});
+    server.send_part(recorder.exchanges[0], "id: 1\n\n");
+    BOOST_REQUIRE(loop.run_until([&] { return client.has("id: 1"); }));
+    server.begin_stop();
+    server.end_stream(recorder.exchanges[0]);
+    client.send(head + "\r\n");
+    BOOST_REQUIRE(loop.run_until([&] { return client.is_closed(); }));
+    BOOST_TEST(client.has("0\r\n\r\n"));
+    BOOST_TEST(recorder.requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(closes_the_longest_idle_connection_at_the_limit)
+{
+    caller_server small{loop.base(), dialect, 3, recorder};
+    recorder.server = &small;
+    const auto at = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<unsigned short> {
+            BOOST_LEAF_AUTO(address, small.listen(*endpoint_address::parse("127.0.0.1:0")));
+            return address.port();
+        },
+        [] { return static_cast<unsigned short>(0); });
+    raw_client first{loop.base(), at, ""};
+    BOOST_REQUIRE(loop.run_until([&] { return small.connection_count() == 1; }));
+    raw_client second{loop.base(), at, ""};
+    raw_client third{loop.base(), at, ""};
+    BOOST_REQUIRE(loop.run_until([&] { return small.connection_count() == 3; }));
+    raw_client fourth{loop.base(), at, head + "Content-Length: 1\r\n\r\na"};
+    BOOST_REQUIRE(loop.run_until([&] { return fourth.has("\r\n\r\na"); }));
+    BOOST_TEST(loop.run_until([&] { return first.is_closed(); }));
+    BOOST_TEST(!second.is_closed());
+    // While more than half of the allowed connections are open, each is closed after its answer.
+    BOOST_TEST(fourth.has("Connection: close"));
+    recorder.server = nullptr;
+}
+
+BOOST_AUTO_TEST_CASE(a_stop_serves_connections_that_wait_to_be_accepted)
+{
+    recorder.server = &server;
+    server.begin_stop();
+    std::vector<std::unique_ptr<blocking_client>> clients;
+    for (int n = 0; n < 20; ++n) {
+        clients.push_back(std::make_unique<blocking_client>(port));
+        clients.back()->send(head + "Content-Length: 3\r\n\r\nabc");
+    }
+    server.close_idle_connections();
+    for (const auto& it : clients) {
+        BOOST_REQUIRE(loop.run_until([&] { return it->receive().ends_with("abc") || it->is_closed(); }));
+        BOOST_TEST(it->receive().starts_with("HTTP/1.1 200 "));
+        BOOST_TEST(it->receive().ends_with("abc"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stop_serves_a_request_that_has_arrived_on_an_idle_connection)
+{
+    recorder.server = &server;
+    blocking_client client{port};
+    client.send(head + "Content-Length: 3\r\n\r\none");
+    BOOST_REQUIRE(loop.run_until([&] { return client.receive().ends_with("one"); }));
+    server.begin_stop();
+    client.send(head + "Content-Length: 3\r\n\r\ntwo");
+    server.close_idle_connections();
+    BOOST_REQUIRE(loop.run_until([&] { return client.receive().ends_with("two") || client.is_closed(); }));
+    BOOST_TEST(client.receive().ends_with("two"));
+}
+
+BOOST_AUTO_TEST_CASE(an_idle_connection_ends_though_the_stop_asks_again_and_again)
+{
+    // The caller does not close its side.
+    blocking_client client{port};
+    BOOST_REQUIRE(loop.run_until([&] { return server.connection_count() == 1; }));
+    server.begin_stop();
+    const auto began = std::chrono::steady_clock::now();
+    BOOST_TEST(loop.run_until([&] {
+        server.close_idle_connections();
+        return server.connection_count() == 0;
+    }));
+    BOOST_TEST((std::chrono::steady_clock::now() - began < std::chrono::seconds{15}));
+}
+
+// Guards against whole answers that are cut because their callers read slowly.
+BOOST_AUTO_TEST_CASE(a_caller_that_reads_its_last_answer_slowly_gets_all_of_it)
+{
+    constexpr std::size_t size = std::size_t{24} << 20U;
+    constexpr std::size_t slow_part = std::size_t{1} << 17U;
+    constexpr auto slow_for = std::chrono::seconds{5};
+    blocking_client client{port};
+    client.send("GET /a/b HTTP/1.1\r\nHost: h\r\nId: 1\r\nConnection: close\r\n\r\n");
+    BOOST_REQUIRE(loop.run_until([&] { return recorder.exchanges.size() == 1; }));
+    server.reply(recorder.exchanges[0], {200, {}}, std::string(size, 'x'));
+    const auto began = std::chrono::steady_clock::now();
+    std::size_t received = 0;
+    BOOST_TEST(loop.run_until([&] {
+        const auto is_slow = std::chrono::steady_clock::now() - began < slow_for;
+        received += client.skip(is_slow ? slow_part / 4 : size);
+        return client.is_closed();
+    }));
+    BOOST_TEST(received > size);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_stops_reading_its_last_answer_is_disconnected)
+{
+    constexpr std::size_t size = std::size_t{24} << 20U;
+    blocking_client client{port};
+    client.send("GET /a/b HTTP/1.1\r\nHost: h\r\nId: 1\r\nConnection: close\r\n\r\n");
+    BOOST_REQUIRE(loop.run_until([&] { return recorder.exchanges.size() == 1; }));
+    server.reply(recorder.exchanges[0], {200, {}}, std::string(size, 'x'));
+    BOOST_TEST(loop.run_until([&] { return server.connection_count() == 0; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace hemlocknotch::daemon
