Give the stand-ins one listener and one reader of raw requests

Cause: endless_endpoint and scripted_endpoint had the same code for their listening sockets and for headers, and relay_route most of it.

--- a/packages/standins/include/hemlocknotch/standins/endless_endpoint.hpp
+++ b/packages/standins/include/hemlocknotch/standins/endless_endpoint.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/standins/connection_listener.hpp>
 #include <hemlocknotch/standins/event_loop.hpp>
 
 #include <cstddef>
@@ -12,7 +13,6 @@
 #include <string_view>
 
 struct bufferevent;
-struct evconnlistener;
 
 namespace hemlocknotch::standins {
 
@@ -39,7 +39,7 @@
     endless_endpoint& operator=(const endless_endpoint&) = delete;
     endless_endpoint& operator=(endless_endpoint&&) = delete;
 
-    [[nodiscard]] const endpoint_address& address() const { return address_; }
+    [[nodiscard]] const endpoint_address& address() const { return listener_.address(); }
 
     /// Returns the number of bytes that the network has taken so far.
     [[nodiscard]] std::uint64_t sent_bytes() const { return sent_bytes_; }
@@ -56,18 +56,12 @@
 private:
     struct connection;
 
-    struct listener_deleter {
-        void operator()(evconnlistener* it) const;
-    };
-
-    void accept(int fd);
     void remove(const connection* it);
 
     event_base* base_;
     std::string id_header_;
-    endpoint_address address_;
-    std::unique_ptr<evconnlistener, listener_deleter> listener_;
     std::list<std::unique_ptr<connection>> connections_;
+    connection_listener listener_;
     std::uint64_t sent_bytes_ = 0;
     std::size_t request_count_ = 0;
 };
--- a/packages/standins/include/hemlocknotch/standins/relay_route.hpp
+++ b/packages/standins/include/hemlocknotch/standins/relay_route.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/standins/connection_listener.hpp>
 #include <hemlocknotch/standins/relay_connection.hpp>
 
 #include <cstddef>
@@ -11,9 +12,7 @@
 #include <optional>
 #include <string_view>
 
-struct evconnlistener;
 struct event_base;
-struct sockaddr;
 
 namespace hemlocknotch::standins {
 
@@ -47,7 +46,7 @@
     ~relay_route() = default;
 
     /// Returns where it listens.
-    [[nodiscard]] const endpoint_address& address() const { return *address_; }
+    [[nodiscard]] const endpoint_address& address() const { return listener_.address(); }
 
     /// Passes new connections on to `target`.
     void set_target(endpoint_address target);
@@ -65,25 +64,19 @@
     [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
 
 private:
-    struct listener_deleter {
-        void operator()(evconnlistener* it) const;
-    };
-
     struct open_connection {
         std::unique_ptr<relay_connection> connection;
         bool is_silenced = false;
     };
 
-    static void on_accepted(evconnlistener* listener, int fd, sockaddr* from, int n, void* self);
     void accept(int fd);
     void apply_mode(const open_connection& it) const;
 
     event_base* base_;
     endpoint_address target_;
     relay_mode mode_ = relay_mode::pass;
-    std::unique_ptr<evconnlistener, listener_deleter> listener_;
-    std::optional<endpoint_address> address_;
     std::list<open_connection> connections_;
+    connection_listener listener_;
 };
 
 } // namespace hemlocknotch::standins
--- a/packages/standins/include/hemlocknotch/standins/scripted_endpoint.hpp
+++ b/packages/standins/include/hemlocknotch/standins/scripted_endpoint.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/standins/connection_listener.hpp>
 #include <hemlocknotch/standins/event_loop.hpp>
 
 #include <cstddef>
@@ -12,8 +13,6 @@
 #include <string>
 #include <vector>
 
-struct evconnlistener;
-
 namespace hemlocknotch::standins {
 
 /// A request as a `scripted_endpoint` has read it.
@@ -55,7 +54,7 @@
     scripted_endpoint& operator=(const scripted_endpoint&) = delete;
     scripted_endpoint& operator=(scripted_endpoint&&) = delete;
 
-    [[nodiscard]] const endpoint_address& address() const { return address_; }
+    [[nodiscard]] const endpoint_address& address() const { return listener_.address(); }
 
     /// Requests by id, each of which counts as executed.
     std::map<std::string, unsigned> executions;
@@ -63,17 +62,12 @@
 private:
     struct connection;
 
-    struct listener_deleter {
-        void operator()(evconnlistener* it) const;
-    };
-
     void remove(const connection* it);
 
     event_base* base_;
     script answer_;
-    endpoint_address address_;
-    std::unique_ptr<evconnlistener, listener_deleter> listener_;
     std::list<std::unique_ptr<connection>> connections_;
+    connection_listener listener_;
 };
 
 } // namespace hemlocknotch::standins
--- a/packages/standins/src/endless_endpoint.cpp
+++ b/packages/standins/src/endless_endpoint.cpp
@@ -1,15 +1,15 @@
 #include <hemlocknotch/standins/endless_endpoint.hpp>
 
-#include <arpa/inet.h>
+#include "raw_request.hpp"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
+#include <event2/event.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <csignal>
-#include <stdexcept>
 #include <utility>
 
 namespace hemlocknotch::standins {
@@ -17,18 +17,6 @@
 
 /// Bytes that are queued at once where the answer is sent as fast as possible.
 constexpr std::size_t burst_bytes = std::size_t{64} << 10U;
-constexpr std::string_view end_of_head = "\r\n\r\n";
-
-std::string header_value(std::string_view head, std::string_view name)
-{
-    const auto key = "\r\n" + std::string{name} + ": ";
-    const auto at = head.find(key);
-    if (at == std::string_view::npos) {
-        return {};
-    }
-    const auto value = head.substr(at + key.size());
-    return std::string{value.substr(0, value.find('\r'))};
-}
 
 std::string with_id(std::string text, const std::string& id)
 {
@@ -128,43 +116,19 @@
     bool is_answering = false;
 };
 
-void endless_endpoint::listener_deleter::operator()(evconnlistener* it) const
-{
-    evconnlistener_free(it);
-}
-
 endless_endpoint::endless_endpoint(event_base* base, const endpoint_address& address, std::string id_header)
-    : base_{base}, id_header_{std::move(id_header)}, address_{address}
+    : base_{base}, id_header_{std::move(id_header)}, listener_{base, address, [this](int fd) {
+                                                                   connections_.push_back(
+                                                                       std::make_unique<connection>(*this,
+                                                                                                    fd));
+                                                               }}
 {
     // A write to a connection that the client has closed must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
-    constexpr int backlog = 64;
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_port = htons(address.port());
-    inet_pton(AF_INET, address.host().c_str(), &at.sin_addr);
-    listener_.reset(evconnlistener_new_bind(
-        base,
-        [](evconnlistener* /*listener*/, evutil_socket_t fd, sockaddr* /*from*/, int /*n*/, void* self) {
-            static_cast<endless_endpoint*>(self)->accept(fd);
-        },
-        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, backlog,
-        reinterpret_cast<sockaddr*>(&at), sizeof at));
-    if (!listener_) {
-        throw std::runtime_error{"cannot listen at " + address.to_string()};
-    }
-    socklen_t length = sizeof at;
-    getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&at), &length);
-    address_ = *endpoint_address::parse(address.host() + ":" + std::to_string(ntohs(at.sin_port)));
 }
 
 endless_endpoint::~endless_endpoint() = default;
 
-void endless_endpoint::accept(int fd)
-{
-    connections_.push_back(std::make_unique<connection>(*this, fd));
-}
-
 void endless_endpoint::remove(const connection* it)
 {
     std::erase_if(connections_, [&](const auto& owned) { return owned.get() == it; });
--- a/packages/standins/src/relay_route.cpp
+++ b/packages/standins/src/relay_route.cpp
@@ -1,17 +1,15 @@
 #include <hemlocknotch/standins/relay_route.hpp>
 
-#include <arpa/inet.h>
-#include <event2/event.h>
-#include <event2/listener.h>
 #include <event2/util.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 
-#include <stdexcept>
-#include <string>
 #include <utility>
 
 namespace hemlocknotch::standins {
+namespace {
+
+const endpoint_address any_loopback_port = *endpoint_address::parse("127.0.0.1:0");
+
+} // namespace
 
 std::optional<relay_mode> parse_relay_mode(std::string_view text)
 {
@@ -33,26 +31,11 @@
     return std::nullopt;
 }
 
-void relay_route::listener_deleter::operator()(evconnlistener* it) const
+relay_route::relay_route(event_base* base, endpoint_address target)
+    : base_{base}, target_{std::move(target)}, listener_{base, any_loopback_port, [this](int fd) {
+                                                             accept(fd);
+                                                         }}
 {
-    evconnlistener_free(it);
-}
-
-relay_route::relay_route(event_base* base, endpoint_address target) : base_{base}, target_{std::move(target)}
-{
-    sockaddr_in any_port{};
-    any_port.sin_family = AF_INET;
-    any_port.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    constexpr int backlog = 128;
-    listener_.reset(evconnlistener_new_bind(base, on_accepted, this, LEV_OPT_CLOSE_ON_FREE, backlog,
-                                            reinterpret_cast<sockaddr*>(&any_port), sizeof any_port));
-    sockaddr_in bound{};
-    socklen_t n = sizeof bound;
-    if (!listener_ ||
-        getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&bound), &n) != 0) {
-        throw std::runtime_error{"cannot listen on loopback"};
-    }
-    address_ = endpoint_address::parse("127.0.0.1:" + std::to_string(ntohs(bound.sin_port)));
 }
 
 void relay_route::set_target(endpoint_address target)
@@ -101,11 +84,6 @@
     });
 }
 
-void relay_route::on_accepted(evconnlistener* /*listener*/, int fd, sockaddr* /*from*/, int /*n*/, void* self)
-{
-    static_cast<relay_route*>(self)->accept(fd);
-}
-
 void relay_route::accept(int fd)
 {
     if (mode_ == relay_mode::cut || mode_ == relay_mode::refuse) {
--- a/packages/standins/src/scripted_endpoint.cpp
+++ b/packages/standins/src/scripted_endpoint.cpp
@@ -1,34 +1,21 @@
 #include <hemlocknotch/standins/scripted_endpoint.hpp>
 
-#include <arpa/inet.h>
+#include "raw_request.hpp"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
+#include <event2/event.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <csignal>
 #include <deque>
-#include <stdexcept>
 #include <string_view>
 #include <utility>
 
 namespace hemlocknotch::standins {
 namespace {
 
-constexpr std::string_view end_of_head = "\r\n\r\n";
-
-std::string header_value(std::string_view head, std::string_view name)
-{
-    const auto key = "\r\n" + std::string{name} + ": ";
-    const auto at = head.find(key);
-    if (at == std::string_view::npos) {
-        return {};
-    }
-    const auto value = head.substr(at + key.size());
-    return std::string{value.substr(0, value.find('\r'))};
-}
-
 std::size_t number_of(const std::string& text)
 {
     return text.empty() ? 0 : std::stoul(text);
@@ -164,35 +151,14 @@
     bool is_ending = false;
 };
 
-void scripted_endpoint::listener_deleter::operator()(evconnlistener* it) const
-{
-    evconnlistener_free(it);
-}
-
 scripted_endpoint::scripted_endpoint(event_base* base, const endpoint_address& address, script answer)
-    : base_{base}, answer_{std::move(answer)}, address_{address}
+    : base_{base}, answer_{std::move(answer)}, listener_{base, address, [this](int fd) {
+                                                             connections_.push_back(
+                                                                 std::make_unique<connection>(*this, fd));
+                                                         }}
 {
     // A write to a connection that the client has closed must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
-    constexpr int backlog = 64;
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_port = htons(address.port());
-    inet_pton(AF_INET, address.host().c_str(), &at.sin_addr);
-    listener_.reset(evconnlistener_new_bind(
-        base,
-        [](evconnlistener* /*listener*/, evutil_socket_t fd, sockaddr* /*from*/, int /*n*/, void* self) {
-            auto& that = *static_cast<scripted_endpoint*>(self);
-            that.connections_.push_back(std::make_unique<connection>(that, fd));
-        },
-        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, backlog,
-        reinterpret_cast<sockaddr*>(&at), sizeof at));
-    if (!listener_) {
-        throw std::runtime_error{"cannot listen at " + address.to_string()};
-    }
-    socklen_t length = sizeof at;
-    getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&at), &length);
-    address_ = *endpoint_address::parse(address.host() + ":" + std::to_string(ntohs(at.sin_port)));
 }
 
 scripted_endpoint::~scripted_endpoint() = default;
