--- a/packages/gateway/include/hemlocknotch/gateway/event_splitter.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/event_splitter.hpp
@@ -36,7 +36,7 @@
     /// Returns whether the answer that was to continue the stream has sent an event that does not come after
     /// the earlier ones, or has data and no id, so that nothing shows that it does. Ids that are no numbers
     /// are not compared.
-    [[nodiscard]] bool has_repeated_event() const { return has_repeated_event_; }
+    [[nodiscard]] bool is_not_continued() const { return is_not_continued_; }
 
 private:
     void note_ids(std::string_view events);
@@ -48,7 +48,7 @@
     std::string last_id_;
     /// Whether the next event with an id is the first one of a continuation.
     bool is_continuing_ = false;
-    bool has_repeated_event_ = false;
+    bool is_not_continued_ = false;
 };
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -80,7 +80,7 @@
             line.remove_suffix(1);
         }
         if (line.empty() && is_continuing_ && has_data) {
-            has_repeated_event_ = true;
+            is_not_continued_ = true;
             return;
         }
         has_data = !line.empty() && (has_data || line.starts_with("data"));
@@ -94,19 +94,19 @@
 {
     if (is_continuing_ && !id.empty()) {
         is_continuing_ = false;
-        has_repeated_event_ = !is_after(id, last_id_);
+        is_not_continued_ = !is_after(id, last_id_);
     }
-    if (!is_continuing_ && !has_repeated_event_) {
+    if (!is_continuing_ && !is_not_continued_) {
         last_id_.assign(id);
     }
-    return !has_repeated_event_;
+    return !is_not_continued_;
 }
 
 void event_splitter::begin_continuation()
 {
     held_.clear();
     is_continuing_ = !last_id_.empty();
-    has_repeated_event_ = false;
+    is_not_continued_ = false;
 }
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -121,7 +121,7 @@
     }
     if (it->is_stream) {
         const auto events = it->events.append(bytes);
-        if (it->events.has_repeated_event()) {
+        if (it->events.is_not_continued()) {
             port_.cancel_call(call);
             return handle_failed_resumption(*it, now);
         }
--- a/packages/gateway/tests/event_splitter_test.cpp
+++ b/packages/gateway/tests/event_splitter_test.cpp
@@ -33,7 +33,7 @@
     it.begin_continuation();
     BOOST_TEST(it.append("id: 2\ndata: x\n\n") == "id: 2\ndata: x\n\n");
     BOOST_TEST(it.last_id() == "2");
-    BOOST_TEST(!it.has_repeated_event());
+    BOOST_TEST(!it.is_not_continued());
 }
 
 BOOST_AUTO_TEST_CASE(finds_a_continuation_that_repeats_an_event)
@@ -42,12 +42,12 @@
     it.append("id: 9\n\nid: 10\n\n");
     it.begin_continuation();
     it.append("id: 10\n\nid: 11\n\n");
-    BOOST_TEST(it.has_repeated_event());
+    BOOST_TEST(it.is_not_continued());
     BOOST_TEST(it.last_id() == "10");
     it.begin_continuation();
-    BOOST_TEST(!it.has_repeated_event());
+    BOOST_TEST(!it.is_not_continued());
     it.append("id: 11\n\n");
-    BOOST_TEST(!it.has_repeated_event());
+    BOOST_TEST(!it.is_not_continued());
     BOOST_TEST(it.last_id() == "11");
 }
 
@@ -68,7 +68,7 @@
     it.append("id: b\n\n");
     it.begin_continuation();
     it.append("id: a\n\n");
-    BOOST_TEST(!it.has_repeated_event());
+    BOOST_TEST(!it.is_not_continued());
     BOOST_TEST(it.last_id() == "a");
 }
 
