Log by which rates an account's share was decided

The logs did not tell a wrong share from full endpoints: a line had its outcome (standing), not the rates behind it. request-ended now has the account's rates over the fleet as this gateway knows them, the level up to which accounts are within their share, and the wait that the backlog was expected to take. No decision changes.

--- a/packages/gateway/src/exchange.hpp
+++ b/packages/gateway/src/exchange.hpp
@@ -5,6 +5,7 @@
 #include <hemlocknotch/gateway/request_signature.hpp>
 #include <hemlocknotch/gateway/router_port.hpp>
 #include <hemlocknotch/gateway/routing_configuration.hpp>
+#include <hemlocknotch/gateway/share_meter.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -16,6 +17,14 @@
 
 namespace hemlocknotch::gateway {
 
+/// What the share of an account was decided by, in tokens per second.
+struct share_inputs {
+    /// Rates of the account over all gateways, as far as this one knows.
+    account_rates rates;
+    /// Rate up to which an account is within its share.
+    double fair_level = 0.0;
+};
+
 /// One request, from its arrival to its final answer.
 struct exchange {
     /// Objective of routes for which none is configured.
@@ -45,6 +54,10 @@
     std::vector<request_signature> signatures;
     /// Tokens that count for the account.
     double cost = 0.0;
+    /// By what its share was decided last; empty: it was not.
+    std::optional<share_inputs> share;
+    /// Wait that was expected when the request was last to be queued.
+    std::optional<duration> estimated_wait;
     bool is_waiting = false;
     /// Number of endpoints that may have executed it.
     unsigned executions = 0;
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,12 @@
     return out;
 }
 
+/// Returns a rate in whole tokens per second; empty if it is unlimited.
+std::string rate_text(double rate)
+{
+    return rate >= std::numeric_limits<double>::max() ? "" : std::to_string(std::llround(rate));
+}
+
 void append_part_ids(const exchange& it, std::vector<std::uint64_t>& ids)
 {
     for (const auto& part : it.placement_input.shared_parts) {
@@ -45,7 +53,11 @@
              {"status", std::to_string(end.status)},
              {"held_ms", milliseconds_text(end.at - it.arrived)},
              {"standing", std::string{to_string(it.placement_input.account_share)}},
+             {"account_rate", it.share ? rate_text(it.share->rates.served) : ""},
+             {"account_requests", it.share ? rate_text(it.share->rates.requested) : ""},
+             {"fair_rate", it.share ? rate_text(it.share->fair_level) : ""},
              {"waiting", std::to_string(end.waiting)},
+             {"expected_wait_ms", it.estimated_wait ? milliseconds_text(*it.estimated_wait) : ""},
              {"reason", std::string{end.reason}},
              {"route", it.matched == nullptr ? "" : it.matched->name},
              {"account", it.account},
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -172,6 +172,7 @@
         return refuse(it, status_unavailable, "endpoints-paused", {paused_until - now, true}, now);
     }
     const auto wait = service.estimated_wait(it, now);
+    it.estimated_wait = wait;
     if (now >= send_by || now + wait > send_by) {
         return refuse(it, status_unavailable, "overloaded", std::max(wait, min_retry_after), now);
     }
--- a/packages/gateway/src/service_admission.cpp
+++ b/packages/gateway/src/service_admission.cpp
@@ -47,7 +47,7 @@
                : options_.default_endpoint_rate;
 }
 
-share_state service_admission::share_state_of(const exchange& it, instant now)
+share_state service_admission::share_state_of(exchange& it, instant now)
 {
     const auto capacity = it.configuration->document().tokens_per_second * options_.share_capacity;
     if (!it.is_model || capacity <= 0.0) {
@@ -59,7 +59,8 @@
         present_level_ = meter_.fair_level(present, now);
         level_at_ = now;
     }
-    const auto served = meter_.rates_of(it.account, now).served;
+    it.share = {meter_.rates_of(it.account, now), fair_level_};
+    const auto served = it.share->rates.served;
     if (served <= fair_level_) {
         return share_state::within_share;
     }
@@ -79,7 +80,7 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>{ahead / rate});
 }
 
-instant service_admission::send_by(const exchange& it, instant now)
+instant service_admission::send_by(exchange& it, instant now)
 {
     const auto is_within_share = share_state_of(it, now) == share_state::within_share;
     const auto share = is_within_share ? options_.wait_share : options_.excess_wait_share;
--- a/packages/gateway/src/service_admission.hpp
+++ b/packages/gateway/src/service_admission.hpp
@@ -28,14 +28,14 @@
     /// according to the configuration, or the default if none are configured.
     double endpoint_rate(const routing_configuration& configuration, std::size_t endpoints);
 
-    /// Returns whether the account of `it` is above its fair share.
-    share_state share_state_of(const exchange& it, instant now);
+    /// Returns whether the account of `it` is above its fair share, and records in `it` what decided that.
+    share_state share_state_of(exchange& it, instant now);
 
     /// Returns the expected wait of a new request; zero if there is no evidence of a wait.
     [[nodiscard]] duration estimated_wait(const exchange& it, instant now) const;
 
     /// Returns the latest time at which a new request is worth sending.
-    instant send_by(const exchange& it, instant now);
+    instant send_by(exchange& it, instant now);
 
     /// Adds a request to the queue, where it waits until `send_by` at most.
     void add_waiting(const exchange& it, unsigned priority, instant send_by, instant now);
