Show that an account at one gateway of many is starved

The model of a fleet can send all callers of an account to one gateway, and has what each account asked for and got in each second. 104 gateways, 18 engines, twice the usual load, no processor time in it: the second largest account is refused in each of six seconds and gets less than half of what it asks and of what the largest gets.

--- a/packages/gateway/bench/fleet_engine_node.cpp
+++ b/packages/gateway/bench/fleet_engine_node.cpp
@@ -34,6 +34,7 @@
     if (n == 1) {
         fleet_.figures_.profiles[it.profile].tokens_begun += it.cost;
         fleet_.figures_.accounts[it.account].tokens_begun += it.cost;
+        fleet_.second_of(it.account, fleet_.events_.now()).tokens_begun += it.cost;
     }
     auto* gateway = it.gateway;
     gateway->after_link([gateway, call = it.call, n, is_last] { gateway->handle_event(call, n, is_last); });
--- a/packages/gateway/bench/fleet_gateway_node.cpp
+++ b/packages/gateway/bench/fleet_gateway_node.cpp
@@ -143,6 +143,7 @@
         it->is_late = it->is_late || now - it->last_event_at > limit;
         if (!it->is_begun) {
             it->is_begun = true;
+            fleet_.record_wait(*it);
             const auto ms = to_ms(now - it->requested_at);
             fleet_.figures_.profiles[it->drawn.profile].first_event_ms.push_back(ms);
             fleet_.figures_.accounts[it->drawn.account].first_event_ms.push_back(ms);
--- a/packages/gateway/bench/fleet_model.cpp
+++ b/packages/gateway/bench/fleet_model.cpp
@@ -150,6 +150,7 @@
         ++figures->requested;
         figures->tokens_requested += tokens;
     }
+    second_of(it->drawn.account, events_.now()).tokens_requested += tokens;
     start_attempt(it);
     events_.add_in(wait, [this] { send_next_request(); });
 }
@@ -174,7 +175,8 @@
     request->fields.prompt = it->drawn.prompt;
     request->fields.max_output_tokens = it->drawn.output_tokens * 2ULL;
     request->fields.output_hint = it->drawn.output_hint;
-    auto* gateway = gateways_[random_() % gateways_.size()].get();
+    const auto is_at_first = options_.account_at_one_gateway == it->drawn.account;
+    auto* gateway = gateways_[is_at_first ? 0 : random_() % gateways_.size()].get();
     events_.add_in(options_.link_delay, [this, it, gateway, request = std::move(request)] {
         it->gateway = gateway;
         it->exchange = gateway->send_request(it, request);
@@ -193,6 +195,7 @@
 void fleet_model::handle_refusal(const std::shared_ptr<caller>& it, duration retry_after)
 {
     ++figures_.refusals;
+    second_of(it->drawn.account, events_.now()).has_unserved = true;
     figures_.false_refusals += could_be_served(*it) ? 1U : 0U;
     const auto& profile = load_.profiles()[it->drawn.profile];
     if (it->attempts_left == 0 || events_.now() + retry_after >= it->requested_at + profile.caller_timeout) {
@@ -211,11 +214,32 @@
         return;
     }
     it.is_ended = true;
+    if (!it.is_begun) {
+        record_wait(it);
+    }
     for (auto* figures : {&figures_.profiles[it.drawn.profile], &figures_.accounts[it.drawn.account]}) {
         ++(is_complete ? (it.is_late ? figures->late : figures->in_time) : figures->failed);
     }
 }
 
+void fleet_model::record_wait(const caller& it)
+{
+    const auto objective = load_.profiles()[it.drawn.profile].objective;
+    for (auto at = it.requested_at + objective; at < events_.now(); at += std::chrono::seconds{1}) {
+        second_of(it.drawn.account, at).has_unserved = true;
+    }
+}
+
+second_figures& fleet_model::second_of(std::size_t account, instant at)
+{
+    auto& seconds = figures_.accounts[account].seconds;
+    const auto n = static_cast<std::size_t>((at - begin_) / std::chrono::seconds{1});
+    if (seconds.size() <= n) {
+        seconds.resize(n + 1);
+    }
+    return seconds[n];
+}
+
 bool fleet_model::could_be_served(const caller& it) const
 {
     const auto objective = load_.profiles()[it.drawn.profile].objective;
--- a/packages/gateway/bench/fleet_model.hpp
+++ b/packages/gateway/bench/fleet_model.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -29,11 +30,21 @@
     duration link_delay = std::chrono::microseconds{900};
     /// Number of engines that fail without notice after a third of the run and return after two thirds.
     std::size_t lost_engines = 0;
+    /// Account whose callers all use the first gateway. Other callers use any.
+    std::optional<std::size_t> account_at_one_gateway;
     load_options load;
     /// Settings of the gateways, except for the seeds, which are drawn at random.
     router_options router;
 };
 
+/// What the callers of one profile or account got in one second.
+struct second_figures {
+    double tokens_requested = 0.0;
+    double tokens_begun = 0.0;
+    /// Whether a request was refused, or waited past its objective.
+    bool has_unserved = false;
+};
+
 /// Results for the callers of one profile or account.
 struct caller_figures {
     std::uint64_t requested = 0;
@@ -46,6 +57,8 @@
     double tokens_begun = 0.0;
     /// Time from the first attempt to the first event, in ms.
     std::vector<double> first_event_ms;
+    /// By seconds since the beginning.
+    std::vector<second_figures> seconds;
 };
 
 /// Results of a run.
@@ -86,6 +99,10 @@
     void start_attempt(const std::shared_ptr<caller>& it);
     void handle_refusal(const std::shared_ptr<caller>& it, duration retry_after);
     void record_end(caller& it, bool is_complete);
+    /// Marks the seconds in which the request waited past its objective.
+    void record_wait(const caller& it);
+    /// Returns the figures of the account for the second of `at`.
+    second_figures& second_of(std::size_t account, instant at);
     void exchange_reports(std::size_t from);
     void publish_endpoints();
     [[nodiscard]] bool could_be_served(const caller& it) const;
--- a/packages/gateway/tests/fleet_model_test.cpp
+++ b/packages/gateway/tests/fleet_model_test.cpp
@@ -9,6 +9,9 @@
 #include <algorithm>
 #include <chrono>
 #include <memory>
+#include <optional>
+#include <set>
+#include <span>
 #include <string>
 
 /// Runs loads against modelled engines and checks the results of the callers. Bounds are the specified
@@ -23,7 +26,8 @@
 };
 
 totals run_load(const std::string& site_name, const placement_policy& policy, double load,
-                const load_options& options = {}, std::size_t gateways = 0)
+                const load_options& options = {}, std::size_t gateways = 0,
+                std::optional<std::size_t> account_at_one_gateway = std::nullopt)
 {
     auto site = *find_site(site_name);
     auto& fleet = site.fleet;
@@ -34,6 +38,7 @@
     fleet.load.length = std::chrono::seconds{15};
     fleet.load.event_tokens = fleet.engine.event_tokens;
     fleet.gateways = gateways > 0 ? gateways : fleet.gateways;
+    fleet.account_at_one_gateway = account_at_one_gateway;
     fleet_model model{fleet, site.requests, policy};
     totals out;
     out.figures = model.run();
@@ -46,6 +51,45 @@
     return out;
 }
 
+/// Returns the numbers of the accounts that are starved in six seconds in a row: in each second a request is
+/// refused or waits past its objective, and the account gets less than half of what it requests or of what
+/// the best served account gets, whichever is less.
+std::set<std::size_t> find_starved(const fleet_figures& figures)
+{
+    constexpr std::size_t window = 6;
+    std::set<std::size_t> out;
+    std::size_t length = 0;
+    for (const auto& it : figures.accounts) {
+        length = std::max(length, it.seconds.size());
+    }
+    for (std::size_t from = 0; from + window <= length; ++from) {
+        const auto best_of = [&](std::size_t second) {
+            double best = 0.0;
+            for (const auto& it : figures.accounts) {
+                best = std::max(best, second < it.seconds.size() ? it.seconds[second].tokens_begun : 0.0);
+            }
+            return best;
+        };
+        for (std::size_t n = 0; n < figures.accounts.size(); ++n) {
+            const auto& seconds = figures.accounts[n].seconds;
+            if (from + window > seconds.size()) {
+                continue;
+            }
+            const auto in_window = std::span{seconds}.subspan(from, window);
+            double due = 0.0;
+            double begun = 0.0;
+            for (std::size_t second = 0; second < window; ++second) {
+                due += std::min(in_window[second].tokens_requested, best_of(from + second));
+                begun += in_window[second].tokens_begun;
+            }
+            if (std::ranges::all_of(in_window, &second_figures::has_unserved) && begun < due / 2.0) {
+                out.insert(n);
+            }
+        }
+    }
+    return out;
+}
+
 const affinity_placement affinity{affinity_options{}};
 
 BOOST_AUTO_TEST_SUITE(fleet_model_suite)
@@ -110,6 +154,12 @@
     BOOST_TEST(many.in_time >= 0.95 * few.in_time);
 }
 
+BOOST_AUTO_TEST_CASE(an_account_whose_callers_use_one_gateway_of_many_is_not_starved)
+{
+    const auto run = run_load("saadruil", affinity, 2.0, {}, 104, 1);
+    BOOST_TEST(!find_starved(run.figures).contains(1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/packages/gateway/tests/share_test.cpp
+++ b/packages/gateway/tests/share_test.cpp
@@ -1,5 +1,6 @@
 #include <hemlocknotch/gateway/affinity_placement.hpp>
 #include <hemlocknotch/gateway/endpoint_table.hpp>
+#include <hemlocknotch/gateway/fleet_report.hpp>
 #include <hemlocknotch/gateway/least_loaded_placement.hpp>
 #include <hemlocknotch/gateway/share_meter.hpp>
 #include <hemlocknotch/gateway/waiting_queue.hpp>
@@ -73,6 +74,22 @@
     BOOST_TEST(it.rates_of("a", now).served < 1e-6);
 }
 
+BOOST_AUTO_TEST_CASE(steady_rates_at_other_gateways_are_known_in_full_between_their_reports)
+{
+    constexpr std::size_t others = 102;
+    share_meter it;
+    const instant begin{std::chrono::seconds{10}};
+    const auto interval = report_interval(others);
+    for (std::size_t n = 0; n < others; ++n) {
+        const auto sent_at = begin + interval * static_cast<int>(n) / static_cast<int>(others);
+        it.set_reported("g" + std::to_string(n), "a", {20.0, 10.0}, sent_at);
+    }
+    const auto rates = it.rates_of("a", begin + interval);
+    // Each report holds until the next one.
+    BOOST_TEST(rates.requested == 20.0 * others, boost::test_tools::tolerance(1e-6));
+    BOOST_TEST(rates.served == 10.0 * others, boost::test_tools::tolerance(1e-6));
+}
+
 BOOST_AUTO_TEST_CASE(the_account_with_the_fewest_served_tokens_is_next)
 {
     share_meter meter;
