Let rates that other gateways report hold until their next report

An account whose callers use one gateway got less than half of what it asked, while one whose callers use all 103 gateways got 2.8 million tokens a second, well above its share.

Cause: reports go out each 1.2 s in a fleet of this size, and what they say of an account decayed meanwhile with 1.5 s, as if nothing more were served or asked for: a steady rate was known at 0.69 of its value on average. An account at all gateways looked underserved, and all demand looked covered by the capacity, so that everyone was within a share without limit and the gateways raced for the endpoints. One class: what is not heard between two reports is taken for nothing.

Change: a reported rate counts in full until the next report of its gateway, which replaces all of them (reports are complete), or until the gateway counts as gone.

--- a/packages/gateway/include/hemlocknotch/gateway/share_meter.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/share_meter.hpp
@@ -4,10 +4,13 @@
 #include <hemlocknotch/gateway/decaying_sum.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hemlocknotch::gateway {
 
@@ -19,6 +22,12 @@
     double served = 0.0;
 };
 
+/// Rates of an account at another gateway.
+struct reported_rates {
+    std::string_view account;
+    account_rates rates;
+};
+
 /// Measures what the client accounts of one service request and are served over the whole fleet, and computes
 /// the resulting max-min fair share ("Data Networks", Bertsekas and Gallager, 1992, section 6.5.2). Used by
 /// one thread at a time.
@@ -32,9 +41,9 @@
     /// Counts a request of `account` that this gateway sent to an endpoint.
     void note_served(std::string_view account, double tokens, instant now);
 
-    /// Replaces the rates that `gateway` reported for `account`.
-    void set_reported(std::string_view gateway, std::string_view account, const account_rates& rates,
-                      instant now);
+    /// Replaces all rates that `gateway` reported. They count in full until its next report; accounts that
+    /// are not in `rates` have none there.
+    void set_reported(std::string_view gateway, std::span<const reported_rates> rates);
 
     /// Returns the rates of `account` over all gateways.
     [[nodiscard]] account_rates rates_of(std::string_view account, instant now) const;
@@ -58,17 +67,24 @@
 
     struct account {
         rate_sums local;
-        std::map<std::string, rate_sums, std::less<>> reported;
-        /// Sum of `local` and `reported`, kept up to date so that a query need not add up all gateways.
-        rate_sums total;
+        /// Sum of what the other gateways have reported, and how many of them have reported any.
+        account_rates others;
+        std::size_t reporting = 0;
+    };
+
+    struct attributed_rates {
+        account* of = nullptr;
+        account_rates rates;
     };
 
     account& find_or_add(std::string_view name);
     static account_rates rates_of(const account& it, instant now);
-    /// Sets `part`, which is contained in `total`, to `amount`, and adjusts `total`.
-    static void replace(decaying_sum& part, decaying_sum& total, double amount, instant now);
+    static void add(account& to, const account_rates& rates);
+    static void remove(account& from, const account_rates& rates);
 
     std::map<std::string, account, std::less<>> accounts_;
+    /// What the other gateways have reported last, by their names. Points into `accounts_`.
+    std::map<std::string, std::vector<attributed_rates>, std::less<>> reported_;
 };
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -279,9 +279,16 @@
     }
     breaker_->apply_report(report.gateway, report.signatures, now);
     for (const auto& it : report.accounts) {
-        service_of(it.service).meter().set_reported(report.gateway, it.account, it.rates, now);
+        service_of(it.service);
     }
     for (auto& [name, service] : services_) {
+        std::vector<reported_rates> rates;
+        for (const auto& it : report.accounts) {
+            if (it.service == name) {
+                rates.push_back({it.account, it.rates});
+            }
+        }
+        service->meter().set_reported(report.gateway, rates);
         service->request_offer(now);
     }
     apply_signature_events(now);
@@ -291,6 +298,9 @@
 {
     reports_->remove(gateway);
     breaker_->remove_gateway(gateway);
+    for (auto& [name, service] : services_) {
+        service->meter().set_reported(gateway, {});
+    }
     set_others();
 }
 
--- a/packages/gateway/src/share_meter.cpp
+++ b/packages/gateway/src/share_meter.cpp
@@ -1,6 +1,7 @@
 #include <hemlocknotch/gateway/share_meter.hpp>
 
 #include <algorithm>
+#include <cassert>
 #include <limits>
 #include <vector>
 
@@ -19,29 +20,28 @@
 
 void share_meter::note_requested(std::string_view name, double tokens, instant now)
 {
-    auto& it = find_or_add(name);
-    it.local.requested.add(tokens, now);
-    it.total.requested.add(tokens, now);
+    find_or_add(name).local.requested.add(tokens, now);
 }
 
 void share_meter::note_served(std::string_view name, double tokens, instant now)
 {
-    auto& it = find_or_add(name);
-    it.local.served.add(tokens, now);
-    it.total.served.add(tokens, now);
+    find_or_add(name).local.served.add(tokens, now);
 }
 
-void share_meter::set_reported(std::string_view gateway, std::string_view name, const account_rates& rates,
-                               instant now)
+void share_meter::set_reported(std::string_view gateway, std::span<const reported_rates> rates)
 {
-    auto& entry = find_or_add(name);
-    auto it = entry.reported.find(gateway);
-    if (it == entry.reported.end()) {
-        it = entry.reported.emplace(std::string{gateway}, rate_sums{}).first;
+    if (const auto found = reported_.find(gateway); found != reported_.end()) {
+        for (const auto& it : found->second) {
+            remove(*it.of, it.rates);
+        }
+        reported_.erase(found);
+    }
+    for (const auto& it : rates) {
+        // Adding an account may remove all others, and what was reported of them.
+        auto& of = find_or_add(it.account);
+        add(of, it.rates);
+        reported_[std::string{gateway}].push_back({&of, it.rates});
     }
-    const auto seconds = std::chrono::duration<double>(time_constant).count();
-    replace(it->second.requested, entry.total.requested, rates.requested * seconds, now);
-    replace(it->second.served, entry.total.served, rates.served * seconds, now);
 }
 
 account_rates share_meter::rates_of(std::string_view name, instant now) const
@@ -96,6 +96,7 @@
         return it->second;
     }
     if (accounts_.size() >= max_accounts) {
+        reported_.clear();
         accounts_.clear();
     }
     return accounts_.emplace(std::string{name}, account{}).first->second;
@@ -103,15 +104,29 @@
 
 account_rates share_meter::rates_of(const account& it, instant now)
 {
-    return {it.total.requested.per_second(now), it.total.served.per_second(now)};
+    return {it.local.requested.per_second(now) + it.others.requested,
+            it.local.served.per_second(now) + it.others.served};
+}
+
+void share_meter::add(account& to, const account_rates& rates)
+{
+    to.others.requested += rates.requested;
+    to.others.served += rates.served;
+    ++to.reporting;
 }
 
-void share_meter::replace(decaying_sum& part, decaying_sum& total, double amount, instant now)
+void share_meter::remove(account& from, const account_rates& rates)
 {
-    // Decay is linear, so the sum of the decayed parts is the decayed sum. Rounding must not make it
-    // negative.
-    total.set(std::max(0.0, total.value(now) - part.value(now) + amount), now);
-    part.set(amount, now);
+    assert(from.reporting > 0);
+    --from.reporting;
+    if (from.reporting == 0) {
+        // Discards the rounding errors of the sums.
+        from.others = {};
+        return;
+    }
+    // Rounding must not make a rate negative.
+    from.others.requested = std::max(0.0, from.others.requested - rates.requested);
+    from.others.served = std::max(0.0, from.others.served - rates.served);
 }
 
 } // namespace hemlocknotch::gateway
