--- a/packages/gateway/bench/site_profiles.cpp
+++ b/packages/gateway/bench/site_profiles.cpp
@@ -112,6 +112,9 @@
     if (name == "fassreg-ch-grown") {
         return resize(create_fassreg(), 30, 54, 30);
     }
+    if (name == "saadruil-large") {
+        return resize(create_saadruil(), 103, 180, 60);
+    }
     if (name == "long-run") {
         return resize(create_saadruil(), 400, 2500, 9400);
     }
