Rank the endpoints of a waiting request once

Cause: every 10 ms each waiting request, 64 at most, is placed anew, and each time all 180 endpoints are hashed and ranked for its prompt, which changes with the endpoints only. The more wait, the less is left to serve them.

Change: a request keeps the first endpoints of its ranking until the endpoints change. Whether each may be used is still decided at each offer.

a_request_that_waits_does_not_rank_all_endpoints_at_each_offer has the number of rankings (1 of 100 queries; there was one for each before) and that kept rankings give the same endpoints as new ones.

--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -102,6 +102,14 @@
     bool is_limit_sharer = false;
 };
 
+/// The first endpoints for a key, by `rendezvous_weight`. It spares a request that is placed again and again
+/// the ranking of all endpoints; `endpoint_table` fills it.
+struct endpoint_ranking {
+    /// Of the endpoint table when the ranking was made; 0: there is none.
+    std::uint64_t generation = 0;
+    std::vector<endpoint_state*> first;
+};
+
 /// What `endpoint_table::loads_of` is to return.
 struct endpoint_query {
     /// Instances that are not usable.
@@ -112,6 +120,8 @@
     /// `key`.
     std::size_t limit = 0;
     std::uint64_t key = 0;
+    /// Ranking for `key` from an earlier query with the same service and key; may be null.
+    endpoint_ranking* ranking = nullptr;
 };
 
 /// The endpoints of all services, with their load and health. Used by one thread at a time.
@@ -224,16 +234,32 @@
     /// `instant::max()` if no endpoint is held back.
     [[nodiscard]] instant next_availability(instant now) const;
 
+    /// Returns how often all endpoints of a service were ranked.
+    [[nodiscard]] std::uint64_t rankings() const { return rankings_; }
+
     [[nodiscard]] const std::map<std::string, std::unique_ptr<endpoint_state>, std::less<>>& all() const
     {
         return endpoints_;
     }
 
 private:
+    /// Which endpoints may take a request: if more than half of those that accept requests are suspected, a
+    /// fault of this gateway or of the network is more likely than a fault of each endpoint, so that the
+    /// suspicions are ignored.
+    enum class usability : std::uint8_t {
+        not_suspected,
+        reachable,
+        accepting,
+    };
+
     static void suspect(endpoint_state& endpoint, instant until);
-    /// Returns for each of `states` whether it may take a request now.
-    [[nodiscard]] std::vector<bool> find_usable(std::span<endpoint_state* const> states,
-                                                std::span<const std::string> excluded, instant now) const;
+    [[nodiscard]] usability usability_of(std::span<endpoint_state* const> states,
+                                         std::span<const std::string> excluded, instant now) const;
+    [[nodiscard]] bool is_usable(const endpoint_state& endpoint, usability usable,
+                                 std::span<const std::string> excluded, instant now) const;
+    /// Fills `ranking` with the first of `states` for `key`.
+    void rank(std::span<endpoint_state* const> states, std::uint64_t key, std::size_t limit,
+              endpoint_ranking& ranking);
     [[nodiscard]] endpoint_load load_of(const endpoint_state& endpoint,
                                         std::span<const prompt_part> shared_parts, bool is_usable,
                                         instant now) const;
@@ -257,6 +283,9 @@
     std::size_t non_reporting_gateways_ = 0;
     std::map<std::string, std::unique_ptr<endpoint_state>, std::less<>> endpoints_;
     std::map<std::string, std::vector<endpoint_state*>, std::less<>> by_service_;
+    /// Changes with the endpoints.
+    std::uint64_t generation_ = 1;
+    std::uint64_t rankings_ = 0;
     /// What the other gateways have reported last, by their names.
     std::map<std::string, std::vector<attributed_load>, std::less<>> peer_loads_;
     std::set<std::string, std::less<>> out_of_service_;
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -17,6 +17,8 @@
 /// Time within which an endpoint that leaves registers so, and gateways read it: endpoints register each
 /// second, and a read may be another second old.
 constexpr duration registration_time = std::chrono::milliseconds{2200};
+/// Endpoints in a ranking for each one that is asked for; the others stand in for those that are not usable.
+constexpr std::size_t ranking_margin = 4;
 /// Maximum number of cached prompt parts recorded per endpoint; bounds memory.
 constexpr std::size_t max_cached_parts = 4096;
 /// Time without use after which a part is taken to be evicted: about the time in which an engine under load
@@ -116,6 +118,7 @@
         std::erase_if(loads, [&](const attributed_load& it) { return removed.contains(it.endpoint); });
     }
     endpoints_ = std::move(next);
+    ++generation_;
     by_service_.clear();
     for (const auto& [name, it] : endpoints_) {
         by_service_[it->record.service].push_back(it.get());
@@ -288,30 +291,60 @@
         return out;
     }
     const auto& all = found->second;
-    const auto is_usable = find_usable(all, query.excluded, now);
+    const auto usable = usability_of(all, query.excluded, now);
+    const auto may_take = [&](const endpoint_state& it) {
+        return is_usable(it, usable, query.excluded, now);
+    };
     if (query.limit == 0) {
         states = all;
         out.reserve(all.size());
-        for (std::size_t n = 0; n < all.size(); ++n) {
-            out.push_back(load_of(*all[n], query.shared_parts, is_usable[n], now));
+        for (const auto* it : all) {
+            out.push_back(load_of(*it, query.shared_parts, may_take(*it), now));
         }
         return out;
     }
-    std::vector<std::pair<std::uint64_t, endpoint_state*>> ranked;
-    ranked.reserve(all.size());
-    for (std::size_t n = 0; n < all.size(); ++n) {
-        if (is_usable[n]) {
-            ranked.emplace_back(rendezvous_weight(query.key, all[n]->record.instance), all[n]);
+    endpoint_ranking own;
+    auto& ranking = query.ranking == nullptr ? own : *query.ranking;
+    if (ranking.generation != generation_) {
+        rank(all, query.key, query.limit * ranking_margin, ranking);
+    }
+    const auto take_usable = [&] {
+        for (auto* it : ranking.first) {
+            if (states.size() < query.limit && may_take(*it)) {
+                states.push_back(it);
+            }
         }
+    };
+    take_usable();
+    if (states.size() < query.limit && ranking.first.size() < all.size()) {
+        states.clear();
+        rank(all, query.key, all.size(), ranking);
+        take_usable();
+    }
+    for (const auto* it : states) {
+        out.push_back(load_of(*it, query.shared_parts, true, now));
     }
-    const auto count = std::min(query.limit, ranked.size());
+    return out;
+}
+
+void endpoint_table::rank(std::span<endpoint_state* const> states, std::uint64_t key, std::size_t limit,
+                          endpoint_ranking& ranking)
+{
+    using weighted = std::pair<std::uint64_t, endpoint_state*>;
+    ++rankings_;
+    std::vector<weighted> ranked;
+    ranked.reserve(states.size());
+    for (auto* it : states) {
+        ranked.emplace_back(rendezvous_weight(key, it->record.instance), it);
+    }
+    const auto count = std::min(limit, ranked.size());
     std::ranges::partial_sort(ranked, ranked.begin() + static_cast<std::ptrdiff_t>(count), std::greater{},
-                              &std::pair<std::uint64_t, endpoint_state*>::first);
+                              &weighted::first);
+    ranking.generation = generation_;
+    ranking.first.clear();
     for (const auto& [weight, it] : std::span{ranked}.first(count)) {
-        out.push_back(load_of(*it, query.shared_parts, true, now));
-        states.push_back(it);
+        ranking.first.push_back(it);
     }
-    return out;
 }
 
 endpoint_load endpoint_table::load_of(const endpoint_state& endpoint,
@@ -329,27 +362,43 @@
             endpoint.cached_tokens(shared_parts, now)};
 }
 
-std::vector<bool> endpoint_table::find_usable(std::span<endpoint_state* const> states,
-                                              std::span<const std::string> excluded, instant now) const
+endpoint_table::usability endpoint_table::usability_of(std::span<endpoint_state* const> states,
+                                                       std::span<const std::string> excluded,
+                                                       instant now) const
 {
-    std::vector<bool> accepting(states.size());
-    std::vector<bool> out(states.size());
-    for (std::size_t n = 0; n < states.size(); ++n) {
-        const auto& it = *states[n];
-        const auto is_excluded = std::ranges::find(excluded, it.record.instance) != excluded.end();
-        accepting[n] = !is_excluded && accepts_requests(it, now);
-        out[n] = accepting[n] && it.suspected_until <= now;
+    std::size_t accepting = 0;
+    std::size_t not_suspected = 0;
+    std::size_t reachable = 0;
+    for (const auto* it : states) {
+        if (is_usable(*it, usability::accepting, excluded, now)) {
+            ++accepting;
+            not_suspected += it->suspected_until <= now ? 1U : 0U;
+            reachable += it->consecutive_unreachable < 2 ? 1U : 0U;
+        }
     }
-    if (std::ranges::count(out, true) * 2 >= std::ranges::count(accepting, true)) {
-        return out;
+    if (not_suspected * 2 >= accepting) {
+        return usability::not_suspected;
+    }
+    // Endpoints that cannot be reached are a last resort only.
+    return reachable > 0 ? usability::reachable : usability::accepting;
+}
+
+bool endpoint_table::is_usable(const endpoint_state& endpoint, usability usable,
+                               std::span<const std::string> excluded, instant now) const
+{
+    if (std::ranges::find(excluded, endpoint.record.instance) != excluded.end() ||
+        !accepts_requests(endpoint, now)) {
+        return false;
     }
-    // If more than half of the endpoints that accept requests are suspected, a fault of this gateway or of
-    // the network is more likely than a fault of each endpoint, so that the suspicions are ignored. Endpoints
-    // that cannot be reached are still a last resort only.
-    for (std::size_t n = 0; n < states.size(); ++n) {
-        out[n] = accepting[n] && states[n]->consecutive_unreachable < 2;
+    switch (usable) {
+    case usability::not_suspected:
+        return endpoint.suspected_until <= now;
+    case usability::reachable:
+        return endpoint.consecutive_unreachable < 2;
+    case usability::accepting:
+        break;
     }
-    return std::ranges::count(out, true) > 0 ? out : accepting;
+    return true;
 }
 
 bool endpoint_table::are_all_tried(std::string_view service, std::span<const std::string> tried) const
--- a/packages/gateway/src/exchange.hpp
+++ b/packages/gateway/src/exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <hemlocknotch/gateway/endpoint_table.hpp>
 #include <hemlocknotch/gateway/event_splitter.hpp>
 #include <hemlocknotch/gateway/placement_policy.hpp>
 #include <hemlocknotch/gateway/request_signature.hpp>
@@ -50,6 +51,7 @@
     /// Time at which an unresponsive endpoint is given up for another one.
     instant attempt_timeout_at = instant::max();
     placement_request placement_input;
+    endpoint_ranking ranking;
     /// Computed when they are first needed; empty until then.
     std::vector<request_signature> signatures;
     /// Tokens that count for the account.
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -199,7 +199,8 @@
     const endpoint_query query{.excluded = it.tried,
                                .shared_parts = it.placement_input.shared_parts,
                                .limit = policy.considered_endpoints(it.placement_input),
-                               .key = it.placement_input.shared_part.value_or(0)};
+                               .key = it.placement_input.shared_part.value_or(0),
+                               .ranking = &it.ranking};
     std::vector<endpoint_state*> states;
     const auto loads = endpoints_.loads_of(it.service, now, query, states);
     const auto chosen = policy.choose(it.placement_input, loads);
--- a/packages/gateway/tests/endpoint_table_test.cpp
+++ b/packages/gateway/tests/endpoint_table_test.cpp
@@ -101,6 +101,38 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_waits_does_not_rank_all_endpoints_at_each_offer)
+{
+    records.clear();
+    for (int n = 0; n < 180; ++n) {
+        records.push_back(create_endpoint("e" + std::to_string(n), "model"));
+    }
+    table.set_endpoints(records, configuration, 3, instant{});
+    endpoint_ranking ranking;
+    std::vector<endpoint_state*> states;
+    const auto names = [&](endpoint_ranking* kept) {
+        std::vector<std::string> out;
+        const endpoint_query query{.excluded = {}, .shared_parts = {}, .limit = 5, .key = 7, .ranking = kept};
+        for (const auto& it : table.loads_of("model", instant{}, query, states)) {
+            out.emplace_back(it.instance);
+        }
+        return out;
+    };
+    const auto first = names(&ranking);
+    for (int n = 0; n < 100; ++n) {
+        BOOST_TEST(names(&ranking) == first);
+    }
+    BOOST_TEST(table.rankings() == 1U);
+    // The same endpoints as without a kept ranking, whatever becomes of those that were ranked first.
+    for (int n = 0; n < 40; ++n) {
+        table.note_pause(*states.front(), std::chrono::seconds{1}, instant{});
+        BOOST_TEST(names(&ranking) == names(nullptr));
+    }
+    records.erase(records.begin() + 90, records.end());
+    table.set_endpoints(records, configuration, 3, instant{});
+    BOOST_TEST(names(&ranking) == names(nullptr));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
