Expect a wait only of accounts whose own requests have been waiting

An account whose callers had just been moved to another gateway by the load balancer was refused there at once, as overloaded, 119 times in three seconds with four to eight requests waiting, while it was within its share (expected waits of 606 to 677 ms, of 600 that it may wait).

Cause: the wait of a new request was estimated from what the gateway had sent in the last second, as soon as any request had been waiting for 300 ms. One request of another account whose prompt's endpoints are full was enough, and what the gateway had sent showed what callers had asked of it, not what endpoints can take. One class: the lack of demand is taken for a lack of capacity.

Change: the estimate begins once requests of the account itself have been waiting for that time without a gap, and goes by the rate since then where that is higher.

an_account_that_comes_is_not_refused_for_what_was_sent_before_it_came failed before (two of three requests refused) and passes.

--- a/packages/gateway/bench/site_profiles.hpp
+++ b/packages/gateway/bench/site_profiles.hpp
@@ -15,8 +15,8 @@
 };
 
 /// Returns the deployment `name`: `saadruil`, `fassreg-ch`, either with the suffix `-grown`,
-/// `saadruil-large`, or `long-run`, the size that the design aims for. Empty if there is none of that name. The figures come from the users'
-/// data sheets.
+/// `saadruil-large`, or `long-run`, the size that the design aims for. Empty if there is none of that name.
+/// The figures come from the users' data sheets.
 std::optional<site_profile> find_site(std::string_view name);
 
 } // namespace hemlocknotch::gateway::model
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -49,8 +49,9 @@
     double output_weight = 2.0;
     /// Fraction of its maximum output tokens that a request without a hint is expected to generate.
     double expected_output_share = 0.5;
-    /// Time for which requests must have been waiting without a gap before the rate at which they are sent is
-    /// used to estimate the wait of a new one. Until then that rate only shows how many requests arrived.
+    /// Time for which requests of an account must have been waiting without a gap before the rate at which
+    /// requests are sent is used to estimate the wait of a new one of it. Until then that rate only shows how
+    /// many requests arrived.
     duration backlog_time = std::chrono::milliseconds{300};
     /// Waiting requests that are offered to endpoints in one step; bounds the duration of a step.
     std::size_t offers_per_step = 64;
--- a/packages/gateway/include/hemlocknotch/gateway/waiting_queue.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/waiting_queue.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,13 @@
     instant send_by;
 };
 
+/// Begin of a time in which requests of one account wait without a gap.
+struct backlog_start {
+    instant at{};
+    /// Tokens that the gateway had sent to endpoints of the service by then.
+    double sent_tokens = 0.0;
+};
+
 /// Requests of one service that wait for an endpoint, in fair order of their client accounts: the account
 /// that was recently served the fewest tokens is next. Used by one thread at a time.
 class waiting_queue {
@@ -36,8 +44,8 @@
     /// `meter` has the rates at which accounts were served; it must outlive the queue.
     explicit waiting_queue(const share_meter& meter) : meter_{meter} {}
 
-    /// Appends a request of `account`.
-    void add(std::string_view account, const waiting_request& request);
+    /// Appends a request of `account`. If it is the only one of the account, its backlog begins at `start`.
+    void add(std::string_view account, const waiting_request& request, const backlog_start& start = {});
 
     /// Removes a request from any position. Returns whether it was waiting.
     bool remove(exchange_id exchange);
@@ -56,6 +64,9 @@
     /// Returns the tokens that would be served before a new request of `account` with `cost`.
     [[nodiscard]] double tokens_ahead(std::string_view account, double cost, instant now) const;
 
+    /// Returns when requests of `account` began to wait without a gap since; empty if none wait.
+    [[nodiscard]] std::optional<backlog_start> backlog_of(std::string_view account) const;
+
     [[nodiscard]] bool is_empty() const { return size_ == 0; }
 
     [[nodiscard]] std::size_t size() const { return size_; }
@@ -63,6 +74,7 @@
 private:
     struct account_queue {
         double waiting_cost = 0.0;
+        backlog_start backlog;
         std::list<waiting_request> requests;
     };
 
--- a/packages/gateway/src/service_admission.cpp
+++ b/packages/gateway/src/service_admission.cpp
@@ -36,6 +36,7 @@
 {
     meter_.note_served(it.account, it.cost, now);
     sent_.add(it.cost, now);
+    sent_tokens_ += it.cost;
 }
 
 double service_admission::endpoint_rate(const routing_configuration& configuration, std::size_t endpoints)
@@ -69,11 +70,16 @@
 
 duration service_admission::estimated_wait(const exchange& it, instant now) const
 {
-    if (queue_.is_empty() || now - backlogged_since_ < options_.backlog_time) {
+    // Before, the rate at which requests are sent shows what other accounts ask for, not what endpoints can
+    // take.
+    const auto backlog = queue_.backlog_of(it.account);
+    if (!backlog || now - backlog->at < options_.backlog_time) {
         return duration::zero();
     }
     const auto ahead = queue_.tokens_ahead(it.account, it.cost, now);
-    const auto rate = sent_.per_second(now);
+    const std::chrono::duration<double> backlogged = now - backlog->at;
+    const auto rate =
+        std::max(sent_.per_second(now), (sent_tokens_ - backlog->sent_tokens) / backlogged.count());
     if (ahead <= 0.0 || rate <= 0.0) {
         return duration::zero();
     }
@@ -108,10 +114,7 @@
 
 void service_admission::add_waiting(const exchange& it, unsigned priority, instant send_by, instant now)
 {
-    if (queue_.is_empty()) {
-        backlogged_since_ = now;
-    }
-    queue_.add(it.account, {it.id, it.cost, priority, send_by});
+    queue_.add(it.account, {it.id, it.cost, priority, send_by}, {now, sent_tokens_});
 }
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/service_admission.hpp
+++ b/packages/gateway/src/service_admission.hpp
@@ -61,8 +61,6 @@
     share_meter meter_;
     waiting_queue queue_;
     retry_budget retries_;
-    /// Start of the current period in which requests have been waiting without a gap.
-    instant backlogged_since_ = instant::max();
     /// Rates up to which an account is within its fair share of the configured capacity and of the current
     /// throughput, and the time at which they were computed.
     double fair_level_ = 0.0;
@@ -76,6 +74,8 @@
     instant postponed_until_ = instant::max();
     /// Costs of the requests recently sent.
     decaying_sum sent_;
+    /// Costs of all requests sent.
+    double sent_tokens_ = 0.0;
 };
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/waiting_queue.cpp
+++ b/packages/gateway/src/waiting_queue.cpp
@@ -5,11 +5,14 @@
 
 namespace hemlocknotch::gateway {
 
-void waiting_queue::add(std::string_view account, const waiting_request& request)
+void waiting_queue::add(std::string_view account, const waiting_request& request, const backlog_start& start)
 {
     const auto found = queues_.find(account);
     auto& it = found != queues_.end() ? found->second
                                       : queues_.emplace(std::string{account}, account_queue{}).first->second;
+    if (it.requests.empty()) {
+        it.backlog = start;
+    }
     // The most urgent come first; requests of equal priority keep their order.
     const auto position = std::ranges::find_if(
         it.requests, [&](const waiting_request& other) { return other.priority > request.priority; });
@@ -98,6 +101,13 @@
     return out;
 }
 
+std::optional<backlog_start> waiting_queue::backlog_of(std::string_view account) const
+{
+    const auto found = queues_.find(account);
+    return found == queues_.end() || found->second.requests.empty() ? std::nullopt
+                                                                    : std::optional{found->second.backlog};
+}
+
 double waiting_queue::tokens_ahead(std::string_view account, double cost, instant now) const
 {
     const auto seconds = std::chrono::duration<double>(share_meter::time_constant).count();
--- a/packages/gateway/tests/router_test.cpp
+++ b/packages/gateway/tests/router_test.cpp
@@ -428,6 +428,28 @@
     BOOST_TEST(port.answers[count + 1].status == 200);
 }
 
+BOOST_FIXTURE_TEST_CASE(an_account_that_comes_is_not_refused_for_what_was_sent_before_it_came, router_fixture)
+{
+    fleet_report full;
+    full.gateway = "other";
+    full.endpoints = {{"m1", 1e9, 1, 0.0}, {"m2", 1e9, 1, 0.0}, {"m3", 1e9, 1, 0.0}};
+    send_request(1, "/stream/");
+    it.apply_report(full, now);
+    send_request(2, "/stream/");
+    now += milliseconds{400};
+    for (const exchange_id id : {3, 4, 5}) {
+        send_request(id, "/stream/", "key-b");
+    }
+    full.endpoints.clear();
+    it.apply_report(full, now);
+    now += milliseconds{20};
+    it.on_timer(now);
+    BOOST_TEST(port.calls.size() == 5U);
+    for (const exchange_id id : {3, 4, 5}) {
+        BOOST_TEST(!port.answers.contains(id));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
