Check for late requests each 100 ms in fleets of any size

A gateway with 0.09 of a core read requests a second late, and the load balancer was told so at 12.9 s, three seconds after its account's requests began to wait.

Cause: whether requests are read late was measured, and told, each time a report went out, which is each 1.2 s with 103 gateways and each 4.9 s with 400; a measurement that began at one report was read at the next one.

Change: the probe has its own timer of 100 ms.

late_reads_are_noticed_within_checks_that_do_not_wait_for_a_report: noticed within 2 s with no report at all; the probe did not measure by itself before.

--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -105,7 +105,8 @@
                     event_priority::request},
       request_delay_{
           base, [this] { return clock_.now(); },
-          [this](duration it) { record_seconds("hemlocknotch_gateway_request_delay_seconds", it); }},
+          [this](duration it) { record_seconds("hemlocknotch_gateway_request_delay_seconds", it); },
+          [this] { check_overload(); }},
       registry_age_{part_of_bound(settings, stale_age_share), [this](const log_effect& it) { log(it); }},
       stop_schedule_{settings.stop_grace},
       stop_timer_{base, [this] { continue_stop(); }}
@@ -140,6 +141,7 @@
          "started",
          {{"failure_domain", settings_.failure_domain}, {"callers", callers.to_string()}}});
     follower_.start();
+    request_delay_.start();
     return callers;
 }
 
@@ -266,7 +268,10 @@
                          .is_store_reachable = follower_.is_reachable(),
                          .loop_delay = loop_delay},
                         now);
-    request_delay_.start();
+}
+
+void gateway_shell::check_overload()
+{
     if (is_overloaded_ == request_delay_.is_late()) {
         return;
     }
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -107,6 +107,8 @@
     void send_report();
     /// Measures the delays of the event loop, and logs what changed in them and in the registry's age.
     void check_health();
+    /// Tells the load balancer and the log when requests begin or cease to be read late.
+    void check_overload();
     void record_seconds(std::string_view metric, duration value);
     void schedule_report();
     /// Sends a report at once where another gateway should not have to wait for it.
--- a/packages/daemon/src/gateway/request_delay_probe.hpp
+++ b/packages/daemon/src/gateway/request_delay_probe.hpp
@@ -16,11 +16,16 @@
     /// request that has not been read.
     static constexpr duration late_after = std::chrono::milliseconds{250};
 
-    /// `base` must outlive the probe; `now` returns the monotonic time. `measured` is called with each delay.
+    /// Time between two measurements: a fraction of the time that callers wait. It must not grow with the
+    /// fleet.
+    static constexpr duration interval = std::chrono::milliseconds{100};
+
+    /// `base` must outlive the probe; `now` returns the monotonic time. `measured` is called with each delay,
+    /// and `checked` each time that a measurement is due, also while one is in progress.
     request_delay_probe(event_base* base, std::function<instant()> now,
-                        std::function<void(duration)> measured);
+                        std::function<void(duration)> measured, std::function<void()> checked);
 
-    /// Starts a measurement, unless one is in progress.
+    /// Measures at `interval` from now on.
     void start();
 
     /// Returns the last delay, or the time that the measurement in progress has taken, if that is longer.
@@ -29,11 +34,14 @@
     [[nodiscard]] bool is_late() const { return delay() > late_after; }
 
 private:
+    void begin();
     void finish();
 
     std::function<instant()> now_;
     std::function<void(duration)> measured_;
+    std::function<void()> checked_;
     timer event_;
+    timer due_;
     /// `instant::max()`: no measurement is in progress.
     instant started_at_ = instant::max();
     duration last_delay_{};
