--- a/packages/daemon/tests/registry_follower_fixture.hpp
+++ b/packages/daemon/tests/registry_follower_fixture.hpp
@@ -26,7 +26,8 @@
                           .slots = 1,
                           .is_draining = false,
                           .cold_remaining = {},
-                          .started_at_ms = 0}};
+                          .started_at_ms = 0,
+                          .software_version = "v1"}};
 }
 
 inline registry_change written(const std::string& name, std::uint64_t revision)
--- a/packages/gateway/bench/fleet_model.cpp
+++ b/packages/gateway/bench/fleet_model.cpp
@@ -125,7 +125,8 @@
                                .slots = options_.engine.slots,
                                .is_draining = false,
                                .cold_remaining = {},
-                               .started_at_ms = it->failed_models.size() + 1});
+                               .started_at_ms = it->failed_models.size() + 1,
+                               .software_version = "v1"});
         }
     }
     for (auto& it : gateways_) {
--- a/packages/gateway/fuzz/fuzz_fleet.cpp
+++ b/packages/gateway/fuzz/fuzz_fleet.cpp
@@ -49,7 +49,8 @@
                                                      .slots = 4,
                                                      .is_draining = false,
                                                      .cold_remaining = {},
-                                                     .started_at_ms = 1});
+                                                     .started_at_ms = 1,
+                                                     .software_version = "v1"});
         }
     }
     has_crashing_part_ = chance(50);
--- a/packages/gateway/fuzz/fuzz_registry.cpp
+++ b/packages/gateway/fuzz/fuzz_registry.cpp
@@ -204,7 +204,8 @@
                           .slots = 1,
                           .is_draining = truth_.endpoints.at(name) == endpoint_phase::draining,
                           .cold_remaining = {},
-                          .started_at_ms = started == truth_.started_at_ms.end() ? 0 : started->second}};
+                          .started_at_ms = started == truth_.started_at_ms.end() ? 0 : started->second,
+                          .software_version = "v1"}};
 }
 
 void fuzz_registry::write_again(const std::string& key)
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_record.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_record.hpp
@@ -23,6 +23,8 @@
     /// Start time of the endpoint in Unix milliseconds; distinguishes two starts under one name. Zero: not
     /// given.
     std::uint64_t started_at_ms = 0;
+    /// Version of its software. Only compared; what two versions generate does not fit together.
+    std::string software_version;
 
     friend bool operator==(const endpoint_record&, const endpoint_record&) = default;
 };
--- a/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
@@ -38,6 +38,8 @@
     std::vector<prompt_part> prompt;
     /// Id of the event after which the caller resumes a stream; empty if it does not.
     std::string last_event_id;
+    /// Id of the caller's attempt that brought the first event of the resumed stream; empty if not given.
+    std::string resumed_request_id;
 };
 
 /// Load that an endpoint reports with its answers.
--- a/packages/gateway/src/call_table.cpp
+++ b/packages/gateway/src/call_table.cpp
@@ -21,6 +21,7 @@
     it.call = ++last_call_;
     it.instance = endpoint.record.instance;
     it.endpoint_started_at_ms = endpoint.record.started_at_ms;
+    it.endpoint_version = endpoint.record.software_version;
     it.sent_at = now;
     it.first_event_at = instant::max();
     calls_.emplace(it.call, open_call{it.id, it.instance});
--- a/packages/gateway/src/exchange.hpp
+++ b/packages/gateway/src/exchange.hpp
@@ -72,6 +72,10 @@
     std::string instance;
     /// Start time of that endpoint in Unix milliseconds, as registered; 0: not given.
     std::uint64_t endpoint_started_at_ms = 0;
+    /// Software version of that endpoint, as registered when the call was started.
+    std::string endpoint_version;
+    /// Software version that began the stream; empty while no event was passed on, or where it is not known.
+    std::string stream_version;
     /// When the last call was started, and when the first complete event of its answer arrived.
     instant sent_at;
     instant first_event_at = instant::max();
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -62,6 +62,7 @@
              {"route", it.matched == nullptr ? "" : it.matched->name},
              {"account", it.account},
              {"endpoint", it.instance},
+             {"version", it.endpoint_version},
              {"sends", std::to_string(it.attempts)},
              {"executions", std::to_string(it.executions)},
              {"begun", it.is_begun ? "1" : "0"},
@@ -88,6 +89,19 @@
              {"signature", was_reached ? to_text(sign_request(it.account, *it.request)) : ""}}};
 }
 
+log_effect stream_continued_record(const exchange& it, std::string_view after)
+{
+    return {it.stream_version == it.endpoint_version ? log_level::debug : log_level::warning,
+            "stream-continued",
+            {{"request", std::string{it.id_text()}},
+             {"resumes", it.request->fields.resumed_request_id},
+             {"last_event", std::string{after}},
+             {"endpoint", it.instance},
+             {"version", it.endpoint_version},
+             {"began_at", it.stream_version},
+             {"sends", std::to_string(it.attempts)}}};
+}
+
 log_effect stream_not_continued_record(const exchange& it)
 {
     return {log_level::error,
--- a/packages/gateway/src/exchange_log.hpp
+++ b/packages/gateway/src/exchange_log.hpp
@@ -34,6 +34,9 @@
 /// for which events of connections wait in this process.
 log_effect call_failed_record(const exchange& it, bool was_reached, duration event_delay, instant now);
 
+/// Describes a call that continues a stream after the event `after`.
+log_effect stream_continued_record(const exchange& it, std::string_view after);
+
 /// Returns the log record for a stream that has begun and that the endpoint of the present call answered with
 /// something else than further events.
 log_effect stream_not_continued_record(const exchange& it);
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -5,6 +5,7 @@
 #include "caller_answers.hpp"
 #include "endpoint_announcements.hpp"
 #include "exchange.hpp"
+#include "exchange_log.hpp"
 #include "exchange_metrics.hpp"
 #include "exchange_table.hpp"
 #include "fleet_reports.hpp"
@@ -228,6 +229,9 @@
             now + std::chrono::duration_cast<duration>(it.objective() * attempt_timeout_objectives);
         exchanges_->add_deadline(it, it.attempt_timeout_at);
     }
+    if (!start.resume_after.empty() && port_.wants_log(log_level::debug)) {
+        port_.write_log(stream_continued_record(it, start.resume_after));
+    }
     port_.start_call(start);
 }
 
--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -127,6 +127,9 @@
         }
         if (!events.empty()) {
             it->first_event_at = std::min(it->first_event_at, now);
+            if (!it->is_begun) {
+                it->stream_version = it->endpoint_version;
+            }
             answers_->pass_events(*it, events, now);
             if (now - it->first_event_at >= crash_breaker::sound_run_time) {
                 note_sound_run(*it, now);
--- a/packages/gateway/tests/router_fixture.hpp
+++ b/packages/gateway/tests/router_fixture.hpp
@@ -63,7 +63,8 @@
             .slots = service == "model" ? 64U : 4U,
             .is_draining = false,
             .cold_remaining = {},
-            .started_at_ms = 1};
+            .started_at_ms = 1,
+            .software_version = "v1"};
 }
 
 inline std::shared_ptr<const caller_request> create_request(const std::string& id, const std::string& target,
