--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -94,7 +94,8 @@
       reports_{
           base, [this] { return clock_.now(); },
           [this](const gateway::fleet_report& it, const endpoint_address& from) { apply_report(it, from); },
-          [this](const gateway::registry_update& it) { apply_update(it); }},
+          [this](const gateway::registry_update& it) { apply_update(it); },
+          [this](const gateway::stream_report& it) { router_.apply_stream_report(it, clock_.now()); }},
       peers_{settings.instance},
       report_timer_{base, [this] { send_report(); }},
       router_timer_{base,
@@ -175,6 +176,7 @@
              "ending-requests",
              {{"open_requests", std::to_string(router_.exchange_count())}}});
         router_.end_all(now);
+        send_stream_report();
         follower_.leave();
     }
     const auto is_idle = callers_.serving_count() == 0 && callers_.connection_count() == 0;
@@ -239,11 +241,19 @@
     report.incarnation = incarnation_;
     report.sequence = ++report_sequence_;
     reports_.send(report, peers_.addresses());
+    send_stream_report();
     signature_blocks_.update(now);
     check_health();
     schedule_report();
 }
 
+void gateway_shell::send_stream_report()
+{
+    auto report = router_.create_stream_report(clock_.now());
+    report.gateway = settings_.instance;
+    reports_.send(report, peers_.addresses());
+}
+
 void gateway_shell::schedule_report()
 {
     const auto interval = gateway::report_interval(peers_.addresses().size());
@@ -256,6 +266,9 @@
     if (router_.breaker().take_urgency()) {
         report_timer_.start(duration::zero());
     }
+    if (router_.take_stream_urgency()) {
+        send_stream_report();
+    }
 }
 
 void gateway_shell::check_health()
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -105,6 +105,7 @@
     void schedule_router_timer();
     void continue_stop();
     void send_report();
+    void send_stream_report();
     /// Measures the delays of the event loop, and logs what changed in them and in the registry's age.
     void check_health();
     /// Tells the load balancer and the log when requests begin or cease to be read late.
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t change_overhead_bytes = 32;
 /// First element of an update. Reports begin with a string, the name of the gateway.
 constexpr int update_tag = 1;
+/// First element of what a gateway tells of streams.
+constexpr int streams_tag = 2;
 /// Stands in an update for a time that is not stated.
 constexpr duration not_stated{-1};
 /// Maximum number of datagrams that are read per event, so that a flood of them does not delay requests.
@@ -229,14 +231,48 @@
     }
 }
 
+std::vector<std::uint8_t> encode_stream_report(const gateway::stream_report& report)
+{
+    auto versions = json::array();
+    for (const auto& it : report.versions) {
+        versions.push_back({it.service, it.version, it.age.count(), it.streams});
+    }
+    return json::to_cbor(json{streams_tag, report.gateway, report.known_for.count(), std::move(versions)});
+}
+
+std::optional<gateway::stream_report> decode_stream_report(std::span<const std::uint8_t> bytes)
+{
+    try {
+        const auto item =
+            hemlocknotch::detail::read_cbor({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+        if (!item || !item->is_array() || item->empty() || item->at(0) != streams_tag) {
+            return std::nullopt;
+        }
+        gateway::stream_report out;
+        out.gateway = item->at(1).get<std::string>();
+        out.known_for = duration{item->at(2).get<std::int64_t>()};
+        for (const auto& it : item->at(3)) {
+            out.versions.push_back({it.at(0).get<std::string>(), it.at(1).get<std::string>(),
+                                    duration{it.at(2).get<std::int64_t>()},
+                                    it.at(3).get<std::vector<std::uint64_t>>()});
+        }
+        return out;
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 report_exchange::report_exchange(event_base* base, std::function<instant()> now,
-                                 report_callback report_received, update_callback update_received)
+                                 report_callback report_received, update_callback update_received,
+                                 stream_callback streams_received)
     : base_{base},
       now_{std::move(now)},
       report_received_{std::move(report_received)},
-      update_received_{std::move(update_received)}
+      update_received_{std::move(update_received)},
+      streams_received_{std::move(streams_received)}
 {
-    assert(now_ && report_received_ && update_received_);
+    assert(now_ && report_received_ && update_received_ && streams_received_);
 }
 
 report_exchange::~report_exchange()
@@ -275,6 +311,12 @@
     }
 }
 
+void report_exchange::send(const gateway::stream_report& report,
+                           std::span<const endpoint_address> addresses) const
+{
+    send_bytes(encode_stream_report(report), addresses);
+}
+
 void report_exchange::send_bytes(std::span<const std::uint8_t> bytes,
                                  std::span<const endpoint_address> addresses) const
 {
@@ -320,6 +362,12 @@
         }
         return;
     }
+    if (bytes.size() > 1 && bytes[1] == streams_tag) {
+        if (const auto streams = decode_stream_report(bytes)) {
+            streams_received_(*streams);
+        }
+        return;
+    }
     const auto report = decode_report(bytes);
     if (!report) {
         return;
--- a/packages/daemon/tests/report_exchange_test.cpp
+++ b/packages/daemon/tests/report_exchange_test.cpp
@@ -55,11 +55,11 @@
     instant now{std::chrono::seconds{100}};
     std::optional<registry_update> received;
     report_exchange sender{loop.base(), [this] { return now; },
-                           [](const fleet_report&, const endpoint_address&) {},
-                           [](const registry_update&) {}};
-    report_exchange receiver{loop.base(), [this] { return now; },
-                             [](const fleet_report&, const endpoint_address&) {},
-                             [this](const registry_update& it) { received = it; }};
+                           [](const fleet_report&, const endpoint_address&) {}, [](const registry_update&) {},
+                           [](const gateway::stream_report&) {}};
+    report_exchange receiver{
+        loop.base(), [this] { return now; }, [](const fleet_report&, const endpoint_address&) {},
+        [this](const registry_update& it) { received = it; }, [](const gateway::stream_report&) {}};
     std::optional<endpoint_address> receiver_address;
 };
 
@@ -197,6 +197,30 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_report_names_the_streams_that_each_version_began)
+{
+    gateway::stream_report report;
+    report.gateway = "g1";
+    report.known_for = std::chrono::seconds{20};
+    report.versions = {{"model", "v1", std::chrono::milliseconds{1500}, {1, 1ULL << 63U}},
+                       {"model", "v2", {}, {}}};
+    const auto bytes = encode_stream_report(report);
+    const auto read = decode_stream_report(bytes);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->gateway == "g1");
+    BOOST_TEST((read->known_for == report.known_for));
+    BOOST_REQUIRE(read->versions.size() == 2U);
+    BOOST_TEST(read->versions[0].service == "model");
+    BOOST_TEST(read->versions[0].version == "v1");
+    BOOST_TEST((read->versions[0].age == report.versions[0].age));
+    BOOST_TEST(read->versions[0].streams == report.versions[0].streams);
+    BOOST_TEST(read->versions[1].streams.empty());
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        BOOST_TEST(!decode_stream_report(std::span{bytes}.first(n)).has_value());
+    }
+    BOOST_TEST(!decode_stream_report(encode_report({})).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -122,6 +122,8 @@
     std::uint64_t key = 0;
     /// Ranking for `key` from an earlier query with the same service and key; may be null.
     endpoint_ranking* ranking = nullptr;
+    /// Where not null, only endpoints of this software version are usable.
+    const std::string* version = nullptr;
 };
 
 /// The endpoints of all services, with their load and health. Used by one thread at a time.
@@ -199,7 +201,12 @@
                     instant now);
 
     /// Returns whether `tried` names every endpoint of `service` that is neither draining nor out of service.
-    [[nodiscard]] bool are_all_tried(std::string_view service, std::span<const std::string> tried) const;
+    /// Endpoints of other software versions than `version` count as tried if it is not null.
+    [[nodiscard]] bool are_all_tried(std::string_view service, std::span<const std::string> tried,
+                                     const std::string* version = nullptr) const;
+
+    /// Returns whether an endpoint of `service` with this software version is registered.
+    [[nodiscard]] bool has_version(std::string_view service, std::string_view version) const;
 
     /// Sets the number of gateways whose load is unknown. Each of them is assumed to cause as much load as
     /// this one.
@@ -253,10 +260,10 @@
     };
 
     static void suspect(endpoint_state& endpoint, instant until);
-    [[nodiscard]] usability usability_of(std::span<endpoint_state* const> states,
-                                         std::span<const std::string> excluded, instant now) const;
+    [[nodiscard]] usability usability_of(std::span<endpoint_state* const> states, const endpoint_query& query,
+                                         instant now) const;
     [[nodiscard]] bool is_usable(const endpoint_state& endpoint, usability usable,
-                                 std::span<const std::string> excluded, instant now) const;
+                                 const endpoint_query& query, instant now) const;
     /// Fills `ranking` with the first of `states` for `key`.
     void rank(std::span<endpoint_state* const> states, std::uint64_t key, std::size_t limit,
               endpoint_ranking& ranking);
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -27,12 +27,14 @@
 class fleet_reports;
 class crash_breaker;
 class service_admission;
+class stream_origins;
 struct exchange;
 struct exchange_context;
 struct request_signature;
 struct signature_block;
 struct signature_decision;
 struct retry_advice;
+struct stream_report;
 struct unserved_end;
 
 /// Settings of the router.
@@ -125,6 +127,14 @@
     /// Removes the load that `gateway` has reported: it left the fleet or its reports no longer arrive.
     void remove_gateway(std::string_view gateway);
 
+    /// Returns what the other gateways have to know of the streams that were begun here; the sender fills in
+    /// the name.
+    [[nodiscard]] stream_report create_stream_report(instant now);
+    void apply_stream_report(const stream_report& report, instant now);
+    /// Returns whether a stream report is due at once: a caller has left a stream that it may take up at
+    /// another gateway. The next call returns false.
+    [[nodiscard]] bool take_stream_urgency();
+
     /// Applies the blocks of signatures that are in the registry. Those of `lifted` were removed from it.
     void set_registered_blocks(std::span<const signature_block> blocks,
                                std::span<const request_signature> lifted, instant now);
@@ -168,6 +178,11 @@
     /// whether it was refused; `it` is invalid then.
     bool refuse_before_stop(exchange& it, instant now);
     void enqueue_or_refuse(exchange& it, instant now);
+    /// Finds the software version at which a stream that its caller takes up may go on. Returns whether the
+    /// request was refused since there is none; `it` is invalid then.
+    bool refuse_take_up(exchange& it, instant now);
+    /// Records which software version began the stream, of which the first event is about to be passed on.
+    void note_stream_begun(exchange& it, instant now);
     void handle_failure(exchange& it, call_outcome outcome, instant now);
     /// The endpoint that was to continue a stream answers with something else, of which the caller cannot be
     /// given anything. The call has been cancelled or has ended.
@@ -224,6 +239,8 @@
     std::unique_ptr<call_table> calls_;
     std::unique_ptr<crash_breaker> breaker_;
     std::unique_ptr<endpoint_announcements> announcements_;
+    std::unique_ptr<stream_origins> origins_;
+    bool is_stream_report_due_ = false;
     std::map<std::string, std::unique_ptr<service_admission>, std::less<>> services_;
 };
 
--- a/packages/gateway/src/call_table.cpp
+++ b/packages/gateway/src/call_table.cpp
@@ -24,7 +24,7 @@
     it.endpoint_version = endpoint.record.software_version;
     it.sent_at = now;
     it.first_event_at = instant::max();
-    calls_.emplace(it.call, open_call{it.id, it.instance});
+    calls_.emplace(it.call, open_call{it.id, it.instance, it.endpoint_started_at_ms});
     ++endpoint.running;
     if (it.is_model) {
         add_prompt(it, endpoint, now);
@@ -111,7 +111,8 @@
     std::vector<exchange_id> out;
     for (const auto& [call, it] : calls_) {
         const auto* endpoint = endpoints_.find(it.instance);
-        if (endpoint == nullptr || endpoint_table::is_departing(*endpoint)) {
+        const auto is_gone = endpoint == nullptr || endpoint->record.started_at_ms != it.started_at_ms;
+        if (is_gone || endpoint_table::is_departing(*endpoint)) {
             out.push_back(it.exchange);
         }
     }
--- a/packages/gateway/src/call_table.hpp
+++ b/packages/gateway/src/call_table.hpp
@@ -54,6 +54,8 @@
     struct open_call {
         exchange_id exchange = 0;
         std::string instance;
+        /// Start of the endpoint that the call is meant for.
+        std::uint64_t started_at_ms = 0;
     };
 
     std::unordered_map<call_id, open_call> calls_;
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -81,7 +81,8 @@
         const auto known = endpoints_.find(record.instance);
         const auto is_same = known != endpoints_.end() &&
                              known->second->record.started_at_ms == record.started_at_ms &&
-                             known->second->record.address == record.address;
+                             known->second->record.address == record.address &&
+                             known->second->record.software_version == record.software_version;
         auto state = is_same ? std::move(known->second) : std::make_unique<endpoint_state>(record);
         const auto has_same_cold_time = is_same && state->record.cold_remaining == record.cold_remaining;
         const auto was_cold = state->cold_until > now;
@@ -291,10 +292,8 @@
         return out;
     }
     const auto& all = found->second;
-    const auto usable = usability_of(all, query.excluded, now);
-    const auto may_take = [&](const endpoint_state& it) {
-        return is_usable(it, usable, query.excluded, now);
-    };
+    const auto usable = usability_of(all, query, now);
+    const auto may_take = [&](const endpoint_state& it) { return is_usable(it, usable, query, now); };
     if (query.limit == 0) {
         states = all;
         out.reserve(all.size());
@@ -363,14 +362,13 @@
 }
 
 endpoint_table::usability endpoint_table::usability_of(std::span<endpoint_state* const> states,
-                                                       std::span<const std::string> excluded,
-                                                       instant now) const
+                                                       const endpoint_query& query, instant now) const
 {
     std::size_t accepting = 0;
     std::size_t not_suspected = 0;
     std::size_t reachable = 0;
     for (const auto* it : states) {
-        if (is_usable(*it, usability::accepting, excluded, now)) {
+        if (is_usable(*it, usability::accepting, query, now)) {
             ++accepting;
             not_suspected += it->suspected_until <= now ? 1U : 0U;
             reachable += it->consecutive_unreachable < 2 ? 1U : 0U;
@@ -383,11 +381,13 @@
     return reachable > 0 ? usability::reachable : usability::accepting;
 }
 
-bool endpoint_table::is_usable(const endpoint_state& endpoint, usability usable,
-                               std::span<const std::string> excluded, instant now) const
+bool endpoint_table::is_usable(const endpoint_state& endpoint, usability usable, const endpoint_query& query,
+                               instant now) const
 {
-    if (std::ranges::find(excluded, endpoint.record.instance) != excluded.end() ||
-        !accepts_requests(endpoint, now)) {
+    const auto is_excluded =
+        std::ranges::find(query.excluded, endpoint.record.instance) != query.excluded.end() ||
+        (query.version != nullptr && endpoint.record.software_version != *query.version);
+    if (is_excluded || !accepts_requests(endpoint, now)) {
         return false;
     }
     switch (usable) {
@@ -401,15 +401,25 @@
     return true;
 }
 
-bool endpoint_table::are_all_tried(std::string_view service, std::span<const std::string> tried) const
+bool endpoint_table::are_all_tried(std::string_view service, std::span<const std::string> tried,
+                                   const std::string* version) const
 {
     const auto found = by_service_.find(service);
     return found == by_service_.end() || std::ranges::all_of(found->second, [&](const endpoint_state* it) {
                return is_departing(*it) || out_of_service_.contains(it->record.failure_domain) ||
+                      (version != nullptr && it->record.software_version != *version) ||
                       std::ranges::find(tried, it->record.instance) != tried.end();
            });
 }
 
+bool endpoint_table::has_version(std::string_view service, std::string_view version) const
+{
+    const auto found = by_service_.find(service);
+    return found != by_service_.end() && std::ranges::any_of(found->second, [&](const endpoint_state* it) {
+               return it->record.software_version == version;
+           });
+}
+
 endpoint_state* endpoint_table::find(std::string_view instance)
 {
     const auto it = endpoints_.find(instance);
--- a/packages/gateway/src/exchange.hpp
+++ b/packages/gateway/src/exchange.hpp
@@ -74,8 +74,9 @@
     std::uint64_t endpoint_started_at_ms = 0;
     /// Software version of that endpoint, as registered when the call was started.
     std::string endpoint_version;
-    /// Software version that began the stream; empty while no event was passed on, or where it is not known.
-    std::string stream_version;
+    /// Software version that began the stream, at which alone it may go on; empty while no event was passed
+    /// on. An empty text stands for one that is not known, at which nothing can go on.
+    std::optional<std::string> stream_version;
     /// When the last call was started, and when the first complete event of its answer arrived.
     instant sent_at;
     instant first_event_at = instant::max();
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -91,14 +91,14 @@
 
 log_effect stream_continued_record(const exchange& it, std::string_view after)
 {
-    return {it.stream_version == it.endpoint_version ? log_level::debug : log_level::warning,
+    return {it.stream_version.value_or("") == it.endpoint_version ? log_level::debug : log_level::warning,
             "stream-continued",
             {{"request", std::string{it.id_text()}},
              {"resumes", it.request->fields.resumed_request_id},
              {"last_event", std::string{after}},
              {"endpoint", it.instance},
              {"version", it.endpoint_version},
-             {"began_at", it.stream_version},
+             {"began_at", it.stream_version.value_or("")},
              {"sends", std::to_string(it.attempts)}}};
 }
 
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -1,5 +1,6 @@
 #include <hemlocknotch/gateway/crash_breaker.hpp>
 #include <hemlocknotch/gateway/router.hpp>
+#include <hemlocknotch/gateway/stream_origins.hpp>
 
 #include "call_table.hpp"
 #include "caller_answers.hpp"
@@ -47,7 +48,8 @@
       answers_{std::make_unique<caller_answers>(port)},
       calls_{std::make_unique<call_table>(endpoints_, options_.output_weight)},
       breaker_{std::make_unique<crash_breaker>(options_.gateway)},
-      announcements_{std::make_unique<endpoint_announcements>(endpoints_, port)}
+      announcements_{std::make_unique<endpoint_announcements>(endpoints_, port)},
+      origins_{std::make_unique<stream_origins>()}
 {
 }
 
@@ -67,6 +69,7 @@
 void router::set_endpoints(std::span<const endpoint_record> records, instant now)
 {
     records_.assign(records.begin(), records.end());
+    origins_->set_endpoints(records, now);
     if (configuration_) {
         endpoints_.set_endpoints(records_, *configuration_, reports_->gateways(), now);
         recall_from_leaving_endpoints(now);
@@ -130,7 +133,9 @@
     if (exchanges_->size() > options_.max_exchanges) {
         return refuse(it, status_unavailable, "too-many-requests-open", min_retry_after, now);
     }
-    it.service = choose_service(*it.matched, it.id_text());
+    // A stream that its caller takes up goes on at the service that began it.
+    const auto& resumed = it.request->fields.resumed_request_id;
+    it.service = choose_service(*it.matched, resumed.empty() ? it.id_text() : resumed);
     const auto* service = configuration_->find_service(it.service);
     it.is_model = service != nullptr && service->is_model_service;
     it.placement_input = placement_of(it.request->fields, options_.expected_output_share);
@@ -140,7 +145,9 @@
     service_of(it.service).note_requested(it, now);
     record_request(port_, it);
     exchanges_->add_deadline(it, it.ends_at);
-    admit(it, now);
+    if (!refuse_take_up(it, now)) {
+        admit(it, now);
+    }
 }
 
 void router::admit(exchange& it, instant now)
@@ -191,6 +198,11 @@
         drop(it, now);
         return true;
     }
+    if (it.stream_version && !endpoints_.has_version(it.service, *it.stream_version)) {
+        it.is_waiting = false;
+        end_unserved(it, stream_version_left, it.executions > 0, now);
+        return true;
+    }
     auto& service = service_of(it.service);
     it.placement_input.endpoint_tokens_per_second =
         service.endpoint_rate(*it.configuration, endpoints_.endpoint_count(it.service));
@@ -201,7 +213,8 @@
                                .shared_parts = it.placement_input.shared_parts,
                                .limit = policy.considered_endpoints(it.placement_input),
                                .key = it.placement_input.shared_part.value_or(0),
-                               .ranking = &it.ranking};
+                               .ranking = &it.ranking,
+                               .version = it.stream_version ? &*it.stream_version : nullptr};
     std::vector<endpoint_state*> states;
     const auto loads = endpoints_.loads_of(it.service, now, query, states);
     const auto chosen = policy.choose(it.placement_input, loads);
@@ -256,6 +269,7 @@
         return;
     }
     auto& it = *found;
+    is_stream_report_due_ = is_stream_report_due_ || (it.is_begun && it.matched->is_resumable);
     if (it.call != 0) {
         port_.cancel_call(it.call);
         finish_call(it, now);
@@ -278,6 +292,7 @@
     reports_->note_configuration(report.gateway, report.configuration_version);
     if (reports_->apply_load(report)) {
         set_others();
+        origins_->report_all();
     }
     if (announcements_->apply_report(report, now)) {
         recall_from_leaving_endpoints(now);
--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -128,7 +128,7 @@
         if (!events.empty()) {
             it->first_event_at = std::min(it->first_event_at, now);
             if (!it->is_begun) {
-                it->stream_version = it->endpoint_version;
+                note_stream_begun(*it, now);
             }
             answers_->pass_events(*it, events, now);
             if (now - it->first_event_at >= crash_breaker::sound_run_time) {
@@ -303,7 +303,8 @@
     if (!decide_signatures(it, now).is_permitted()) {
         return false;
     }
-    if (endpoints_.are_all_tried(it.service, it.tried) || !service_of(it.service).retries().try_spend()) {
+    if (endpoints_.are_all_tried(it.service, it.tried, it.stream_version ? &*it.stream_version : nullptr) ||
+        !service_of(it.service).retries().try_spend()) {
         return false;
     }
     it.events.begin_continuation();
--- /dev/null
+++ b/packages/gateway/src/stream_origins.cpp
@@ -0,0 +1,175 @@
+#include <hemlocknotch/gateway/stream_origins.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace hemlocknotch::gateway {
+namespace {
+
+std::uint64_t key_of(std::string_view service, std::string_view request)
+{
+    return XXH64(request.data(), request.size(), XXH64(service.data(), service.size(), 0));
+}
+
+} // namespace
+
+void stream_origins::set_endpoints(std::span<const endpoint_record> records, instant now)
+{
+    known_since_ = std::min(known_since_, now);
+    for (auto& [service, versions] : versions_) {
+        for (auto& [version, seen_at] : versions) {
+            seen_at = std::min(seen_at, now);
+        }
+    }
+    for (const auto& it : records) {
+        versions_[it.service][it.software_version] = instant::max();
+    }
+    for (auto& [service, versions] : versions_) {
+        std::erase_if(versions, [&](const auto& it) { return !is_recent(it.second, now); });
+    }
+}
+
+void stream_origins::note_registry(instant as_of, instant now)
+{
+    if (as_of == instant{}) {
+        return;
+    }
+    if (registry_as_of_ != instant::max() && as_of > registry_as_of_ &&
+        as_of - registry_as_of_ > max_registry_age) {
+        known_since_ = now;
+    }
+    registry_as_of_ = as_of;
+}
+
+void stream_origins::note_lifetime(duration caller_timeout)
+{
+    lifetime_ = std::clamp(caller_timeout, lifetime_, max_lifetime);
+}
+
+void stream_origins::note_begun(std::string_view service, std::string_view request, std::string_view version,
+                                instant ends_at, instant now)
+{
+    add(key_of(service, request), {.name = name_of(service, version),
+                                   .reports_left = repetitions,
+                                   .ends_at = std::min(ends_at, now + max_lifetime),
+                                   .is_own = true});
+}
+
+std::optional<std::string> stream_origins::version_of(std::string_view service, std::string_view request,
+                                                      instant now) const
+{
+    if (!request.empty()) {
+        if (const auto it = streams_.find(key_of(service, request)); it != streams_.end()) {
+            return names_[it->second.name].second;
+        }
+    }
+    return sole_version(service, now);
+}
+
+std::optional<std::string> stream_origins::sole_version(std::string_view service, instant now) const
+{
+    const auto is_stale = registry_as_of_ != instant::max() && now - registry_as_of_ > max_registry_age;
+    const auto found = versions_.find(service);
+    if (is_stale || found == versions_.end() || known_since_ > now - lifetime_) {
+        return std::nullopt;
+    }
+    std::optional<std::string> out;
+    for (const auto& [version, seen_at] : found->second) {
+        if (!is_recent(seen_at, now)) {
+            continue;
+        }
+        if (out) {
+            return std::nullopt;
+        }
+        out = version;
+    }
+    return out;
+}
+
+stream_report stream_origins::create_report(instant now)
+{
+    remove_ended(now);
+    stream_report out;
+    out.known_for = known_since_ > now ? duration::zero() : std::min(now - known_since_, lifetime_);
+    std::map<std::pair<std::string_view, std::string_view>, std::size_t> index;
+    for (const auto& [service, versions] : versions_) {
+        for (const auto& [version, seen_at] : versions) {
+            if (is_recent(seen_at, now)) {
+                index[{service, version}] = out.versions.size();
+                const auto age = seen_at == instant::max() ? duration::zero() : now - seen_at;
+                out.versions.push_back({service, version, age, {}});
+            }
+        }
+    }
+    std::size_t count = 0;
+    for (auto& [key, it] : streams_) {
+        const auto& [service, version] = names_[it.name];
+        const auto versions = versions_.find(service);
+        const auto is_ambiguous = versions != versions_.end() && versions->second.size() > 1;
+        if (!is_ambiguous || it.reports_left == 0 || count == max_reported_streams) {
+            continue;
+        }
+        if (const auto at = index.find({service, version}); at != index.end()) {
+            --it.reports_left;
+            ++count;
+            out.versions[at->second].streams.push_back(key);
+        }
+    }
+    return out;
+}
+
+void stream_origins::apply_report(const stream_report& report, instant now)
+{
+    const auto known_for = std::clamp(report.known_for, duration::zero(), max_lifetime);
+    known_since_ = std::min(known_since_, now - known_for);
+    for (const auto& it : report.versions) {
+        auto& versions = versions_[it.service];
+        const auto seen_at = now - std::clamp(it.age, duration::zero(), max_lifetime);
+        const auto known = versions.try_emplace(it.version, seen_at).first;
+        known->second = std::max(known->second, seen_at);
+        const auto name = name_of(it.service, it.version);
+        for (const auto key : it.streams) {
+            add(key, {.name = name, .reports_left = 0, .ends_at = now + lifetime_, .is_own = false});
+        }
+    }
+}
+
+void stream_origins::report_all()
+{
+    for (auto& [key, it] : streams_) {
+        it.reports_left = it.is_own ? repetitions : 0U;
+    }
+}
+
+void stream_origins::remove_ended(instant now)
+{
+    std::erase_if(streams_, [&](const auto& it) { return it.second.ends_at <= now; });
+}
+
+std::uint32_t stream_origins::name_of(std::string_view service, std::string_view version)
+{
+    const auto it = std::ranges::find_if(
+        names_, [&](const auto& name) { return name.first == service && name.second == version; });
+    if (it != names_.end()) {
+        return static_cast<std::uint32_t>(it - names_.begin());
+    }
+    names_.emplace_back(service, version);
+    return static_cast<std::uint32_t>(names_.size() - 1);
+}
+
+void stream_origins::add(std::uint64_t key, const origin& it)
+{
+    if (const auto known = streams_.find(key); known != streams_.end()) {
+        // The first one to tell is right: a stream goes on at its version only.
+        known->second.ends_at = std::max(known->second.ends_at, it.ends_at);
+        return;
+    }
+    if (streams_.size() < max_streams) {
+        streams_.emplace(key, it);
+    }
+}
+
+} // namespace hemlocknotch::gateway
--- a/packages/gateway/src/unserved_end.hpp
+++ b/packages/gateway/src/unserved_end.hpp
@@ -36,6 +36,12 @@
                                                   .failed_status = 502,
                                                   .failed_reason = "no-endpoint-for-retry",
                                                   .refused_reason = "waited-too-long"};
+/// No endpoint of the software version that began the stream is registered.
+inline constexpr unserved_end stream_version_left{.cut_reason = "stream-version-left",
+                                                  .cut_level = log_level::warning,
+                                                  .failed_status = 502,
+                                                  .failed_reason = "stream-version-left",
+                                                  .refused_reason = "stream-version-left"};
 /// The time limit of the caller or of the route has passed.
 inline constexpr unserved_end deadline_exceeded{.cut_reason = "timed-out",
                                                 .cut_level = log_level::warning,
