Continue a stream only at the software version that began it

Cause: an endpoint's version was read and dropped, Resumes was not read, and a stream was continued wherever placing found room, within one answer and for callers that take a stream up. One class: what an answer depends on is not part of what is remembered of it, and outlives no process.

Change: an exchange keeps the version that began its stream, and placing considers no other. stream_origins knows the version of streams that callers may take up: while one version serves, and for as long before as a stream lasts, it began them all; otherwise by keys, which gateways tell each other with their reports, at once when a caller leaves, and keep as leased notes in the platform's store, from which gateways that start learn them.

--- a/packages/daemon/src/gateway/gateway_command.cpp
+++ b/packages/daemon/src/gateway/gateway_command.cpp
@@ -66,7 +66,7 @@
     const auto base = create_prioritized_loop();
     const platform::header_dialect dialect;
     platform::store_client store{base.get(), *settings.store};
-    gateway_shell shell{base.get(), settings, dialect, store};
+    gateway_shell shell{base.get(), settings, dialect, store, store};
     const signal_watch stop{base.get(), SIGTERM, [&] { shell.stop(); }};
     const signal_watch interrupt{base.get(), SIGINT, [&] { shell.stop(); }};
     const signal_watch reload{base.get(), SIGHUP, [&] {
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -61,7 +61,8 @@
 } // namespace
 
 gateway_shell::gateway_shell(event_base* base, const gateway_settings& settings,
-                             const gateway::message_dialect& dialect, gateway::registry_client& client)
+                             const gateway::message_dialect& dialect, gateway::registry_client& client,
+                             gateway::stream_note_store& notes)
     : base_{base},
       settings_{settings},
       dialect_{dialect},
@@ -83,6 +84,7 @@
                [this](const gateway::registry_update& it) { follower_.apply_snapshot(it); }},
       registry_client_{client},
       signature_blocks_{client, router_.breaker()},
+      stream_notes_{notes, router_.origins(), settings.instance + "/" + std::to_string(incarnation_) + "/"},
       callers_{base, dialect, max_caller_connections(settings), *this},
       pool_{base, dialect, *this, [this] { return clock_.now(); }},
       readiness_server_{
@@ -142,6 +144,7 @@
          "started",
          {{"failure_domain", settings_.failure_domain}, {"callers", callers.to_string()}}});
     follower_.start();
+    update_stream_notes();
     request_delay_.start();
     return callers;
 }
@@ -243,6 +246,7 @@
     reports_.send(report, peers_.addresses());
     send_stream_report();
     signature_blocks_.update(now);
+    update_stream_notes();
     check_health();
     schedule_report();
 }
@@ -254,6 +258,11 @@
     reports_.send(report, peers_.addresses());
 }
 
+void gateway_shell::update_stream_notes()
+{
+    stream_notes_.update([this] { return clock_.now(); });
+}
+
 void gateway_shell::schedule_report()
 {
     const auto interval = gateway::report_interval(peers_.addresses().size());
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -25,6 +25,7 @@
 #include "request_delay_probe.hpp"
 #include "signature_block_registrar.hpp"
 #include "stop_schedule.hpp"
+#include "stream_note_registrar.hpp"
 
 #include <boost/leaf/result.hpp>
 
@@ -40,9 +41,9 @@
                             private caller_request_sink,
                             private endpoint_answer_sink {
 public:
-    /// `base`, `dialect` and `client` must outlive the shell.
+    /// `base`, `dialect`, `client` and `notes` must outlive the shell.
     gateway_shell(event_base* base, const gateway_settings& settings, const gateway::message_dialect& dialect,
-                  gateway::registry_client& client);
+                  gateway::registry_client& client, gateway::stream_note_store& notes);
     ~gateway_shell() override;
 
     gateway_shell(const gateway_shell&) = delete;
@@ -106,6 +107,7 @@
     void continue_stop();
     void send_report();
     void send_stream_report();
+    void update_stream_notes();
     /// Measures the delays of the event loop, and logs what changed in them and in the registry's age.
     void check_health();
     /// Tells the load balancer and the log when requests begin or cease to be read late.
@@ -138,6 +140,7 @@
     peer_registry_fetcher fetcher_;
     gateway::registry_client& registry_client_;
     signature_block_registrar signature_blocks_;
+    stream_note_registrar stream_notes_;
     caller_server callers_;
     endpoint_pool pool_;
     page_server readiness_server_;
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -135,6 +135,9 @@
     /// another gateway. The next call returns false.
     [[nodiscard]] bool take_stream_urgency();
 
+    /// Returns what is known of the versions that began streams.
+    [[nodiscard]] stream_origins& origins() { return *origins_; }
+
     /// Applies the blocks of signatures that are in the registry. Those of `lifted` were removed from it.
     void set_registered_blocks(std::span<const signature_block> blocks,
                                std::span<const request_signature> lifted, instant now);
--- a/packages/gateway/include/hemlocknotch/gateway/stream_origins.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/stream_origins.hpp
@@ -81,6 +81,21 @@
     stream_report create_report(instant now);
     void apply_report(const stream_report& report, instant now);
 
+    /// Returns whether a stream of some service may have been begun by more than one version.
+    [[nodiscard]] bool is_ambiguous(instant now) const;
+
+    /// Returns what the store has to keep in case all gateways end: the versions, and the streams that were
+    /// begun here since the last note.
+    stream_report create_note(instant now);
+    /// Puts the streams of a note that was not written into the next one.
+    void return_note(const stream_report& note);
+    /// Applies all notes that are in the store. They name every version that may have begun streams beside
+    /// another one.
+    void apply_notes(std::span<const stream_report> notes, instant now);
+
+    /// Returns for how long a caller may take up a stream.
+    [[nodiscard]] duration lifetime() const { return lifetime_; }
+
     /// Names all streams in the next reports: a gateway has joined.
     void report_all();
 
@@ -94,6 +109,7 @@
         instant ends_at{};
         /// Whether this gateway passed the stream's events on.
         bool is_own = false;
+        bool is_noted = false;
     };
 
     /// Time at which an endpoint of each version was last registered; `instant::max()`: one is.
@@ -104,8 +120,11 @@
         return seen_at == instant::max() || now - seen_at < lifetime_;
     }
 
+    [[nodiscard]] bool is_ambiguous(std::string_view service, instant now) const;
     /// Returns the only version that may have begun a stream; empty if there may be others.
     [[nodiscard]] std::optional<std::string> sole_version(std::string_view service, instant now) const;
+    /// Returns the report without streams, and the index in it of each service and version.
+    [[nodiscard]] stream_report create_outline(instant now, std::vector<std::size_t>& index_by_name);
     void remove_ended(instant now);
     void add(std::uint64_t key, const origin& it);
     /// Returns the index of a service and its version in `names_`, where they are added if they are new.
--- a/packages/gateway/src/stream_origins.cpp
+++ b/packages/gateway/src/stream_origins.cpp
@@ -9,6 +9,8 @@
 namespace hemlocknotch::gateway {
 namespace {
 
+constexpr auto no_index = static_cast<std::size_t>(-1);
+
 std::uint64_t key_of(std::string_view service, std::string_view request)
 {
     return XXH64(request.data(), request.size(), XXH64(service.data(), service.size(), 0));
@@ -89,38 +91,93 @@
     return out;
 }
 
-stream_report stream_origins::create_report(instant now)
+stream_report stream_origins::create_outline(instant now, std::vector<std::size_t>& index_by_name)
 {
     remove_ended(now);
     stream_report out;
     out.known_for = known_since_ > now ? duration::zero() : std::min(now - known_since_, lifetime_);
-    std::map<std::pair<std::string_view, std::string_view>, std::size_t> index;
     for (const auto& [service, versions] : versions_) {
         for (const auto& [version, seen_at] : versions) {
             if (is_recent(seen_at, now)) {
-                index[{service, version}] = out.versions.size();
+                const auto name = name_of(service, version);
+                index_by_name.resize(names_.size(), no_index);
+                index_by_name[name] = out.versions.size();
                 const auto age = seen_at == instant::max() ? duration::zero() : now - seen_at;
                 out.versions.push_back({service, version, age, {}});
             }
         }
     }
+    index_by_name.resize(names_.size(), no_index);
+    return out;
+}
+
+stream_report stream_origins::create_report(instant now)
+{
+    std::vector<std::size_t> index_by_name;
+    auto out = create_outline(now, index_by_name);
     std::size_t count = 0;
     for (auto& [key, it] : streams_) {
-        const auto& [service, version] = names_[it.name];
-        const auto versions = versions_.find(service);
-        const auto is_ambiguous = versions != versions_.end() && versions->second.size() > 1;
-        if (!is_ambiguous || it.reports_left == 0 || count == max_reported_streams) {
-            continue;
-        }
-        if (const auto at = index.find({service, version}); at != index.end()) {
+        const auto at = index_by_name[it.name];
+        if (it.reports_left > 0 && at != no_index && count < max_reported_streams &&
+            is_ambiguous(names_[it.name].first, now)) {
             --it.reports_left;
             ++count;
-            out.versions[at->second].streams.push_back(key);
+            out.versions[at].streams.push_back(key);
+        }
+    }
+    return out;
+}
+
+stream_report stream_origins::create_note(instant now)
+{
+    std::vector<std::size_t> index_by_name;
+    auto out = create_outline(now, index_by_name);
+    out.known_for = duration::zero();
+    std::size_t count = 0;
+    for (auto& [key, it] : streams_) {
+        const auto at = index_by_name[it.name];
+        if (it.is_own && !it.is_noted && at != no_index && count < max_reported_streams &&
+            is_ambiguous(names_[it.name].first, now)) {
+            it.is_noted = true;
+            ++count;
+            out.versions[at].streams.push_back(key);
         }
     }
     return out;
 }
 
+void stream_origins::return_note(const stream_report& note)
+{
+    for (const auto& version : note.versions) {
+        for (const auto key : version.streams) {
+            if (const auto it = streams_.find(key); it != streams_.end()) {
+                it->second.is_noted = false;
+            }
+        }
+    }
+}
+
+void stream_origins::apply_notes(std::span<const stream_report> notes, instant now)
+{
+    for (const auto& it : notes) {
+        apply_report(it, now);
+    }
+    known_since_ = std::min(known_since_, now - max_lifetime);
+}
+
+bool stream_origins::is_ambiguous(std::string_view service, instant now) const
+{
+    const auto found = versions_.find(service);
+    return found != versions_.end() && std::ranges::count_if(found->second, [&](const auto& it) {
+                                           return is_recent(it.second, now);
+                                       }) > 1;
+}
+
+bool stream_origins::is_ambiguous(instant now) const
+{
+    return std::ranges::any_of(versions_, [&](const auto& it) { return is_ambiguous(it.first, now); });
+}
+
 void stream_origins::apply_report(const stream_report& report, instant now)
 {
     const auto known_for = std::clamp(report.known_for, duration::zero(), max_lifetime);
