Count a gateway as silent by the report interval of its fleet

A gateway was taken for gone after 2 s without a report. With 400 gateways reports go out each 4.9 s, so that what each gateway had reported was dropped and taken up again by turns. It counts for three intervals now, and 2 s at the least.

gateways_that_report_as_seldom_as_a_large_fleet_does_are_not_silent states it; not run on the code before, which drops the gateway after 2 s.

--- a/packages/daemon/src/gateway/peer_directory.cpp
+++ b/packages/daemon/src/gateway/peer_directory.cpp
@@ -1,5 +1,8 @@
 #include "peer_directory.hpp"
 
+#include <hemlocknotch/gateway/fleet_report.hpp>
+
+#include <algorithm>
 #include <utility>
 
 namespace hemlocknotch::daemon {
@@ -33,8 +36,10 @@
 std::vector<std::string> peer_directory::remove_silent(instant now)
 {
     std::vector<std::string> out;
+    const auto lifetime =
+        std::max<duration>(report_lifetime, gateway::report_interval(addresses_.size()) * lifetime_intervals);
     std::erase_if(heard_, [&](const auto& it) {
-        if (now - it.second.at < report_lifetime) {
+        if (now - it.second.at < lifetime) {
             return false;
         }
         out.push_back(it.first);
--- a/packages/daemon/src/gateway/peer_directory.hpp
+++ b/packages/daemon/src/gateway/peer_directory.hpp
@@ -18,8 +18,10 @@
 /// limits and still needs the registry's changes. Used by one thread at a time.
 class peer_directory {
 public:
-    /// Time after its last report for which a gateway counts as heard.
+    /// Least time after its last report for which a gateway counts as heard. In a large fleet it is heard for
+    /// `lifetime_intervals` report intervals, so that one report may be lost.
     static constexpr duration report_lifetime = std::chrono::seconds{2};
+    static constexpr int lifetime_intervals = 3;
 
     /// `own_name` is the name of this gateway.
     explicit peer_directory(std::string own_name);
--- a/packages/daemon/tests/peer_directory_test.cpp
+++ b/packages/daemon/tests/peer_directory_test.cpp
@@ -1,3 +1,5 @@
+#include <hemlocknotch/gateway/fleet_report.hpp>
+
 #include "gateway/peer_directory.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -55,6 +57,21 @@
     BOOST_TEST(it.heard_count() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(gateways_that_report_as_seldom_as_a_large_fleet_does_are_not_silent)
+{
+    constexpr int others = 399;
+    members.clear();
+    for (int n = 0; n < others; ++n) {
+        members.push_back({"m" + std::to_string(n), address_of(n % 250 + 1)});
+    }
+    it.set_registered(members);
+    it.note_heard("m1", address_of(2), now);
+    now += gateway::report_interval(others);
+    BOOST_TEST(it.remove_silent(now).empty());
+    now += gateway::report_interval(others) * peer_directory::lifetime_intervals;
+    BOOST_TEST(it.remove_silent(now).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
