--- a/packages/daemon/tests/stream_note_registrar_test.cpp
+++ b/packages/daemon/tests/stream_note_registrar_test.cpp
@@ -48,6 +48,7 @@
     void serve(const std::vector<std::string>& versions, gateway_memory& at) const
     {
         std::vector<gateway::endpoint_record> records;
+        records.reserve(versions.size());
         for (const auto& version : versions) {
             records.push_back({.instance = "e-" + version,
                                .service = "model",
