Let a version that joins begin streams once every gateway can know it

Callers would see streams joined of two software versions: a gateway that is cut off or stands still while a version joins takes the old version for the only one, and takes up there what began at the new one through other gateways.

Cause: a take-up may rest on a registry that is up to 2.5 s old, but the others began streams at a new endpoint as soon as they had read its entry. Nothing made them wait.

Change: a version that joins another one begins no resumable stream for 3 s after some gateway first saw it. Reports and notes say for how long each version has been seen. A gateway with an old registry vouches for no versions, nor does a report that may have waited in the socket while this process stood still. With one gateway nothing waits.

--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -31,6 +31,9 @@
 constexpr int update_tag = 1;
 /// First element of what a gateway tells of streams.
 constexpr int streams_tag = 2;
+/// Time that what a gateway tells of streams may have waited and still shows which versions are registered: a
+/// part of the time in which a version that joins begins no streams.
+constexpr duration max_stream_report_wait = std::chrono::milliseconds{500};
 /// Stands in an update for a time that is not stated.
 constexpr duration not_stated{-1};
 /// Maximum number of datagrams that are read per event, so that a flood of them does not delay requests.
@@ -235,7 +238,7 @@
 {
     auto versions = json::array();
     for (const auto& it : report.versions) {
-        versions.push_back({it.service, it.version, it.age.count(), it.streams});
+        versions.push_back({it.service, it.version, it.age.count(), it.streams, it.seen_for.count()});
     }
     return json::to_cbor(json{streams_tag, report.gateway, report.known_for.count(), std::move(versions)});
 }
@@ -254,7 +257,9 @@
         for (const auto& it : item->at(3)) {
             out.versions.push_back({it.at(0).get<std::string>(), it.at(1).get<std::string>(),
                                     duration{it.at(2).get<std::int64_t>()},
-                                    it.at(3).get<std::vector<std::uint64_t>>()});
+                                    it.at(3).get<std::vector<std::uint64_t>>(),
+                                    // Gateways of earlier versions do not state it.
+                                    duration{it.size() > 4 ? it.at(4).get<std::int64_t>() : 0}});
         }
         return out;
     }
@@ -363,7 +368,11 @@
         return;
     }
     if (bytes.size() > 1 && bytes[1] == streams_tag) {
-        if (const auto streams = decode_stream_report(bytes)) {
+        if (auto streams = decode_stream_report(bytes)) {
+            if (max_wait > max_stream_report_wait) {
+                // It may be from before this process stood still.
+                streams->known_for = duration::zero();
+            }
             streams_received_(*streams);
         }
         return;
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -124,6 +124,8 @@
     endpoint_ranking* ranking = nullptr;
     /// Where not null, only endpoints of this software version are usable.
     const std::string* version = nullptr;
+    /// Software versions whose endpoints are not usable.
+    std::span<const std::string> excluded_versions{};
 };
 
 /// The endpoints of all services, with their load and health. Used by one thread at a time.
@@ -206,6 +208,9 @@
                                      const std::string* version = nullptr) const;
 
     /// Returns whether an endpoint of `service` with this software version is registered.
+    [[nodiscard]] bool has_only_versions(std::string_view service,
+                                         std::span<const std::string> versions) const;
+
     [[nodiscard]] bool has_version(std::string_view service, std::string_view version) const;
 
     /// Sets the number of gateways whose load is unknown. Each of them is assumed to cause as much load as
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -193,6 +193,8 @@
     void handle_rejection(exchange& it, instant now);
     void handle_complete_answer(exchange& it, instant now);
     /// Tells those that share work by the names of gateways which ones report.
+    /// Returns the software versions that may not begin the stream of the request yet.
+    [[nodiscard]] std::vector<std::string> versions_to_avoid(const exchange& it, instant now) const;
     void set_others();
     /// Logs what the endpoint `instance` was working on for this gateway when it broke off a call.
     void log_cut_calls(std::string_view instance);
--- a/packages/gateway/include/hemlocknotch/gateway/stream_origins.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/stream_origins.hpp
@@ -25,6 +25,8 @@
     duration age{};
     /// Keys of streams that the version began.
     std::vector<std::uint64_t> streams;
+    /// Time since some gateway first saw an endpoint of the version.
+    duration seen_for{};
 };
 
 /// What a gateway tells the others of the versions that may have begun streams.
@@ -42,6 +44,9 @@
 /// Otherwise each stream is known by a key: the gateway that passed its first event on tells the others. A
 /// stream of which nobody has heard is unknown then, since its gateway may have ended.
 ///
+/// A gateway that is cut off or stands still may take the version that it knows for the only one until its
+/// registry is `max_registry_age` old. So a version that joins another one begins no streams before that.
+///
 /// Used by one thread at a time.
 class stream_origins {
 public:
@@ -49,9 +54,11 @@
     static constexpr duration min_lifetime = std::chrono::seconds{15};
     /// Longest time for which a stream is known, whatever its caller states; bounds memory.
     static constexpr duration max_lifetime = std::chrono::minutes{10};
-    /// Age of the registry from which another version may serve that is not known here: other gateways may
-    /// have begun streams at an endpoint some two seconds after it registered.
+    /// Age of the registry from which another version may have begun streams that is not known here.
     static constexpr duration max_registry_age = std::chrono::milliseconds{2500};
+    /// Time for which a version that joins another one begins no streams. Exceeds `max_registry_age`, so that
+    /// every gateway has heard of the version by then, or knows that its registry is too old.
+    static constexpr duration settling_time = max_registry_age + std::chrono::milliseconds{500};
     /// Maximum number of streams that are known, and of those in one report. Those beyond are unknown.
     static constexpr std::size_t max_streams = 400'000;
     static constexpr std::size_t max_reported_streams = 3000;
@@ -77,6 +84,12 @@
     [[nodiscard]] std::optional<std::string> version_of(std::string_view service, std::string_view request,
                                                         instant now) const;
 
+    /// Returns the versions of `service` that may not begin streams yet, since a gateway may not know them.
+    [[nodiscard]] std::vector<std::string> unsettled_versions(std::string_view service, instant now) const;
+
+    /// Returns when the next version may begin streams; `instant::max()` if none waits for that.
+    [[nodiscard]] instant next_settled(instant now) const;
+
     /// Returns what the others have not been told yet.
     stream_report create_report(instant now);
     void apply_report(const stream_report& report, instant now);
@@ -112,14 +125,28 @@
         bool is_noted = false;
     };
 
-    /// Time at which an endpoint of each version was last registered; `instant::max()`: one is.
-    using version_times = std::map<std::string, instant, std::less<>>;
+    /// When endpoints of a version were registered.
+    struct registration_times {
+        /// `instant::max()`: an endpoint is registered.
+        instant last = instant::max();
+        /// When some gateway first saw one.
+        instant first{};
+    };
+
+    using version_times = std::map<std::string, registration_times, std::less<>>;
+
+    [[nodiscard]] bool is_recent(const registration_times& it, instant now) const
+    {
+        return it.last == instant::max() || now - it.last < lifetime_;
+    }
 
-    [[nodiscard]] bool is_recent(instant seen_at, instant now) const
+    [[nodiscard]] static bool is_settled(const registration_times& it, instant now)
     {
-        return seen_at == instant::max() || now - seen_at < lifetime_;
+        return now - it.first >= settling_time;
     }
 
+    /// Returns whether a version may have begun streams that is not known here.
+    [[nodiscard]] bool is_stale(instant now) const;
     [[nodiscard]] bool is_ambiguous(std::string_view service, instant now) const;
     /// Returns the only version that may have begun a stream; empty if there may be others.
     [[nodiscard]] std::optional<std::string> sole_version(std::string_view service, instant now) const;
--- a/packages/gateway/src/endpoint_choice.cpp
+++ b/packages/gateway/src/endpoint_choice.cpp
@@ -117,9 +117,11 @@
 bool endpoint_table::is_usable(const endpoint_state& endpoint, usability usable, const endpoint_query& query,
                                instant now) const
 {
+    const auto& version = endpoint.record.software_version;
     const auto is_excluded =
         std::ranges::find(query.excluded, endpoint.record.instance) != query.excluded.end() ||
-        (query.version != nullptr && endpoint.record.software_version != *query.version);
+        (query.version != nullptr && version != *query.version) ||
+        std::ranges::find(query.excluded_versions, version) != query.excluded_versions.end();
     if (is_excluded || !accepts_requests(endpoint, now)) {
         return false;
     }
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -296,6 +296,14 @@
            });
 }
 
+bool endpoint_table::has_only_versions(std::string_view service, std::span<const std::string> versions) const
+{
+    const auto found = by_service_.find(service);
+    return found != by_service_.end() && std::ranges::all_of(found->second, [&](const endpoint_state* it) {
+               return std::ranges::find(versions, it->record.software_version) != versions.end();
+           });
+}
+
 endpoint_state* endpoint_table::find(std::string_view instance)
 {
     const auto it = endpoints_.find(instance);
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -179,6 +179,12 @@
     if (paused_until > send_by && paused_until != instant::max()) {
         return refuse(it, status_unavailable, "endpoints-paused", {paused_until - now, true}, now);
     }
+    if (const auto unsettled = versions_to_avoid(it, now);
+        endpoints_.has_only_versions(it.service, unsettled)) {
+        if (const auto settled = origins_->next_settled(now); settled > send_by) {
+            return refuse(it, status_unavailable, "stream-version-unsettled", {settled - now, true}, now);
+        }
+    }
     const auto wait = service.estimated_wait(it, now);
     it.estimated_wait = wait;
     if (now >= send_by || now + wait > send_by) {
@@ -209,12 +215,14 @@
     it.placement_input.account_share = service.share_state_of(it, now);
     it.placement_input.draw = XXH64(it.id_text().data(), it.id_text().size(), options_.seed + it.attempts);
     const auto& policy = it.is_model ? model_placement_ : plain_placement_;
+    const auto unsettled = versions_to_avoid(it, now);
     const endpoint_query query{.excluded = it.tried,
                                .shared_parts = it.placement_input.shared_parts,
                                .limit = policy.considered_endpoints(it.placement_input),
                                .key = it.placement_input.shared_part.value_or(0),
                                .ranking = &it.ranking,
-                               .version = it.stream_version ? &*it.stream_version : nullptr};
+                               .version = it.stream_version ? &*it.stream_version : nullptr,
+                               .excluded_versions = unsettled};
     std::vector<endpoint_state*> states;
     const auto loads = endpoints_.loads_of(it.service, now, query, states);
     const auto chosen = policy.choose(it.placement_input, loads);
@@ -390,7 +398,8 @@
             out = std::min(out, service->next_offer());
         }
     }
-    return has_waiting ? std::min(out, endpoints_.next_availability(now)) : out;
+    return has_waiting ? std::min({out, endpoints_.next_availability(now), origins_->next_settled(now)})
+                       : out;
 }
 
 void router::erase(const exchange& it)
--- a/packages/gateway/src/router_streams.cpp
+++ b/packages/gateway/src/router_streams.cpp
@@ -5,12 +5,14 @@
 #include "caller_answers.hpp"
 #include "exchange.hpp"
 #include "exchange_table.hpp"
+#include "fleet_reports.hpp"
 #include "retry_after.hpp"
 
 #include <chrono>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace hemlocknotch::gateway {
 namespace {
@@ -44,6 +46,13 @@
     return false;
 }
 
+std::vector<std::string> router::versions_to_avoid(const exchange& it, instant now) const
+{
+    const auto begins_stream = it.matched->is_resumable && !it.stream_version;
+    return begins_stream && reports_->gateways() > 1 ? origins_->unsettled_versions(it.service, now)
+                                                     : std::vector<std::string>{};
+}
+
 void router::note_stream_begun(exchange& it, instant now)
 {
     const auto* endpoint = endpoints_.find(it.instance);
--- a/packages/gateway/src/stream_origins.cpp
+++ b/packages/gateway/src/stream_origins.cpp
@@ -22,12 +22,14 @@
 {
     known_since_ = std::min(known_since_, now);
     for (auto& [service, versions] : versions_) {
-        for (auto& [version, seen_at] : versions) {
-            seen_at = std::min(seen_at, now);
+        for (auto& [version, times] : versions) {
+            times.last = std::min(times.last, now);
         }
     }
     for (const auto& it : records) {
-        versions_[it.service][it.software_version] = instant::max();
+        auto& versions = versions_[it.service];
+        versions.try_emplace(it.software_version, registration_times{.first = now}).first->second.last =
+            instant::max();
     }
     for (auto& [service, versions] : versions_) {
         std::erase_if(versions, [&](const auto& it) { return !is_recent(it.second, now); });
@@ -73,14 +75,13 @@
 
 std::optional<std::string> stream_origins::sole_version(std::string_view service, instant now) const
 {
-    const auto is_stale = registry_as_of_ != instant::max() && now - registry_as_of_ > max_registry_age;
     const auto found = versions_.find(service);
-    if (is_stale || found == versions_.end() || known_since_ > now - lifetime_) {
+    if (is_stale(now) || found == versions_.end() || known_since_ > now - lifetime_) {
         return std::nullopt;
     }
     std::optional<std::string> out;
-    for (const auto& [version, seen_at] : found->second) {
-        if (!is_recent(seen_at, now)) {
+    for (const auto& [version, times] : found->second) {
+        if (!is_recent(times, now)) {
             continue;
         }
         if (out) {
@@ -91,19 +92,51 @@
     return out;
 }
 
+std::vector<std::string> stream_origins::unsettled_versions(std::string_view service, instant now) const
+{
+    std::vector<std::string> out;
+    if (!is_ambiguous(service, now)) {
+        return out;
+    }
+    for (const auto& [version, times] : versions_.find(service)->second) {
+        if (is_recent(times, now) && !is_settled(times, now)) {
+            out.push_back(version);
+        }
+    }
+    return out;
+}
+
+instant stream_origins::next_settled(instant now) const
+{
+    auto out = instant::max();
+    for (const auto& [service, versions] : versions_) {
+        if (versions.size() < 2) {
+            continue;
+        }
+        for (const auto& [version, times] : versions) {
+            if (!is_settled(times, now)) {
+                out = std::min(out, times.first + settling_time);
+            }
+        }
+    }
+    return out;
+}
+
 stream_report stream_origins::create_outline(instant now, std::vector<std::size_t>& index_by_name)
 {
     remove_ended(now);
     stream_report out;
-    out.known_for = known_since_ > now ? duration::zero() : std::min(now - known_since_, lifetime_);
+    out.known_for =
+        known_since_ > now || is_stale(now) ? duration::zero() : std::min(now - known_since_, lifetime_);
     for (const auto& [service, versions] : versions_) {
-        for (const auto& [version, seen_at] : versions) {
-            if (is_recent(seen_at, now)) {
+        for (const auto& [version, times] : versions) {
+            if (is_recent(times, now)) {
                 const auto name = name_of(service, version);
                 index_by_name.resize(names_.size(), no_index);
                 index_by_name[name] = out.versions.size();
-                const auto age = seen_at == instant::max() ? duration::zero() : now - seen_at;
-                out.versions.push_back({service, version, age, {}});
+                const auto age = times.last == instant::max() ? duration::zero() : now - times.last;
+                out.versions.push_back(
+                    {service, version, age, {}, std::min(now - times.first, max_lifetime)});
             }
         }
     }
@@ -165,6 +198,11 @@
     known_since_ = std::min(known_since_, now - max_lifetime);
 }
 
+bool stream_origins::is_stale(instant now) const
+{
+    return registry_as_of_ != instant::max() && now - registry_as_of_ > max_registry_age;
+}
+
 bool stream_origins::is_ambiguous(std::string_view service, instant now) const
 {
     const auto found = versions_.find(service);
@@ -185,8 +223,10 @@
     for (const auto& it : report.versions) {
         auto& versions = versions_[it.service];
         const auto seen_at = now - std::clamp(it.age, duration::zero(), max_lifetime);
-        const auto known = versions.try_emplace(it.version, seen_at).first;
-        known->second = std::max(known->second, seen_at);
+        const auto first = now - std::clamp(it.seen_for, duration::zero(), max_lifetime);
+        auto& times = versions.try_emplace(it.version, registration_times{seen_at, first}).first->second;
+        times.last = std::max(times.last, seen_at);
+        times.first = std::min(times.first, first);
         const auto name = name_of(it.service, it.version);
         for (const auto key : it.streams) {
             add(key, {.name = name, .reports_left = 0, .ends_at = now + lifetime_, .is_own = false});
--- a/packages/gateway/tests/recording_port.hpp
+++ b/packages/gateway/tests/recording_port.hpp
@@ -74,7 +74,7 @@
         return disconnected.contains(exchange);
     }
 
-    [[nodiscard]] instant registry_as_of() const override { return instant{}; }
+    [[nodiscard]] instant registry_as_of() const override { return registry_known_at; }
 
     [[nodiscard]] duration event_delay() const override { return duration::zero(); }
 
@@ -100,6 +100,10 @@
         std::vector<log_effect> out;
         std::ranges::copy_if(log_records, std::back_inserter(out),
                              [&](const log_effect& it) { return it.event == name; });
+    /// Requests whose callers take their answers slowly.
+    std::set<exchange_id> congested;
+    std::set<call_id> paused;
+    instant registry_known_at{};
         return out;
     }
 
