Bound the memory of all answers together, and let endpoints wait for slow callers

Callers would lose their requests with the gateway: an endpoint that sends without end made it exceed its memory within 0.6 s.

Cause: bounds for each call only (8 MB unsent, 8 MB of an answer, 64 KB of a head); an endpoint was read as fast as it sent, whatever its caller took.

Change: answer_memory is one budget for what is unread, incomplete and unsent; beyond it only holders of no more than an even part may grow. A call is paused while its caller has 128 KB to take. Buffers give memory back when they are empty.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t max_pipelined_bytes = std::size_t{1} << 20U;
 /// Maximum number of bytes of an answer that are buffered for a slow caller; bounds memory.
 constexpr std::size_t max_unsent_bytes = std::size_t{8} << 20U;
+/// Unsent bytes from which no more should be sent: what a caller at 1 MB a second takes in an eighth of a
+/// second, so that it does not run dry while its endpoint begins to send again.
+constexpr std::size_t congestion_bytes = std::size_t{128} << 10U;
 /// Time that a caller may take to close the connection after its last answer, or to take some of an answer.
 constexpr duration close_timeout = std::chrono::seconds{2};
 /// Added to the idle timeout, so that a request that a caller sends just before the timeout is still read.
@@ -57,7 +60,7 @@
 
 caller_connection::caller_connection(event_base* base, int fd, caller_connection_owner& owner)
     : owner_{owner},
-      channel_{socket_channel::adopt(base, fd, *this)},
+      channel_{socket_channel::adopt(base, fd, *this, owner.memory())},
       timer_{base, [this] { on_timeout(); }, event_priority::request}
 {
     enter_idle();
@@ -260,12 +263,25 @@
         out += "\r\n";
     }
     channel_->send(out);
-    if (channel_->pending_bytes() > max_unsent_bytes) {
+    if (channel_->pending_bytes() > max_unsent_bytes || channel_->is_over_memory()) {
         is_unsent_limit_exceeded_ = true;
         timer_.activate();
     }
 }
 
+bool caller_connection::is_congested()
+{
+    is_congestion_reported_ = !is_closed_ && channel_->pending_bytes() > congestion_bytes;
+    return is_congestion_reported_;
+}
+
+void caller_connection::on_drained()
+{
+    if (std::exchange(is_congestion_reported_, false) && is_serving()) {
+        owner_.on_drained(exchange_);
+    }
+}
+
 void caller_connection::end_stream()
 {
     if (is_closed_) {
--- a/packages/daemon/src/gateway/caller_connection.hpp
+++ b/packages/daemon/src/gateway/caller_connection.hpp
@@ -42,6 +42,9 @@
     virtual void on_idle(caller_connection& connection) = 0;
     /// The connection has begun to read a request.
     virtual void on_busy(caller_connection& connection) = 0;
+    /// The caller of `exchange` has taken all that was sent to it after it had been congested.
+    virtual void on_drained(gateway::exchange_id exchange) = 0;
+    [[nodiscard]] virtual gateway::answer_memory& memory() = 0;
 };
 
 /// HTTP/1.1 connection of one caller: parses requests strictly, one after the other, and writes their
@@ -75,13 +78,16 @@
 
     [[nodiscard]] bool is_serving() const { return exchange_ != 0; }
 
+    /// Returns whether so much is unsent that no more should be sent until the owner's `on_drained`.
+    [[nodiscard]] bool is_congested();
+
     [[nodiscard]] bool has_peer_closed() const { return is_closed_ || channel_->has_peer_closed(); }
 
     void on_bytes(std::string_view bytes) override;
     void on_peer_closed() override;
     void on_end(channel_end end) override;
 
-    void on_drained() override {}
+    void on_drained() override;
 
 private:
     void read_requests();
@@ -119,7 +125,9 @@
     /// A pipelined request is parsed on the next iteration of the event loop, so that `on_request` is not
     /// called from within a function that the owner called.
     bool is_read_pending_ = false;
-    /// More than `max_unsent_bytes` of the answer are unsent; the connection is aborted on the next iteration
+    /// The owner waits for `on_drained`.
+    bool is_congestion_reported_ = false;
+    /// More of the answer is unsent than may be held; the connection is aborted on the next iteration
     /// of the event loop.
     bool is_unsent_limit_exceeded_ = false;
 };
--- a/packages/daemon/src/gateway/caller_server.cpp
+++ b/packages/daemon/src/gateway/caller_server.cpp
@@ -23,11 +23,13 @@
 } // namespace
 
 caller_server::caller_server(event_base* base, const gateway::message_dialect& dialect,
-                             std::size_t max_connections, caller_request_sink& sink)
+                             std::size_t max_connections, caller_request_sink& sink,
+                             gateway::answer_memory& memory)
     : base_{base},
       dialect_{dialect},
       max_connections_{max_connections},
       sink_{sink},
+      memory_{memory},
       reaper_{base, [this] { closed_.clear(); }, event_priority::request}
 {
     assert(max_connections >= 1);
@@ -162,6 +164,12 @@
     return it == nullptr || it->has_peer_closed();
 }
 
+bool caller_server::is_congested(gateway::exchange_id exchange)
+{
+    auto* it = find(exchange);
+    return it != nullptr && it->is_congested();
+}
+
 caller_connection* caller_server::end_exchange(gateway::exchange_id exchange)
 {
     auto* out = find(exchange);
--- a/packages/daemon/src/gateway/caller_server.hpp
+++ b/packages/daemon/src/gateway/caller_server.hpp
@@ -32,6 +32,8 @@
                             std::shared_ptr<const gateway::caller_request> request) = 0;
     /// The caller disconnected before the answer to `exchange` was complete.
     virtual void on_caller_disconnected(gateway::exchange_id exchange) = 0;
+    /// The caller has taken all that was sent to it after `is_congested` had returned true.
+    virtual void on_caller_drained(gateway::exchange_id exchange) = 0;
     /// A request was rejected with `status` because it was invalid or was not received in time, or a
     /// connection was refused (status 0).
     virtual void on_malformed(int status, std::string_view reason) = 0;
@@ -41,9 +43,10 @@
 /// event loop's thread only.
 class caller_server final : public caller_connection_owner {
 public:
-    /// `base`, `dialect` and `sink` must outlive the server. Precondition: `max_connections` is at least 1.
+    /// `base`, `dialect`, `sink` and `memory`, in which unsent answers count, must outlive the server.
+    /// Precondition: `max_connections` is at least 1.
     caller_server(event_base* base, const gateway::message_dialect& dialect, std::size_t max_connections,
-                  caller_request_sink& sink);
+                  caller_request_sink& sink, gateway::answer_memory& memory);
     ~caller_server() override;
 
     caller_server(const caller_server&) = delete;
@@ -74,6 +77,10 @@
     /// yet.
     [[nodiscard]] bool has_disconnected(gateway::exchange_id exchange);
 
+    /// Returns whether so much of the answer to `exchange` is unsent that no more of it should be sent until
+    /// the sink's `on_caller_drained`.
+    [[nodiscard]] bool is_congested(gateway::exchange_id exchange);
+
     [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
 
     [[nodiscard]] std::size_t serving_count() const { return serving_.size(); }
@@ -97,6 +104,10 @@
     void on_idle(caller_connection& connection) override;
     void on_busy(caller_connection& connection) override;
 
+    void on_drained(gateway::exchange_id exchange) override { sink_.on_caller_drained(exchange); }
+
+    [[nodiscard]] gateway::answer_memory& memory() override { return memory_; }
+
 private:
     void accept_waiting();
     static void handle_accept(evutil_socket_t listener, short what, void* self);
@@ -109,6 +120,7 @@
     const gateway::message_dialect& dialect_;
     std::size_t max_connections_;
     caller_request_sink& sink_;
+    gateway::answer_memory& memory_;
     gateway::caller_limits limits_;
     /// Owns the listening socket. Its own event is not used, since its priority cannot be set.
     std::unique_ptr<evconnlistener, listener_deleter> listener_;
--- a/packages/daemon/src/gateway/endpoint_connection.cpp
+++ b/packages/daemon/src/gateway/endpoint_connection.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t max_discarded_bytes = std::size_t{1} << 20U;
 /// Maximum number of calls of a connection, which bounds the memory for their ids.
 constexpr std::size_t max_calls = 500;
+/// Capacity that an answer's buffer keeps between two reads: some events.
+constexpr std::size_t max_kept_bytes = std::size_t{4} << 10U;
 constexpr int first_final_status = 200;
 constexpr int first_status_after_success = 300;
 
@@ -67,12 +69,13 @@
 
 endpoint_connection::endpoint_connection(event_base* base, const endpoint_address& address,
                                          const gateway::message_dialect& dialect, endpoint_answer_sink& sink,
-                                         endpoint_connection_owner& owner)
+                                         endpoint_connection_owner& owner, gateway::answer_memory& memory)
     : address_{address},
       dialect_{dialect},
       sink_{sink},
       owner_{owner},
       channel_{socket_channel::connect(base, address, connect_timeout, *this)},
+      holding_{memory},
       idle_timeout_{default_idle_timeout}
 {
 }
@@ -96,6 +99,7 @@
 {
     assert(call_ == 0 && channel_ && !is_closed_);
     call_ = start.call;
+    is_paused_ = false;
     last_call_ = start.call;
     discarded_bytes_ = 0;
     request_id_ = start.request->fields.id;
@@ -128,6 +132,24 @@
         return end_call(call_outcome::not_connected);
     }
     channel_->send(serialize_request(start, dialect_));
+    if (is_paused_) {
+        channel_->pause_reading();
+    }
+}
+
+void endpoint_connection::pause()
+{
+    if (call_ != 0) {
+        is_paused_ = true;
+        channel_->pause_reading();
+    }
+}
+
+void endpoint_connection::resume()
+{
+    if (call_ != 0 && std::exchange(is_paused_, false)) {
+        channel_->resume_reading();
+    }
 }
 
 void endpoint_connection::close()
@@ -150,6 +172,18 @@
     }
     input_ += bytes;
     read_answers();
+    if (!note_unread() && call_ != 0) {
+        end_call(call_outcome::broken);
+    }
+}
+
+bool endpoint_connection::note_unread()
+{
+    if (input_.empty() || is_closed_) {
+        // Between two reads and between two calls a connection keeps no memory.
+        input_ = {};
+    }
+    return holding_.set(input_.empty() ? 0 : input_.capacity());
 }
 
 void endpoint_connection::read_answers()
@@ -253,6 +287,9 @@
     }
     if (parser_) {
         parser_->body().clear();
+        if (parser_->body().capacity() > max_kept_bytes) {
+            parser_->body().shrink_to_fit();
+        }
     }
 }
 
@@ -268,6 +305,9 @@
         return false;
     }
     const auto call = std::exchange(call_, 0);
+    if (std::exchange(is_paused_, false)) {
+        channel_->resume_reading();
+    }
     // An endpoint that answered before it read the complete body would parse the rest as the next request.
     if (is_keep_alive && input_.empty() && is_reusable_after_call_ && channel_->pending_bytes() == 0 &&
         carried_ids_.size() < max_calls) {
--- a/packages/daemon/src/gateway/endpoint_connection.hpp
+++ b/packages/daemon/src/gateway/endpoint_connection.hpp
@@ -62,11 +62,11 @@
 /// another call. Used on the event loop's thread only.
 class endpoint_connection final : public channel_sink {
 public:
-    /// Starts to connect. `is_open` returns false where no socket could be opened. `base`, `dialect`, `sink`
-    /// and `owner` must outlive the connection.
+    /// Starts to connect. `is_open` returns false where no socket could be opened. `base`, `dialect`, `sink`,
+    /// `owner` and `memory`, in which unread answers count, must outlive the connection.
     endpoint_connection(event_base* base, const endpoint_address& address,
                         const gateway::message_dialect& dialect, endpoint_answer_sink& sink,
-                        endpoint_connection_owner& owner);
+                        endpoint_connection_owner& owner, gateway::answer_memory& memory);
     ~endpoint_connection() override;
 
     endpoint_connection(const endpoint_connection&) = delete;
@@ -102,6 +102,10 @@
     /// of its request is discarded.
     void close();
 
+    /// Stop and resume reading, so that the endpoint has to wait. Ignored where no call is in progress.
+    void pause();
+    void resume();
+
     void on_connected() override;
     void on_bytes(std::string_view bytes) override;
     void on_end(channel_end end) override;
@@ -110,6 +114,8 @@
 
 private:
     void read_answers();
+    /// Counts what is not parsed yet in the memory of all answers. Returns whether it may be held.
+    [[nodiscard]] bool note_unread();
     /// Returns false where the call has ended or the sink has cancelled it.
     bool process_head();
     /// Decides on an answer without the id of the request. Returns whether the call goes on.
@@ -127,6 +133,7 @@
     std::shared_ptr<socket_channel> channel_;
     /// Received bytes that are not parsed yet.
     std::string input_;
+    gateway::answer_holding holding_;
     std::unique_ptr<answer_parser> parser_;
     /// The call in progress; 0: none.
     gateway::call_id call_ = 0;
@@ -148,6 +155,7 @@
     /// False once an answer to another request, or one without an id, was received.
     bool is_reusable_after_call_ = true;
     bool is_closed_ = false;
+    bool is_paused_ = false;
     /// Idle time after which the connection is not used again.
     duration idle_timeout_;
     instant idle_since_;
--- a/packages/daemon/src/gateway/endpoint_pool.cpp
+++ b/packages/daemon/src/gateway/endpoint_pool.cpp
@@ -14,10 +14,12 @@
 } // namespace
 
 endpoint_pool::endpoint_pool(event_base* base, const gateway::message_dialect& dialect,
-                             endpoint_answer_sink& sink, std::function<instant()> now)
+                             endpoint_answer_sink& sink, gateway::answer_memory& memory,
+                             std::function<instant()> now)
     : base_{base},
       dialect_{dialect},
       sink_{sink},
+      memory_{memory},
       now_{std::move(now)},
       deferred_{base, [this] { run_deferred(); }, event_priority::request}
 {
@@ -92,7 +94,8 @@
         (*idle)->close();
     }
     auto& list = by_address_[start.address];
-    auto created = std::make_unique<endpoint_connection>(base_, start.address, dialect_, sink_, *this);
+    auto created =
+        std::make_unique<endpoint_connection>(base_, start.address, dialect_, sink_, *this, memory_);
     if (!created->is_open()) {
         return nullptr;
     }
@@ -128,6 +131,20 @@
     return true;
 }
 
+void endpoint_pool::pause(gateway::call_id call)
+{
+    if (const auto found = calls_.find(call); found != calls_.end()) {
+        found->second->pause();
+    }
+}
+
+void endpoint_pool::resume(gateway::call_id call)
+{
+    if (const auto found = calls_.find(call); found != calls_.end()) {
+        found->second->resume();
+    }
+}
+
 void endpoint_pool::on_answer_without_id(endpoint_connection& connection)
 {
     const auto now = now_();
--- a/packages/daemon/src/gateway/endpoint_pool.hpp
+++ b/packages/daemon/src/gateway/endpoint_pool.hpp
@@ -19,9 +19,10 @@
 /// one. Used on the event loop's thread only.
 class endpoint_pool final : public endpoint_connection_owner {
 public:
-    /// `base`, `dialect` and `sink` must outlive the pool. `now` returns the monotonic time.
+    /// `base`, `dialect`, `sink` and `memory`, in which unread answers count, must outlive the pool. `now`
+    /// returns the monotonic time.
     endpoint_pool(event_base* base, const gateway::message_dialect& dialect, endpoint_answer_sink& sink,
-                  std::function<instant()> now);
+                  gateway::answer_memory& memory, std::function<instant()> now);
     ~endpoint_pool() override;
 
     endpoint_pool(const endpoint_pool&) = delete;
@@ -37,6 +38,10 @@
     /// Cancels a call whose connection is not established yet. Returns false for any other call.
     bool recall(gateway::call_id call);
 
+    /// Stop and resume reading the answer of a call.
+    void pause(gateway::call_id call);
+    void resume(gateway::call_id call);
+
     [[nodiscard]] std::uint64_t opened_count() const { return opened_count_; }
 
     [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
@@ -60,6 +65,7 @@
     event_base* base_;
     const gateway::message_dialect& dialect_;
     endpoint_answer_sink& sink_;
+    gateway::answer_memory& memory_;
     std::function<instant()> now_;
     std::unordered_map<endpoint_connection*, std::unique_ptr<endpoint_connection>> connections_;
     /// All connections to an address, the one used last at the end.
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -85,8 +85,8 @@
       registry_client_{client},
       signature_blocks_{client, router_.breaker()},
       stream_notes_{notes, router_.origins(), settings.instance + "/" + std::to_string(incarnation_) + "/"},
-      callers_{base, dialect, max_caller_connections(settings), *this},
-      pool_{base, dialect, *this, [this] { return clock_.now(); }},
+      callers_{base, dialect, max_caller_connections(settings), *this, router_.memory_of_answers()},
+      pool_{base, dialect, *this, router_.memory_of_answers(), [this] { return clock_.now(); }},
       readiness_server_{
           base, [this](std::string_view path, std::string_view /*query*/) { return readiness_page(path); }},
       metrics_server_{
@@ -370,6 +370,21 @@
     return pool_.recall(call);
 }
 
+void gateway_shell::pause_call(gateway::call_id call)
+{
+    pool_.pause(call);
+}
+
+void gateway_shell::resume_call(gateway::call_id call)
+{
+    pool_.resume(call);
+}
+
+bool gateway_shell::is_caller_congested(gateway::exchange_id exchange)
+{
+    return callers_.is_congested(exchange);
+}
+
 void gateway_shell::reply(gateway::exchange_id exchange, const gateway::answer_head& head,
                           std::string_view body)
 {
@@ -449,6 +464,11 @@
     schedule_router_timer();
 }
 
+void gateway_shell::on_caller_drained(gateway::exchange_id exchange)
+{
+    router_.on_caller_drained(exchange);
+}
+
 void gateway_shell::on_malformed(int status, std::string_view reason)
 {
     ++malformed_count_;
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -76,10 +76,13 @@
     void start_call(const gateway::call_start& start) override;
     void cancel_call(gateway::call_id call) override;
     bool recall_call(gateway::call_id call) override;
+    void pause_call(gateway::call_id call) override;
+    void resume_call(gateway::call_id call) override;
     void reply(gateway::exchange_id exchange, const gateway::answer_head& head,
                std::string_view body) override;
     void begin_stream(gateway::exchange_id exchange, const gateway::answer_head& head) override;
     void send_part(gateway::exchange_id exchange, std::string_view bytes) override;
+    [[nodiscard]] bool is_caller_congested(gateway::exchange_id exchange) override;
     void end_stream(gateway::exchange_id exchange) override;
     void abort(gateway::exchange_id exchange) override;
     void record(const metric_effect& metric) override;
@@ -93,6 +96,7 @@
     void on_request(gateway::exchange_id exchange,
                     std::shared_ptr<const gateway::caller_request> request) override;
     void on_caller_disconnected(gateway::exchange_id exchange) override;
+    void on_caller_drained(gateway::exchange_id exchange) override;
     void on_malformed(int status, std::string_view reason) override;
 
     void on_connected(gateway::call_id call) override;
--- a/packages/daemon/src/gateway/socket_channel.cpp
+++ b/packages/daemon/src/gateway/socket_channel.cpp
@@ -50,10 +50,12 @@
 
 } // namespace
 
-std::shared_ptr<socket_channel> socket_channel::adopt(event_base* base, int fd, channel_sink& sink)
+std::shared_ptr<socket_channel> socket_channel::adopt(event_base* base, int fd, channel_sink& sink,
+                                                      gateway::answer_memory& memory)
 {
     set_options(fd);
     std::shared_ptr<socket_channel> out{new socket_channel{base, fd, sink, true}};
+    out->holding_.emplace(memory);
     event_add(out->read_event_.get(), nullptr);
     out->closed_event_.reset(event_new(base, fd, EV_CLOSED, handle_peer_closed, out.get()));
     assert(out->closed_event_);
@@ -110,7 +112,12 @@
     if (bytes.empty()) {
         return;
     }
+    if (pending_begin_ > pending_bytes()) {
+        pending_.erase(0, pending_begin_);
+        pending_begin_ = 0;
+    }
     pending_ += bytes;
+    note_pending();
     if (is_connected_ && !is_write_event_added_) {
         is_write_event_added_ = true;
         event_add(write_event_.get(), nullptr);
@@ -163,6 +170,9 @@
     closed_event_.reset();
     ::close(fd_);
     fd_ = -1;
+    pending_ = {};
+    pending_begin_ = 0;
+    note_pending();
 }
 
 void socket_channel::reset()
@@ -271,9 +281,9 @@
         }
         pending_begin_ += static_cast<std::size_t>(n);
     }
-    pending_.clear();
-    pending_.shrink_to_fit();
+    pending_ = {};
     pending_begin_ = 0;
+    note_pending();
     if (is_closing_) {
         ::shutdown(fd_, SHUT_WR);
     }
@@ -282,6 +292,13 @@
     }
 }
 
+void socket_channel::note_pending()
+{
+    if (holding_) {
+        is_over_memory_ = !holding_->set(pending_bytes() == 0 ? 0 : pending_.capacity());
+    }
+}
+
 void socket_channel::end(channel_end reason)
 {
     auto* sink = sink_;
--- a/packages/daemon/src/gateway/socket_channel.hpp
+++ b/packages/daemon/src/gateway/socket_channel.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/gateway/answer_memory.hpp>
 
 #include "../event_priority.hpp"
 #include "../libevent_handles.hpp"
@@ -9,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -50,9 +52,10 @@
 /// an adopted socket's peer. Used on the event loop's thread only.
 class socket_channel : public std::enable_shared_from_this<socket_channel> {
 public:
-    /// Takes ownership of an accepted socket. `base` must outlive the channel; `sink` must live until
-    /// `on_end` or `close`.
-    static std::shared_ptr<socket_channel> adopt(event_base* base, int fd, channel_sink& sink);
+    /// Takes ownership of an accepted socket. `base` and `memory`, in which unsent bytes count, must outlive
+    /// the channel; `sink` must live until `on_end` or `close`.
+    static std::shared_ptr<socket_channel> adopt(event_base* base, int fd, channel_sink& sink,
+                                                 gateway::answer_memory& memory);
 
     /// Starts to connect to `address`, for at most `timeout`; bytes sent meanwhile are buffered. A connection
     /// that is established by the time the timeout is handled is used. Returns null
@@ -72,6 +75,10 @@
     /// Returns the number of bytes that are not in the kernel's send buffer yet.
     [[nodiscard]] std::size_t pending_bytes() const { return pending_.size() - pending_begin_; }
 
+    /// Returns whether the unsent bytes were too many for the memory of all answers when the last ones were
+    /// sent. Only of an adopted socket.
+    [[nodiscard]] bool is_over_memory() const { return is_over_memory_; }
+
     [[nodiscard]] bool is_connected() const { return is_connected_; }
 
     /// Returns whether the peer has closed the connection and nothing is left to read, even before `on_end`
@@ -113,6 +120,8 @@
     void wait_for_connection(std::chrono::milliseconds timeout);
     void finish_connecting(bool is_timeout);
     void end(channel_end reason);
+    /// Counts the unsent bytes in the memory of all answers.
+    void note_pending();
 
     channel_sink* sink_;
     int fd_;
@@ -123,6 +132,8 @@
     /// Bytes that are not in the kernel's send buffer yet, from `pending_begin_` on.
     std::string pending_;
     std::size_t pending_begin_ = 0;
+    std::optional<gateway::answer_holding> holding_;
+    bool is_over_memory_ = false;
     bool is_connected_;
     bool is_closing_ = false;
     bool is_write_event_added_ = false;
--- a/packages/daemon/tests/caller_server_closing_test.cpp
+++ b/packages/daemon/tests/caller_server_closing_test.cpp
@@ -50,7 +50,7 @@
 
 BOOST_AUTO_TEST_CASE(closes_the_longest_idle_connection_at_the_limit)
 {
-    caller_server small{loop.base(), dialect, 3, recorder};
+    caller_server small{loop.base(), dialect, 3, recorder, memory};
     recorder.server = &small;
     const auto at = boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<unsigned short> {
--- a/packages/daemon/tests/caller_server_fixture.hpp
+++ b/packages/daemon/tests/caller_server_fixture.hpp
@@ -37,6 +37,8 @@
 
     void on_caller_disconnected(exchange_id exchange) override { disconnected.push_back(exchange); }
 
+    void on_caller_drained(gateway::exchange_id exchange) override { drained.push_back(exchange); }
+
     void on_malformed(int status, std::string_view /*reason*/) override { malformed.push_back(status); }
 
     /// Where set, each request is answered at once with its own body.
@@ -44,6 +46,7 @@
     std::vector<exchange_id> exchanges;
     std::vector<std::shared_ptr<const gateway::caller_request>> requests;
     std::vector<exchange_id> disconnected;
+    std::vector<gateway::exchange_id> drained;
     std::vector<int> malformed;
 };
 
@@ -62,7 +65,8 @@
     test_loop loop;
     plain_dialect dialect;
     request_recorder recorder;
-    caller_server server{loop.base(), dialect, 100, recorder};
+    gateway::answer_memory memory;
+    caller_server server{loop.base(), dialect, 100, recorder, memory};
     unsigned short port = 0;
 };
 
--- a/packages/daemon/tests/endless_answers_test.cpp
+++ b/packages/daemon/tests/endless_answers_test.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -90,7 +91,8 @@
     plain_dialect dialect;
     endless_endpoint endpoint{loop.base(), *endpoint_address::parse("127.0.0.1:0"), "Id"};
     counting_sink sink;
-    endpoint_pool pool{loop.base(), dialect, sink, [this] { return clock.now(); }};
+    gateway::answer_memory memory;
+    endpoint_pool pool{loop.base(), dialect, sink, memory, [this] { return clock.now(); }};
     gateway::call_id last_call = 0;
 };
 
@@ -110,6 +112,29 @@
     BOOST_TEST(ends_within(megabyte));
 }
 
+BOOST_AUTO_TEST_CASE(heads_without_end_of_many_calls_are_bounded_together)
+{
+    constexpr std::size_t calls = 300;
+    constexpr std::size_t head_bytes = 60'000;
+    endpoint.answer = {"HTTP/1.1 200 OK\r\nA: " + std::string(head_bytes, 'x'), "x",
+                       std::chrono::seconds{60}};
+    std::size_t most = 0;
+    for (std::size_t n = 1; n <= calls; ++n) {
+        call();
+        // No more at once than the endpoint's listener queues.
+        BOOST_REQUIRE(n % 100 != 0 || loop.run_until([&] {
+            most = std::max(most, memory.total_bytes());
+            return endpoint.request_count() >= n;
+        }));
+    }
+    BOOST_REQUIRE(loop.run_until([&] {
+        most = std::max(most, memory.total_bytes());
+        return pool.connection_count() < calls;
+    }));
+    BOOST_TEST(most > gateway::answer_memory::max_total_bytes / 2);
+    BOOST_TEST(most <= 2 * gateway::answer_memory::max_total_bytes);
+}
+
 BOOST_AUTO_TEST_CASE(answers_to_no_request_without_end_end_the_call)
 {
     endpoint.answer = {"", "HTTP/1.1 100 Continue\r\n\r\n"};
--- a/packages/daemon/tests/endpoint_pool_fixture.hpp
+++ b/packages/daemon/tests/endpoint_pool_fixture.hpp
@@ -226,7 +226,8 @@
     plain_dialect dialect;
     scripted_endpoint endpoint{loop.base()};
     answer_recorder recorder;
-    endpoint_pool pool{loop.base(), dialect, recorder, [this] { return now(); }};
+    gateway::answer_memory memory;
+    endpoint_pool pool{loop.base(), dialect, recorder, memory, [this] { return now(); }};
 };
 
 inline std::string answer(const std::string& id, const std::string& body)
--- a/packages/daemon/tests/event_priority_test.cpp
+++ b/packages/daemon/tests/event_priority_test.cpp
@@ -61,7 +61,7 @@
             const auto pair = create_pair();
             write_byte(pair[0]);
             ends_.push_back(pair[0]);
-            channels_.push_back(socket_channel::adopt(base_.get(), pair[1], sink_));
+            channels_.push_back(socket_channel::adopt(base_.get(), pair[1], sink_, memory_));
         }
     }
 
@@ -100,6 +100,7 @@
     event_base_ptr base_{create_prioritized_loop()};
     counting_sink sink_;
     std::vector<int> ends_;
+    gateway::answer_memory memory_;
     std::vector<std::shared_ptr<socket_channel>> channels_;
 };
 
@@ -146,7 +147,8 @@
     counting_sink sink;
     sink.on_received = [] { BOOST_FAIL("nothing was sent"); };
     sink.on_closed = [&] { loop.stop(); };
-    const auto caller = socket_channel::adopt(loop.base(), pair[1], sink);
+    gateway::answer_memory memory;
+    const auto caller = socket_channel::adopt(loop.base(), pair[1], sink, memory);
     BOOST_TEST(loop.run(min_before_answer, [&] { ::close(pair[0]); }) <= max_request_events);
 }
 
--- a/packages/gateway/bench/fleet_nodes.hpp
+++ b/packages/gateway/bench/fleet_nodes.hpp
@@ -112,6 +112,12 @@
     /// Requests leave at once in the model.
     bool recall_call(call_id /*call*/) override { return false; }
 
+    void pause_call(call_id /*call*/) override {}
+
+    void resume_call(call_id /*call*/) override {}
+
+    [[nodiscard]] bool is_caller_congested(exchange_id /*exchange*/) override { return false; }
+
     void reply(exchange_id exchange, const answer_head& head, std::string_view body) override;
 
     void begin_stream(exchange_id /*exchange*/, const answer_head& /*head*/) override {}
--- a/packages/gateway/fuzz/fuzz_gateway.cpp
+++ b/packages/gateway/fuzz/fuzz_gateway.cpp
@@ -61,6 +61,12 @@
         owner_.requests.at(exchange).note_stream_begun(head);
     }
 
+    void pause_call(call_id /*call*/) override {}
+
+    void resume_call(call_id /*call*/) override {}
+
+    [[nodiscard]] bool is_caller_congested(exchange_id /*exchange*/) override { return false; }
+
     void send_part(exchange_id exchange, std::string_view bytes) override
     {
         owner_.requests.at(exchange).note_part(bytes);
--- a/packages/gateway/include/hemlocknotch/gateway/event_splitter.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/event_splitter.hpp
@@ -23,8 +23,11 @@
     /// Returns whether bytes of an incomplete event are held.
     [[nodiscard]] bool has_remainder() const { return !held_.empty(); }
 
-    /// Returns the number of bytes of the incomplete event.
-    [[nodiscard]] std::size_t remainder_size() const { return held_.size(); }
+    /// Returns the number of bytes of memory that events take up.
+    [[nodiscard]] std::size_t held_bytes() const
+    {
+        return held_.empty() && complete_.empty() ? 0 : held_.capacity() + complete_.capacity();
+    }
 
     /// Returns whether the incomplete event is larger than any event may be.
     [[nodiscard]] bool is_event_too_large() const { return held_.size() > max_event_bytes; }
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <hemlocknotch/gateway/answer_memory.hpp>
 #include <hemlocknotch/gateway/endpoint_table.hpp>
 #include <hemlocknotch/gateway/fleet_report.hpp>
 #include <hemlocknotch/gateway/placement_policy.hpp>
@@ -111,6 +112,9 @@
     /// The caller has disconnected. Ignored if the exchange has ended.
     void on_caller_disconnected(exchange_id exchange, instant now);
 
+    /// The caller of a stream has taken all that was sent to it. Ignored if the exchange has ended.
+    void on_caller_drained(exchange_id exchange);
+
     /// The connection of a call is established, and its request is sent after this. Cancels the call where
     /// its caller has disconnected or its time has passed. Ignored if the call has ended.
     void on_connected(call_id call, instant now);
@@ -142,6 +146,9 @@
     void set_registered_blocks(std::span<const signature_block> blocks,
                                std::span<const request_signature> lifted, instant now);
 
+    /// Bounds the memory of the answers that pass through this gateway, those included that the port holds.
+    [[nodiscard]] answer_memory& memory_of_answers() { return answer_memory_; }
+
     /// Returns what is known against requests that may crash endpoints.
     [[nodiscard]] crash_breaker& breaker() { return *breaker_; }
 
@@ -174,6 +181,8 @@
     /// Ends a request whose caller has disconnected. Precondition: it has no call.
     void drop(exchange& it, instant now);
     void offer_waiting(instant now);
+    /// Lets the endpoint of a stream wait where its caller takes the events more slowly.
+    void pause_if_congested(exchange& it);
     void send(exchange& it, endpoint_state& endpoint, instant now);
     void recall_from_leaving_endpoints(instant now);
     void send_again(exchange& it, instant now);
@@ -184,6 +193,8 @@
     /// Finds the software version at which a stream that its caller takes up may go on. Returns whether the
     /// request was refused since there is none; `it` is invalid then.
     bool refuse_take_up(exchange& it, instant now);
+    /// Returns the software versions that may not begin the stream of the request yet.
+    [[nodiscard]] std::vector<std::string> versions_to_avoid(const exchange& it, instant now) const;
     /// Records which software version began the stream, of which the first event is about to be passed on.
     void note_stream_begun(exchange& it, instant now);
     void handle_failure(exchange& it, call_outcome outcome, instant now);
@@ -193,8 +204,6 @@
     void handle_rejection(exchange& it, instant now);
     void handle_complete_answer(exchange& it, instant now);
     /// Tells those that share work by the names of gateways which ones report.
-    /// Returns the software versions that may not begin the stream of the request yet.
-    [[nodiscard]] std::vector<std::string> versions_to_avoid(const exchange& it, instant now) const;
     void set_others();
     /// Logs what the endpoint `instance` was working on for this gateway when it broke off a call.
     void log_cut_calls(std::string_view instance);
@@ -237,6 +246,7 @@
     /// When the gateway ends; `instant::max()` unless it stops.
     instant stops_at_ = instant::max();
     endpoint_table endpoints_;
+    answer_memory answer_memory_;
     /// Creates and applies the load reports that the gateways exchange.
     std::unique_ptr<fleet_reports> reports_;
     std::unique_ptr<exchange_table> exchanges_;
--- a/packages/gateway/include/hemlocknotch/gateway/router_port.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router_port.hpp
@@ -77,12 +77,18 @@
     /// Cancels a call of which nothing has been sent to its endpoint. Returns false, and changes nothing,
     /// where the endpoint may have received a part of the request.
     virtual bool recall_call(call_id call) = 0;
+    /// Takes no more bytes from the endpoint of a call until `resume_call`, so that it has to wait.
+    virtual void pause_call(call_id call) = 0;
+    virtual void resume_call(call_id call) = 0;
 
     /// Sends a complete answer.
     virtual void reply(exchange_id exchange, const answer_head& head, std::string_view body) = 0;
     /// Begins an answer of unknown length.
     virtual void begin_stream(exchange_id exchange, const answer_head& head) = 0;
     virtual void send_part(exchange_id exchange, std::string_view bytes) = 0;
+    /// Returns whether so much of an answer waits for its caller that no more of it should be sent. The
+    /// caller's having taken it all is reported then.
+    [[nodiscard]] virtual bool is_caller_congested(exchange_id exchange) = 0;
     virtual void end_stream(exchange_id exchange) = 0;
     /// Closes the caller's connection in such a way that the part already sent cannot be taken for a complete
     /// answer.
--- a/packages/gateway/src/call_table.cpp
+++ b/packages/gateway/src/call_table.cpp
@@ -85,7 +85,8 @@
     it.attempt_timeout_at = instant::max();
     it.head.reset();
     it.is_stream = false;
-    it.body.clear();
+    it.is_paused = false;
+    it.body = {};
     buffers_.release(it);
 }
 
--- a/packages/gateway/src/call_table.hpp
+++ b/packages/gateway/src/call_table.hpp
@@ -16,9 +16,10 @@
 /// The open calls, and the load that they add to their endpoints. Used by one thread at a time.
 class call_table {
 public:
-    /// `endpoints` must outlive the table. One generated token counts as `output_weight` prompt tokens.
-    call_table(endpoint_table& endpoints, double output_weight)
-        : endpoints_{endpoints}, output_weight_{output_weight}
+    /// `endpoints` and `memory` must outlive the table. One generated token counts as `output_weight` prompt
+    /// tokens.
+    call_table(endpoint_table& endpoints, double output_weight, answer_memory& memory)
+        : endpoints_{endpoints}, output_weight_{output_weight}, buffers_{memory}
     {
     }
 
--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -52,9 +52,10 @@
 
 std::string_view event_splitter::append(std::string_view bytes)
 {
+    complete_ = {};
     if (held_.empty()) {
         const auto end = end_of_events(bytes);
-        held_.assign(bytes.substr(end));
+        held_ = bytes.substr(end);
         const auto complete = bytes.substr(0, end);
         note_ids(complete);
         return complete;
@@ -62,7 +63,7 @@
     held_ += bytes;
     const auto end = end_of_events(held_);
     complete_.assign(held_, 0, end);
-    held_.erase(0, end);
+    held_ = held_.substr(end);
     note_ids(complete_);
     return complete_;
 }
--- a/packages/gateway/src/exchange.hpp
+++ b/packages/gateway/src/exchange.hpp
@@ -91,6 +91,8 @@
     event_splitter events;
     /// Bytes of the answer that `answer_buffers` counts.
     std::size_t held_bytes = 0;
+    /// The open call is paused until the caller has taken what was sent to it.
+    bool is_paused = false;
 
     [[nodiscard]] duration objective() const
     {
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -46,7 +46,7 @@
       reports_{std::make_unique<fleet_reports>(endpoints_)},
       exchanges_{std::make_unique<exchange_table>()},
       answers_{std::make_unique<caller_answers>(port)},
-      calls_{std::make_unique<call_table>(endpoints_, options_.output_weight)},
+      calls_{std::make_unique<call_table>(endpoints_, options_.output_weight, answer_memory_)},
       breaker_{std::make_unique<crash_breaker>(options_.gateway)},
       announcements_{std::make_unique<endpoint_announcements>(endpoints_, port)},
       origins_{std::make_unique<stream_origins>()}
@@ -254,6 +254,7 @@
         port_.write_log(stream_continued_record(it, start.resume_after));
     }
     port_.start_call(start);
+    pause_if_congested(it);
 }
 
 void router::offer_waiting(instant now)
@@ -287,6 +288,22 @@
     offer_waiting(now);
 }
 
+void router::on_caller_drained(exchange_id id)
+{
+    if (auto* it = exchanges_->find(id); it != nullptr && it->is_paused) {
+        it->is_paused = false;
+        port_.resume_call(it->call);
+    }
+}
+
+void router::pause_if_congested(exchange& it)
+{
+    if (it.is_begun && !it.is_paused && port_.is_caller_congested(it.id)) {
+        it.is_paused = true;
+        port_.pause_call(it.call);
+    }
+}
+
 fleet_report router::create_report(instant now) const
 {
     auto out = reports_->create(services_, now);
--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -131,6 +131,7 @@
                 note_stream_begun(*it, now);
             }
             answers_->pass_events(*it, events, now);
+            pause_if_congested(*it);
             if (now - it->first_event_at >= crash_breaker::sound_run_time) {
                 note_sound_run(*it, now);
             }
--- a/packages/gateway/tests/recording_port.hpp
+++ b/packages/gateway/tests/recording_port.hpp
@@ -47,6 +47,15 @@
 
     bool recall_call(call_id call) override { return unsent.erase(call) > 0; }
 
+    void pause_call(call_id call) override { paused.insert(call); }
+
+    void resume_call(call_id call) override { paused.erase(call); }
+
+    [[nodiscard]] bool is_caller_congested(exchange_id exchange) override
+    {
+        return congested.contains(exchange);
+    }
+
     void reply(exchange_id exchange, const answer_head& head, std::string_view body) override
     {
         auto& it = answers[exchange];
@@ -91,6 +100,10 @@
     std::map<exchange_id, recorded_answer> answers;
     /// Requests whose callers have closed their connections.
     std::set<exchange_id> disconnected;
+    /// Requests whose callers take their answers slowly.
+    std::set<exchange_id> congested;
+    std::set<call_id> paused;
+    instant registry_known_at{};
     std::vector<log_effect> log_records;
     std::vector<metric_effect> metrics;
 
@@ -100,10 +113,6 @@
         std::vector<log_effect> out;
         std::ranges::copy_if(log_records, std::back_inserter(out),
                              [&](const log_effect& it) { return it.event == name; });
-    /// Requests whose callers take their answers slowly.
-    std::set<exchange_id> congested;
-    std::set<call_id> paused;
-    instant registry_known_at{};
         return out;
     }
 
