Log what became of the tokens of each account

The logs did not tell an account whose requests are refused here from one whose requests are sent and do not begin, nor either from one whose requests are never read: lines of single requests are left out where there are many. One line a second and gateway now sums up, for the 16 accounts that asked for most, what was asked, sent, begun, sent without a beginning, and never sent; only while something did not begin.

--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -285,6 +285,9 @@
     const auto now = clock_.now();
     const auto loop_delay = std::max(duration::zero(), now - report_due_);
     record_seconds("hemlocknotch_gateway_loop_delay_seconds", loop_delay);
+    if (const auto record = router_.accounts().take_record(now)) {
+        log(*record);
+    }
     registry_age_.check({.as_of = follower_.current_as_of(),
                          .revision = view_.revision(),
                          .is_store_reachable = follower_.is_reachable(),
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <hemlocknotch/gateway/account_ledger.hpp>
 #include <hemlocknotch/gateway/answer_memory.hpp>
 #include <hemlocknotch/gateway/endpoint_table.hpp>
 #include <hemlocknotch/gateway/fleet_report.hpp>
@@ -149,6 +150,9 @@
     /// Bounds the memory of the answers that pass through this gateway, those included that the port holds.
     [[nodiscard]] answer_memory& memory_of_answers() { return answer_memory_; }
 
+    /// Returns what became of the requests of each account here, for the log.
+    [[nodiscard]] account_ledger& accounts() { return accounts_; }
+
     /// Returns what is known against requests that may crash endpoints.
     [[nodiscard]] crash_breaker& breaker() { return *breaker_; }
 
@@ -247,6 +251,7 @@
     instant stops_at_ = instant::max();
     endpoint_table endpoints_;
     answer_memory answer_memory_;
+    account_ledger accounts_;
     /// Creates and applies the load reports that the gateways exchange.
     std::unique_ptr<fleet_reports> reports_;
     std::unique_ptr<exchange_table> exchanges_;
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -424,6 +424,9 @@
     if (it.is_waiting) {
         service_of(it.service).queue().remove(it.id);
     }
+    if (it.is_model && !it.account.empty()) {
+        accounts_.note_ended(it.account, it.cost, it.attempts, it.is_begun);
+    }
     exchanges_->erase(it.id);
 }
 
