--- a/packages/gateway/include/hemlocknotch/gateway/account_ledger.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/account_ledger.hpp
@@ -37,12 +37,11 @@
     void note_ended(std::string_view account, double cost, unsigned sends, bool is_begun);
 
     /// Returns the record of what ended since the last one, once in each interval; empty if it is not due, or
-    /// if every request that ended had begun.
+    /// if nothing ended.
     std::optional<log_effect> take_record(instant now);
 
 private:
     std::map<std::string, account_outcome, std::less<>> outcomes_;
-    bool has_shortfall_ = false;
     instant taken_at_{};
 };
 
--- a/packages/gateway/src/account_ledger.cpp
+++ b/packages/gateway/src/account_ledger.cpp
@@ -24,7 +24,6 @@
     it.requested += cost;
     it.sent += cost * sends;
     (is_begun ? it.begun : sends > 0 ? it.lost : it.unsent) += cost;
-    has_shortfall_ = has_shortfall_ || !is_begun;
 }
 
 std::optional<log_effect> account_ledger::take_record(instant now)
@@ -34,7 +33,7 @@
     }
     taken_at_ = now;
     const auto outcomes = std::exchange(outcomes_, {});
-    if (!std::exchange(has_shortfall_, false)) {
+    if (outcomes.empty()) {
         return std::nullopt;
     }
     std::vector<std::pair<std::string_view, account_outcome>> most{outcomes.begin(), outcomes.end()};
