--- a/packages/daemon/src/gateway/socket_channel.cpp
+++ b/packages/daemon/src/gateway/socket_channel.cpp
@@ -113,6 +113,7 @@
         return;
     }
     if (pending_begin_ > pending_bytes()) {
+        // A peer that never takes all would make the buffer grow by all that it has taken.
         pending_.erase(0, pending_begin_);
         pending_begin_ = 0;
     }
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -208,6 +208,7 @@
                                      const std::string* version = nullptr) const;
 
     /// Returns whether an endpoint of `service` with this software version is registered.
+    /// Returns whether `service` has endpoints and the software version of each one is in `versions`.
     [[nodiscard]] bool has_only_versions(std::string_view service,
                                          std::span<const std::string> versions) const;
 
