Reject conditional writes of the stand-in store for keys that are gone

A write on condition of a revision was done where the key did not exist any more: only keys that existed were compared. On the platform a key without an entry has revision 0, so that such a write is answered 412. No write of the gateways depended on it until now; the record of roll-outs does.

--- a/packages/standins/include/hemlocknotch/standins/platform_store.hpp
+++ b/packages/standins/include/hemlocknotch/standins/platform_store.hpp
@@ -58,6 +58,13 @@
 
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
+    /// Returns the value of `key`; empty where it does not exist.
+    [[nodiscard]] std::string value_of(const std::string& key) const
+    {
+        const auto it = items_.find(key);
+        return it == items_.end() ? std::string{} : it->second.value;
+    }
+
     /// Returns whether `key` exists.
     [[nodiscard]] bool contains(const std::string& key) const { return items_.contains(key); }
 
--- a/packages/standins/src/platform_store.cpp
+++ b/packages/standins/src/platform_store.cpp
@@ -233,14 +233,19 @@
 {
     const auto body = json::parse(request.body());
     auto unmet = json::array();
+    bool is_met = true;
     for (const auto& it : body.value("expect", json::array())) {
         const auto found = items_.find(it.at("key").get<std::string>());
         const auto revision = found == items_.end() ? 0 : found->second.revision;
-        if (revision != it.at("revision").get<std::uint64_t>() && found != items_.end()) {
+        if (revision == it.at("revision").get<std::uint64_t>()) {
+            continue;
+        }
+        is_met = false;
+        if (found != items_.end()) {
             unmet.push_back(describe(found->first, found->second));
         }
     }
-    if (!unmet.empty()) {
+    if (!is_met) {
         return request.reply_json(conflict, {{"items", unmet}});
     }
     for (const auto& it : body.value("puts", json::array())) {
