--- a/packages/gateway/include/hemlocknotch/gateway/gateway_roster.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/gateway_roster.hpp
@@ -22,6 +22,9 @@
     /// Returns the position of this gateway in the rendezvous order for `key`, from 0.
     [[nodiscard]] std::size_t rank_for(std::string_view key) const;
 
+    /// Returns the first `count` gateways in the rendezvous order for `key`.
+    [[nodiscard]] std::vector<std::string> first_for(std::string_view key, std::size_t count) const;
+
     /// Returns the number of gateways, this one included.
     [[nodiscard]] std::size_t size() const { return names_.size(); }
 
--- a/packages/gateway/src/gateway_roster.cpp
+++ b/packages/gateway/src/gateway_roster.cpp
@@ -25,4 +25,13 @@
     }));
 }
 
+std::vector<std::string> gateway_roster::first_for(std::string_view key, std::size_t count) const
+{
+    std::vector<std::string> out;
+    for (const auto it : rendezvous_choose(key, names_, count)) {
+        out.push_back(names_[it]);
+    }
+    return out;
+}
+
 } // namespace hemlocknotch::gateway
