Carry out roll-outs: orders, records, placing and reports

Callers of a service whose operators ordered a move to a bad version would have got its answers for half of their requests, and the operators never a state.

Orders and records are entries of the registry; an order that cannot be read does not end the one before it, and one that a restored store lacks holds for 10 s. The router asks the plan of the service at which versions a request may go, counts answers by version, and refuses to take up streams of a version that was rolled back. Gateways report to the four that judge each 500 ms and a decision to all at once. New: /rollouts on the metrics address, hemlocknotchctl rollouts, the setting bounds.exposure_share, metrics, the log line rollout-phase. Nothing changes where no order exists.

--- a/packages/ctl/src/command_line.cpp
+++ b/packages/ctl/src/command_line.cpp
@@ -57,6 +57,7 @@
         add_status_command();
         add_trace_command();
         add_explain_command();
+        add_rollouts_command();
         options_.author = default_author();
     }
 
@@ -176,6 +177,16 @@
         sub->add_option("FILE", options_.log_files, "Logs of the gateways; - for standard input")->required();
     }
 
+    void add_rollouts_command()
+    {
+        CLI::App* sub = add_command("rollouts", command::rollouts,
+                                    "Show the roll-outs that a gateway knows of: phase, evidence, exposure, "
+                                    "and what the next phase waits for");
+        sub->add_option("GATEWAY", options_.gateway, "Address of the gateway's metrics")
+            ->required()
+            ->check(check_address);
+    }
+
     CLI::App app_{description, "hemlocknotchctl"};
     command_options options_;
 };
--- a/packages/ctl/src/command_options.hpp
+++ b/packages/ctl/src/command_options.hpp
@@ -20,7 +20,8 @@
     put_back,
     status,
     trace,
-    explain
+    explain,
+    rollouts
 };
 
 /// Everything that a command line can say, in the order of `--help`.
@@ -54,6 +55,8 @@
     /// Log files of gateways.
     std::vector<std::string> log_files;
     std::string request;
+    /// Address of a gateway's metrics.
+    std::string gateway;
 };
 
 } // namespace hemlocknotch
--- a/packages/ctl/src/program.cpp
+++ b/packages/ctl/src/program.cpp
@@ -6,6 +6,7 @@
 #include "command_line.hpp"
 #include "edit_commands.hpp"
 #include "explain_command.hpp"
+#include "rollouts_command.hpp"
 #include "show_commands.hpp"
 #include "status_command.hpp"
 #include "trace_command.hpp"
@@ -40,6 +41,8 @@
         return run_status(context, options, output);
     case command::explain:
         return run_explain(options, output);
+    case command::rollouts:
+        return run_rollouts(context, options, output);
     case command::trace:
         return run_trace(options, output);
     }
--- a/packages/ctl/tests/program_test.cpp
+++ b/packages/ctl/tests/program_test.cpp
@@ -138,4 +138,17 @@
     BOOST_TEST(run({"trace", spans.path(), "--request", "other"}).code == 6);
 }
 
+/// Guards against a command that fails without a word on what to do.
+BOOST_AUTO_TEST_CASE(rollouts_of_a_gateway_that_gives_no_answer_end_with_a_remedy)
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    const std::array arguments{"hemlocknotchctl", "--timeout-ms", "500", "rollouts", "127.0.0.1:1"};
+    BOOST_TEST(hemlocknotch::run_program(static_cast<int>(arguments.size()), arguments.data(), out, err) ==
+               5);
+    BOOST_TEST(err.str().find("/listen/metrics") != std::string::npos);
+    const std::array bad{"hemlocknotchctl", "rollouts", "nowhere"};
+    BOOST_TEST(hemlocknotch::run_program(static_cast<int>(bad.size()), bad.data(), out, err) == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/daemon/src/gateway/gateway_pages.cpp
+++ b/packages/daemon/src/gateway/gateway_pages.cpp
@@ -1,5 +1,7 @@
 #include "gateway_shell.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <chrono>
 #include <limits>
 #include <string>
@@ -9,6 +11,7 @@
 namespace {
 
 constexpr std::string_view metrics_path = "/metrics";
+constexpr std::string_view rollouts_path = "/rollouts";
 
 } // namespace
 
@@ -64,10 +67,50 @@
     return {ok, std::string{bytes.begin(), bytes.end()}};
 }
 
+page gateway_shell::rollouts_page()
+{
+    constexpr int ok = 200;
+    const auto now = clock_.now();
+    auto out = nlohmann::json::array();
+    for (const auto& [service, plan] : router_.rollouts().all()) {
+        if (!plan.order()) {
+            continue;
+        }
+        const auto evidence = plan.total_evidence();
+        gateway::answer_counts reference;
+        for (const auto& [key, counts] : evidence.reference) {
+            reference += counts;
+        }
+        const auto candidate = evidence.candidate_total();
+        const std::chrono::duration<double> time_limit = plan.order()->time_limit;
+        const std::chrono::duration<double> elapsed = plan.elapsed(now);
+        out.push_back({{"service", service},
+                       {"version", plan.order()->version},
+                       {"phase", to_text(plan.phase())},
+                       {"reason", plan.reason()},
+                       {"elapsed_s", elapsed.count()},
+                       {"time_limit_s", time_limit.count()},
+                       {"endpoints_of_version", plan.candidate_count()},
+                       {"other_endpoints", plan.reference_count()},
+                       {"own_requests", plan.exposure().requests()},
+                       {"own_requests_to_version", plan.exposure().exposed()},
+                       {"answers", candidate.answers},
+                       {"bad_answers", candidate.bad},
+                       {"other_answers", reference.answers},
+                       {"other_bad_answers", reference.bad},
+                       {"excess_bad_answers", plan.judge().excess_bad()},
+                       {"log_likelihood_ratio", plan.judge().evidence()}});
+    }
+    return {ok, out.dump() + "\n"};
+}
+
 page gateway_shell::metrics_page(std::string_view path)
 {
     constexpr int ok = 200;
     constexpr int not_found = 404;
+    if (path == rollouts_path) {
+        return rollouts_page();
+    }
     if (path != metrics_path) {
         return {not_found, "no such page\n"};
     }
@@ -101,6 +144,19 @@
     gauge("hemlocknotch_gateway_endpoint_connections", pool_.connection_count());
     gauge("hemlocknotch_gateway_blocked_prompt_parts", router_.breaker().blocked_count(clock_.now()));
     gauge("hemlocknotch_gateway_others_heard", others_heard());
+    total("hemlocknotch_gateway_rollout_records_written_total", rollouts_.written_count());
+    total("hemlocknotch_gateway_rollout_record_writes_failed_total", rollouts_.failed_count());
+    for (const auto& [service, plan] : router_.rollouts().all()) {
+        const auto set = [&, &service = service](std::string_view name, double value) {
+            metrics_.record({metric_kind::gauge, name, "service", service, value});
+        };
+        const auto candidate = plan.total_evidence().candidate_total();
+        set("hemlocknotch_gateway_rollout_phase", static_cast<double>(plan.phase()));
+        set("hemlocknotch_gateway_rollout_requests", static_cast<double>(plan.exposure().requests()));
+        set("hemlocknotch_gateway_rollout_exposed_requests", static_cast<double>(plan.exposure().exposed()));
+        set("hemlocknotch_gateway_rollout_answers", static_cast<double>(candidate.answers));
+        set("hemlocknotch_gateway_rollout_bad_answers", static_cast<double>(candidate.bad));
+    }
     gauge("hemlocknotch_gateway_registry_era", view_.era());
     gauge("hemlocknotch_gateway_configuration_version", configuration_version());
     const std::chrono::duration<double> age = clock_.now() - follower_.current_as_of();
--- a/packages/daemon/src/gateway/gateway_settings.cpp
+++ b/packages/daemon/src/gateway/gateway_settings.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
 #include <utility>
 
 namespace hemlocknotch::daemon {
@@ -64,15 +65,19 @@
         return out;
     }
 
-    double number(const std::string& path, double fallback, double minimum)
+    double number(const std::string& path, double fallback, double minimum,
+                  double maximum = std::numeric_limits<double>::infinity())
     {
         const auto* it = find(path);
         if (it == nullptr) {
             return fallback;
         }
-        if (!it->is_number() || it->get<double>() < minimum) {
+        if (!it->is_number() || it->get<double>() < minimum || it->get<double>() > maximum) {
+            const auto upper = maximum < std::numeric_limits<double>::infinity()
+                                   ? " and at most " + std::to_string(maximum)
+                                   : std::string{};
             add_error(path, "is not a number in its range",
-                      "Give a number of at least " + std::to_string(minimum));
+                      "Give a number of at least " + std::to_string(minimum) + upper);
             return fallback;
         }
         return it->get<double>();
@@ -133,6 +138,7 @@
     out.configuration_bound = to_duration(reader.number("/bounds/configuration_ms", 2000.0, 100.0) / 1000.0);
     out.retry_ratio = reader.number("/bounds/retry_ratio", out.retry_ratio, 0.0);
     out.retry_reserve = reader.number("/bounds/retry_reserve", out.retry_reserve, 0.0);
+    out.exposure_share = reader.number("/bounds/exposure_share", out.exposure_share, 0.0, 1.0);
     auto& placement = out.placement;
     placement.fanout = static_cast<std::size_t>(
         reader.number("/placement/fanout", static_cast<double>(placement.fanout), 1.0));
--- a/packages/daemon/src/gateway/gateway_settings.hpp
+++ b/packages/daemon/src/gateway/gateway_settings.hpp
@@ -43,6 +43,8 @@
     /// Bound on retries over the whole fleet: retries for each request, and a fixed reserve beside them.
     double retry_ratio = 0.2;
     double retry_reserve = 50.0;
+    /// Share of a service's requests that a new software version may get before it is known to be good.
+    double exposure_share = 0.1;
     /// Placement of model requests and limits of what an endpoint is sent.
     gateway::affinity_options placement;
     /// Time that a model request may wait in the queue, as a part of its route's latency objective: within
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -9,6 +9,9 @@
 namespace hemlocknotch::daemon {
 namespace {
 
+/// Time between two reports on roll-outs: a tenth of the shortest time in which a bad version has to get no
+/// more requests.
+constexpr duration rollout_report_interval = std::chrono::milliseconds{500};
 constexpr duration stop_check_interval = std::chrono::milliseconds{200};
 /// The same once all requests have ended and only answers are on their way.
 constexpr duration exit_check_interval = std::chrono::milliseconds{20};
@@ -34,6 +37,7 @@
     out.excess_wait_share = settings.excess_wait_share;
     out.share_capacity = settings.share_capacity;
     out.present_headroom = settings.present_headroom;
+    out.exposure_share = settings.exposure_share;
     return out;
 }
 
@@ -85,6 +89,11 @@
       registry_client_{client},
       signature_blocks_{client, router_.breaker()},
       stream_notes_{notes, router_.origins(), settings.instance + "/" + std::to_string(incarnation_) + "/"},
+      rollouts_{client, router_.rollouts(), [this] { return clock_.now(); },
+                [this] {
+                    router_.on_timer(clock_.now());
+                    schedule_router_timer();
+                }},
       callers_{base, dialect, max_caller_connections(settings), *this, router_.memory_of_answers()},
       pool_{base, dialect, *this, router_.memory_of_answers(), [this] { return clock_.now(); }},
       readiness_server_{
@@ -94,12 +103,15 @@
       registry_server_{
           base, [this](std::string_view path, std::string_view query) { return registry_page(path, query); }},
       reports_{
-          base, [this] { return clock_.now(); },
+          base,
+          [this] { return clock_.now(); },
           [this](const gateway::fleet_report& it, const endpoint_address& from) { apply_report(it, from); },
           [this](const gateway::registry_update& it) { apply_update(it); },
-          [this](const gateway::stream_report& it) { router_.apply_stream_report(it, clock_.now()); }},
+          [this](const gateway::stream_report& it) { router_.apply_stream_report(it, clock_.now()); },
+          [this](const gateway::rollout_report& it) { apply_rollout_report(it); }},
       peers_{settings.instance},
       report_timer_{base, [this] { send_report(); }},
+      rollout_timer_{base, [this] { update_rollouts(); }},
       router_timer_{base,
                     [this] {
                         router_.on_timer(clock_.now());
@@ -145,6 +157,7 @@
          {{"failure_domain", settings_.failure_domain}, {"callers", callers.to_string()}}});
     follower_.start();
     update_stream_notes();
+    rollout_timer_.start(rollout_report_interval);
     request_delay_.start();
     return callers;
 }
@@ -221,6 +234,10 @@
     if (difference.has_signature_blocks) {
         router_.set_registered_blocks(view_.signature_blocks(), difference.lifted_signatures, now);
     }
+    if (difference.has_rollouts) {
+        router_.set_registered_rollouts(view_.rollouts(), now);
+        rollouts_.update();
+    }
     if (difference.has_endpoints) {
         const auto records = view_.endpoints();
         log({log_level::info, "endpoints-changed", {{"count", std::to_string(records.size())}}});
@@ -263,6 +280,26 @@
     stream_notes_.update([this] { return clock_.now(); });
 }
 
+void gateway_shell::update_rollouts()
+{
+    rollout_timer_.start(rollout_report_interval);
+    auto& table = router_.rollouts();
+    if (table.all().empty()) {
+        return;
+    }
+    rollouts_.update();
+    const auto now = clock_.now();
+    if (const auto report = table.create_report(now); !report.services.empty()) {
+        reports_.send(report, peers_.addresses_of(table.judges(now)));
+    }
+}
+
+void gateway_shell::apply_rollout_report(const gateway::rollout_report& report)
+{
+    router_.apply_rollout_report(report, clock_.now());
+    schedule_router_timer();
+}
+
 void gateway_shell::schedule_report()
 {
     const auto interval = gateway::report_interval(peers_.addresses().size());
@@ -278,6 +315,10 @@
     if (router_.take_stream_urgency()) {
         send_stream_report();
     }
+    if (router_.rollouts().take_urgency()) {
+        reports_.send(router_.rollouts().create_report(clock_.now()), peers_.addresses());
+        rollouts_.update();
+    }
 }
 
 void gateway_shell::check_health()
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -23,6 +23,7 @@
 #include "registry_follower.hpp"
 #include "report_exchange.hpp"
 #include "request_delay_probe.hpp"
+#include "rollout_registrar.hpp"
 #include "signature_block_registrar.hpp"
 #include "stop_schedule.hpp"
 #include "stream_note_registrar.hpp"
@@ -112,6 +113,9 @@
     void send_report();
     void send_stream_report();
     void update_stream_notes();
+    /// Writes the records of roll-outs that are due, and reports to the gateways that judge them.
+    void update_rollouts();
+    void apply_rollout_report(const gateway::rollout_report& report);
     /// Measures the delays of the event loop, and logs what changed in them and in the registry's age.
     void check_health();
     /// Tells the load balancer and the log when requests begin or cease to be read late.
@@ -127,6 +131,7 @@
     void log(const log_effect& record);
     [[nodiscard]] page readiness_page(std::string_view path) const;
     [[nodiscard]] page metrics_page(std::string_view path);
+    [[nodiscard]] page rollouts_page();
     [[nodiscard]] page registry_page(std::string_view path, std::string_view query) const;
 
     event_base* base_;
@@ -145,6 +150,7 @@
     gateway::registry_client& registry_client_;
     signature_block_registrar signature_blocks_;
     stream_note_registrar stream_notes_;
+    rollout_registrar rollouts_;
     caller_server callers_;
     endpoint_pool pool_;
     page_server readiness_server_;
@@ -156,6 +162,7 @@
     timer report_timer_;
     /// When the report timer is due; it fires later where the event loop is delayed.
     instant report_due_ = instant::max();
+    timer rollout_timer_;
     timer router_timer_;
     request_delay_probe request_delay_;
     registry_age_monitor registry_age_;
--- a/packages/daemon/src/gateway/peer_directory.cpp
+++ b/packages/daemon/src/gateway/peer_directory.cpp
@@ -51,6 +51,20 @@
     return out;
 }
 
+std::vector<endpoint_address> peer_directory::addresses_of(std::span<const std::string> names) const
+{
+    std::vector<endpoint_address> out;
+    for (const auto& name : names) {
+        if (const auto it = heard_.find(name); it != heard_.end()) {
+            out.push_back(it->second.address);
+        }
+        else if (const auto member = registered_.find(name); member != registered_.end()) {
+            out.push_back(member->second);
+        }
+    }
+    return out;
+}
+
 void peer_directory::update_addresses()
 {
     addresses_.clear();
--- a/packages/daemon/src/gateway/peer_directory.hpp
+++ b/packages/daemon/src/gateway/peer_directory.hpp
@@ -38,6 +38,9 @@
     /// Returns the addresses to which messages for all other gateways are sent.
     [[nodiscard]] std::span<const endpoint_address> addresses() const { return addresses_; }
 
+    /// Returns the addresses of those of `names` that are known.
+    [[nodiscard]] std::vector<endpoint_address> addresses_of(std::span<const std::string> names) const;
+
     /// Returns the number of gateways, this one included.
     [[nodiscard]] std::size_t gateway_count() const { return addresses_.size() + 1; }
 
--- a/packages/daemon/src/gateway/registry_follower.cpp
+++ b/packages/daemon/src/gateway/registry_follower.cpp
@@ -491,8 +491,7 @@
     if (const auto at = view_.next_due(); at != instant::max()) {
         grace_timer_.start(at - now_());
     }
-    if (difference.has_configuration || difference.has_endpoints || difference.has_out_of_service ||
-        difference.has_members || difference.has_signature_blocks) {
+    if (!difference.is_empty()) {
         changed_(difference);
     }
 }
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -31,6 +31,8 @@
 constexpr int update_tag = 1;
 /// First element of what a gateway tells of streams.
 constexpr int streams_tag = 2;
+/// First element of what a gateway tells of roll-outs.
+constexpr int rollouts_tag = 3;
 /// Time that what a gateway tells of streams may have waited and still shows which versions are registered: a
 /// part of the time in which a version that joins begins no streams.
 constexpr duration max_stream_report_wait = std::chrono::milliseconds{500};
@@ -270,14 +272,15 @@
 
 report_exchange::report_exchange(event_base* base, std::function<instant()> now,
                                  report_callback report_received, update_callback update_received,
-                                 stream_callback streams_received)
+                                 stream_callback streams_received, rollout_callback rollouts_received)
     : base_{base},
       now_{std::move(now)},
       report_received_{std::move(report_received)},
       update_received_{std::move(update_received)},
-      streams_received_{std::move(streams_received)}
+      streams_received_{std::move(streams_received)},
+      rollouts_received_{std::move(rollouts_received)}
 {
-    assert(now_ && report_received_ && update_received_ && streams_received_);
+    assert(now_ && report_received_ && update_received_ && streams_received_ && rollouts_received_);
 }
 
 report_exchange::~report_exchange()
@@ -322,6 +325,12 @@
     send_bytes(encode_stream_report(report), addresses);
 }
 
+void report_exchange::send(const gateway::rollout_report& report,
+                           std::span<const endpoint_address> addresses) const
+{
+    send_bytes(encode_rollout_report(report), addresses);
+}
+
 void report_exchange::send_bytes(std::span<const std::uint8_t> bytes,
                                  std::span<const endpoint_address> addresses) const
 {
@@ -377,6 +386,12 @@
         }
         return;
     }
+    if (bytes.size() > 1 && bytes[1] == rollouts_tag) {
+        if (const auto rollouts = decode_rollout_report(bytes)) {
+            rollouts_received_(*rollouts);
+        }
+        return;
+    }
     const auto report = decode_report(bytes);
     if (!report) {
         return;
--- a/packages/daemon/src/gateway/report_exchange.hpp
+++ b/packages/daemon/src/gateway/report_exchange.hpp
@@ -3,6 +3,7 @@
 #include <hemlocknotch/core/endpoint_address.hpp>
 #include <hemlocknotch/gateway/fleet_report.hpp>
 #include <hemlocknotch/gateway/registry_update.hpp>
+#include <hemlocknotch/gateway/rollout_report.hpp>
 #include <hemlocknotch/gateway/stream_origins.hpp>
 
 #include "../libevent_handles.hpp"
@@ -49,6 +50,13 @@
 /// Thread-safe.
 std::optional<gateway::stream_report> decode_stream_report(std::span<const std::uint8_t> bytes);
 
+/// Encodes what a gateway tells of roll-outs as CBOR (RFC 8949). Thread-safe.
+std::vector<std::uint8_t> encode_rollout_report(const gateway::rollout_report& report);
+
+/// Decodes what a gateway tells of roll-outs. Returns nothing where `bytes` are not a valid report.
+/// Thread-safe.
+std::optional<gateway::rollout_report> decode_rollout_report(std::span<const std::uint8_t> bytes);
+
 /// Exchanges reports and registry updates with other gateways as UDP datagrams. Each message is complete in
 /// itself, so that lost ones are not resent, and there are no connections that could become unresponsive.
 /// Used on the event loop's thread only.
@@ -58,13 +66,15 @@
     using report_callback = std::function<void(const gateway::fleet_report&, const endpoint_address&)>;
     using update_callback = std::function<void(const gateway::registry_update&)>;
     using stream_callback = std::function<void(const gateway::stream_report&)>;
+    using rollout_callback = std::function<void(const gateway::rollout_report&)>;
 
     /// `base` must outlive the exchange; `now` returns the monotonic time. The callbacks are called for each
     /// valid message, except reports that are not newer than the last one of the same gateway. The age of an
     /// update includes the longest time for which it can have waited to be read. Precondition: the callbacks
     /// are not empty.
     report_exchange(event_base* base, std::function<instant()> now, report_callback report_received,
-                    update_callback update_received, stream_callback streams_received);
+                    update_callback update_received, stream_callback streams_received,
+                    rollout_callback rollouts_received);
     ~report_exchange();
 
     report_exchange(const report_exchange&) = delete;
@@ -79,6 +89,7 @@
     void send(const gateway::fleet_report& report, std::span<const endpoint_address> addresses) const;
     void send(gateway::registry_update update, std::span<const endpoint_address> addresses) const;
     void send(const gateway::stream_report& report, std::span<const endpoint_address> addresses) const;
+    void send(const gateway::rollout_report& report, std::span<const endpoint_address> addresses) const;
 
 private:
     static void handle_read(evutil_socket_t fd, short what, void* self);
@@ -92,6 +103,7 @@
     report_callback report_received_;
     update_callback update_received_;
     stream_callback streams_received_;
+    rollout_callback rollouts_received_;
     int fd_ = -1;
     event_ptr event_;
     /// Last time at which no datagram was waiting. Those that are read later arrived after it.
--- a/packages/daemon/tests/registry_follower_fixture.hpp
+++ b/packages/daemon/tests/registry_follower_fixture.hpp
@@ -101,6 +101,11 @@
 
     void remove_block(const gateway::request_signature& /*signature*/, callback /*done*/) override {}
 
+    void write_rollout(const gateway::rollout_record& /*record*/, std::uint64_t /*replaced*/,
+                       callback /*done*/) override
+    {
+    }
+
     [[nodiscard]] std::uint64_t call_count() const override { return 0; }
 
     [[nodiscard]] bool has_pending_call() const { return !answers_.empty(); }
--- a/packages/daemon/tests/report_exchange_test.cpp
+++ b/packages/daemon/tests/report_exchange_test.cpp
@@ -54,12 +54,18 @@
     test_loop loop;
     instant now{std::chrono::seconds{100}};
     std::optional<registry_update> received;
-    report_exchange sender{loop.base(), [this] { return now; },
-                           [](const fleet_report&, const endpoint_address&) {}, [](const registry_update&) {},
-                           [](const gateway::stream_report&) {}};
-    report_exchange receiver{
-        loop.base(), [this] { return now; }, [](const fleet_report&, const endpoint_address&) {},
-        [this](const registry_update& it) { received = it; }, [](const gateway::stream_report&) {}};
+    report_exchange sender{loop.base(),
+                           [this] { return now; },
+                           [](const fleet_report&, const endpoint_address&) {},
+                           [](const registry_update&) {},
+                           [](const gateway::stream_report&) {},
+                           [](const gateway::rollout_report&) {}};
+    report_exchange receiver{loop.base(),
+                             [this] { return now; },
+                             [](const fleet_report&, const endpoint_address&) {},
+                             [this](const registry_update& it) { received = it; },
+                             [](const gateway::stream_report&) {},
+                             [](const gateway::rollout_report&) {}};
     std::optional<endpoint_address> receiver_address;
 };
 
@@ -197,6 +203,34 @@
     }
 }
 
+/// Guards against a damaged datagram that is taken for another report, or ends the process.
+BOOST_AUTO_TEST_CASE(a_rollout_report_is_read_whole_or_not_at_all)
+{
+    gateway::rollout_report report;
+    report.gateway = "g1";
+    gateway::service_rollout_report service;
+    service.order = {"s", "v2", std::chrono::seconds{12}};
+    service.position = {3, 41};
+    service.phase = gateway::rollout_phase::moving;
+    service.elapsed = std::chrono::milliseconds{6100};
+    service.requests = 1000;
+    service.exposed = 80;
+    service.open_elsewhere = 12;
+    service.evidence.reference[{"d1", "r1"}] = {900, 3};
+    service.evidence.candidate[{"e1", "d1", "r1"}] = {80, 1};
+    report.services.push_back(service);
+    const auto bytes = encode_rollout_report(report);
+    const auto read = decode_rollout_report(bytes);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((*read == report));
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        BOOST_TEST(!decode_rollout_report(std::span{bytes}.first(n)).has_value());
+    }
+    BOOST_TEST(!decode_rollout_report(encode_report({})).has_value());
+    report.services[0].evidence.candidate[{"e1", "d1", "r1"}] = {-1, 0};
+    BOOST_TEST(!decode_rollout_report(encode_rollout_report(report)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_report_names_the_streams_that_each_version_began)
 {
     gateway::stream_report report;
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -126,6 +126,8 @@
     const std::string* version = nullptr;
     /// Software versions whose endpoints are not usable.
     std::span<const std::string> excluded_versions{};
+    /// Where not null, only these instances are usable.
+    const std::set<std::string, std::less<>>* instances = nullptr;
 };
 
 /// The endpoints of all services, with their load and health. Used by one thread at a time.
@@ -214,6 +216,10 @@
 
     [[nodiscard]] bool has_version(std::string_view service, std::string_view version) const;
 
+    /// Returns the number of requests of this gateway that are open at endpoints of `service` with another
+    /// software version than `version`.
+    [[nodiscard]] std::uint64_t running_elsewhere(std::string_view service, std::string_view version) const;
+
     /// Sets the number of gateways whose load is unknown. Each of them is assumed to cause as much load as
     /// this one.
     void set_non_reporting_gateways(std::size_t gateways) { non_reporting_gateways_ = gateways; }
--- a/packages/gateway/include/hemlocknotch/gateway/registry_client.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_client.hpp
@@ -2,6 +2,7 @@
 
 #include <hemlocknotch/core/time.hpp>
 #include <hemlocknotch/gateway/endpoint_record.hpp>
+#include <hemlocknotch/gateway/rollout.hpp>
 #include <hemlocknotch/gateway/routing_configuration.hpp>
 #include <hemlocknotch/gateway/signature_block.hpp>
 
@@ -43,7 +44,7 @@
 };
 
 using registry_item = std::variant<unreadable_item, configuration_item, endpoint_item, out_of_service_item,
-                                   member_item, signature_block>;
+                                   member_item, signature_block, rollout_order, rollout_record>;
 
 /// One key of the registry that was written or removed.
 struct registry_change {
@@ -115,6 +116,11 @@
     /// Removes the block of a signature.
     virtual void remove_block(const request_signature& signature, callback done) = 0;
 
+    /// Writes the record of a roll-out, and the state that operators read of it, where the record at
+    /// `replaced` is still the present one; revision 0: where there is none. The answer is `refused` where it
+    /// is not.
+    virtual void write_rollout(const rollout_record& record, std::uint64_t replaced, callback done) = 0;
+
     /// Returns the number of calls to the registry so far.
     [[nodiscard]] virtual std::uint64_t call_count() const = 0;
 };
--- a/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/registry_view.hpp
@@ -3,6 +3,7 @@
 #include <hemlocknotch/gateway/registry_client.hpp>
 #include <hemlocknotch/gateway/registry_position.hpp>
 #include <hemlocknotch/gateway/registry_update.hpp>
+#include <hemlocknotch/gateway/rollout_table.hpp>
 
 #include <cstdint>
 #include <map>
@@ -21,8 +22,15 @@
     bool has_out_of_service = false;
     bool has_members = false;
     bool has_signature_blocks = false;
+    bool has_rollouts = false;
     /// Prompt parts whose blocks were removed, other than by a restore.
     std::vector<request_signature> lifted_signatures;
+
+    [[nodiscard]] bool is_empty() const
+    {
+        return !has_configuration && !has_endpoints && !has_out_of_service && !has_members &&
+               !has_signature_blocks && !has_rollouts;
+    }
 };
 
 /// The registry as this gateway knows it, merged from reads, watches and the reports of other gateways. Never
@@ -38,8 +46,8 @@
     /// outage have registered again.
     static constexpr duration reregistration_grace = std::chrono::milliseconds{2200};
 
-    /// Time for which a failure domain stays out of service though a restored registry lacks the record,
-    /// unless a later change says otherwise.
+    /// Time for which a failure domain stays out of service, and the order of a roll-out holds, though a
+    /// restored registry lacks the record, unless a later change says otherwise.
     static constexpr duration out_of_service_hold = std::chrono::seconds{10};
 
     /// Begins a new era, the first read of which is passed to `replace` next. From then on:
@@ -47,7 +55,8 @@
     /// - an endpoint that was draining, or had left, when last heard of is not used until it is written
     /// again;
     /// - an endpoint that the registry lacks is used until the grace time is over;
-    /// - a failure domain that the registry lacks stays out of service for `out_of_service_hold`.
+    /// - a failure domain that the registry lacks stays out of service for `out_of_service_hold`, and the
+    /// order of a roll-out holds as long.
     /// Precondition: `era` is above the present one.
     void begin_era(std::uint64_t era, instant now);
 
@@ -106,6 +115,7 @@
     [[nodiscard]] std::set<std::string, std::less<>> out_of_service() const;
     [[nodiscard]] std::vector<member_item> members() const;
     [[nodiscard]] std::vector<signature_block> signature_blocks() const;
+    [[nodiscard]] registered_rollouts rollouts() const;
 
 private:
     /// What was known of an endpoint before the restore and contradicts its registered state.
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -28,16 +28,21 @@
 class exchange_table;
 class fleet_reports;
 class crash_breaker;
+class rollout_plan;
+class rollout_table;
 class service_admission;
 class stream_origins;
 struct exchange;
 struct exchange_context;
+struct registered_rollouts;
 struct request_signature;
 struct signature_block;
 struct signature_decision;
 struct retry_advice;
+struct rollout_report;
 struct stream_report;
 struct unserved_end;
+struct version_choice;
 
 /// Settings of the router.
 struct router_options {
@@ -69,6 +74,8 @@
     /// The current throughput of the endpoints is estimated as this multiple of the rate recently served, so
     /// that the accounts' shares of it can grow.
     double present_headroom = 1.15;
+    /// Share of a service's requests that a new software version may get before it is known to be good.
+    double exposure_share = 0.1;
     /// Maximum number of requests in the gateway; bounds its memory.
     std::size_t max_exchanges = 2000;
 };
@@ -147,6 +154,13 @@
     void set_registered_blocks(std::span<const signature_block> blocks,
                                std::span<const request_signature> lifted, instant now);
 
+    /// Applies what the registry holds of roll-outs.
+    void set_registered_rollouts(const registered_rollouts& registered, instant now);
+    void apply_rollout_report(const rollout_report& report, instant now);
+
+    /// Returns the roll-outs of all services.
+    [[nodiscard]] rollout_table& rollouts() { return *rollouts_; }
+
     /// Bounds the memory of the answers that pass through this gateway, those included that the port holds.
     [[nodiscard]] answer_memory& memory_of_answers() { return answer_memory_; }
 
@@ -188,6 +202,27 @@
     /// Lets the endpoint of a stream wait where its caller takes the events more slowly.
     void pause_if_congested(exchange& it);
     void send(exchange& it, endpoint_state& endpoint, instant now);
+    /// Returns at which versions the request may be sent, as the stream that it continues or a roll-out of
+    /// its service says.
+    [[nodiscard]] version_choice versions_for(const exchange& it, instant now) const;
+    /// Returns whether a stream that `version` began may go on there.
+    [[nodiscard]] bool may_continue_at(std::string_view service, std::string_view version) const;
+    void note_rollout_sent(exchange& it);
+    /// Returns the endpoint for the request among those that `choice` permits; null if none has room.
+    endpoint_state* choose_endpoint(exchange& it, const version_choice& choice, instant now);
+    /// Returns the number of endpoints of the request's service that take new requests: only one of two
+    /// versions during a roll-out.
+    [[nodiscard]] std::size_t serving_endpoints(const exchange& it, instant now) const;
+    /// Judges the roll-outs, logs what has changed, and offers waiting requests the endpoints that it opens.
+    void update_rollouts(instant now);
+    /// Counts the answer of the request's call for a roll-out of its service: that it has come, that it
+    /// failed, or that its caller has left without it.
+    void note_rollout_answered(exchange& it, instant now);
+    void note_rollout_failed(exchange& it);
+    void note_rollout_abandoned(exchange& it, instant now);
+    /// Returns the endpoint of the request's call where its answers are counted for a roll-out; null
+    /// otherwise.
+    [[nodiscard]] const endpoint_state* compared_endpoint(const exchange& it);
     void recall_from_leaving_endpoints(instant now);
     void send_again(exchange& it, instant now);
     /// Refuses a request that no endpoint has received and that the gateway may not live to answer. Returns
@@ -260,6 +295,7 @@
     std::unique_ptr<crash_breaker> breaker_;
     std::unique_ptr<endpoint_announcements> announcements_;
     std::unique_ptr<stream_origins> origins_;
+    std::unique_ptr<rollout_table> rollouts_;
     bool is_stream_report_due_ = false;
     std::map<std::string, std::unique_ptr<service_admission>, std::less<>> services_;
 };
--- a/packages/gateway/src/endpoint_choice.cpp
+++ b/packages/gateway/src/endpoint_choice.cpp
@@ -121,6 +121,7 @@
     const auto is_excluded =
         std::ranges::find(query.excluded, endpoint.record.instance) != query.excluded.end() ||
         (query.version != nullptr && version != *query.version) ||
+        (query.instances != nullptr && !query.instances->contains(endpoint.record.instance)) ||
         std::ranges::find(query.excluded_versions, version) != query.excluded_versions.end();
     if (is_excluded || !accepts_requests(endpoint, now)) {
         return false;
--- a/packages/gateway/src/endpoint_table.cpp
+++ b/packages/gateway/src/endpoint_table.cpp
@@ -296,6 +296,17 @@
            });
 }
 
+std::uint64_t endpoint_table::running_elsewhere(std::string_view service, std::string_view version) const
+{
+    std::uint64_t out = 0;
+    if (const auto found = by_service_.find(service); found != by_service_.end()) {
+        for (const auto* it : found->second) {
+            out += it->record.software_version == version ? 0U : it->running;
+        }
+    }
+    return out;
+}
+
 bool endpoint_table::has_only_versions(std::string_view service, std::span<const std::string> versions) const
 {
     const auto found = by_service_.find(service);
--- a/packages/gateway/src/exchange.hpp
+++ b/packages/gateway/src/exchange.hpp
@@ -4,6 +4,7 @@
 #include <hemlocknotch/gateway/event_splitter.hpp>
 #include <hemlocknotch/gateway/placement_policy.hpp>
 #include <hemlocknotch/gateway/request_signature.hpp>
+#include <hemlocknotch/gateway/rollout_table.hpp>
 #include <hemlocknotch/gateway/router_port.hpp>
 #include <hemlocknotch/gateway/routing_configuration.hpp>
 #include <hemlocknotch/gateway/share_meter.hpp>
@@ -77,6 +78,10 @@
     /// Software version that began the stream, at which alone it may go on; empty while no event was passed
     /// on. An empty text stands for one that is not known, at which nothing can go on.
     std::optional<std::string> stream_version;
+    /// How the answer of the last call was counted for a roll-out, and what its time is divided by to compare
+    /// it with others: the prompt tokens to be read and a fixed amount, for model requests.
+    counted_answer rollout_answer = counted_answer::none;
+    double answer_work = 1.0;
     /// When the last call was started, and when the first complete event of its answer arrived.
     instant sent_at;
     instant first_event_at = instant::max();
--- a/packages/gateway/src/registry_view.cpp
+++ b/packages/gateway/src/registry_view.cpp
@@ -36,6 +36,12 @@
     return before != nullptr && after != nullptr && before->record == after->record;
 }
 
+/// Returns whether operators write the item, and it holds until they have written it again after a restore.
+bool is_held_after_restore(const registry_item& item)
+{
+    return std::holds_alternative<out_of_service_item>(item) || std::holds_alternative<rollout_order>(item);
+}
+
 } // namespace
 
 void registry_view::begin_era(std::uint64_t era, instant now)
@@ -56,7 +62,7 @@
                             .is_draining = endpoint->record.is_draining || it.doubted == doubt::was_draining,
                             .started_at_ms = endpoint->record.started_at_ms};
         }
-        if (std::holds_alternative<out_of_service_item>(it.item)) {
+        if (is_held_after_restore(it.item)) {
             // The time for writing it again begins anew.
             it.used_until = instant::max();
         }
@@ -175,8 +181,10 @@
         return;
     }
     if (is_faulty(change.item) && known != entries_.end() &&
-        std::holds_alternative<configuration_item>(known->second.item)) {
-        // Other gateways may ask this one for the configuration in force.
+        (std::holds_alternative<configuration_item>(known->second.item) ||
+         std::holds_alternative<rollout_order>(known->second.item))) {
+        // Other gateways may ask this one for the configuration in force. An order that cannot be read does
+        // not end the one before it.
         return;
     }
     const auto removed = removed_.find(change.key);
@@ -237,7 +245,7 @@
         return;
     }
     const auto is_of_earlier_era = value.revision == 0;
-    if (is_of_earlier_era && std::holds_alternative<out_of_service_item>(value.item)) {
+    if (is_of_earlier_era && is_held_after_restore(value.item)) {
         value.used_until = std::min(value.used_until, now + out_of_service_hold);
         return;
     }
@@ -358,6 +366,20 @@
     return out;
 }
 
+registered_rollouts registry_view::rollouts() const
+{
+    registered_rollouts out{{era_, revision_}, {}, {}};
+    for (const auto& [key, it] : entries_) {
+        if (const auto* order = std::get_if<rollout_order>(&it.item)) {
+            out.orders.push_back({*order, it.revision});
+        }
+        if (const auto* record = std::get_if<rollout_record>(&it.item)) {
+            out.records.push_back({*record, it.revision});
+        }
+    }
+    return out;
+}
+
 void registry_view::mark_changed(const registry_item& item, registry_difference& difference)
 {
     difference.has_endpoints = difference.has_endpoints || std::holds_alternative<endpoint_item>(item);
@@ -366,6 +388,8 @@
     difference.has_members = difference.has_members || std::holds_alternative<member_item>(item);
     difference.has_signature_blocks =
         difference.has_signature_blocks || std::holds_alternative<signature_block>(item);
+    difference.has_rollouts = difference.has_rollouts || std::holds_alternative<rollout_order>(item) ||
+                              std::holds_alternative<rollout_record>(item);
 }
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -1,4 +1,5 @@
 #include <hemlocknotch/gateway/crash_breaker.hpp>
+#include <hemlocknotch/gateway/rollout_table.hpp>
 #include <hemlocknotch/gateway/router.hpp>
 #include <hemlocknotch/gateway/stream_origins.hpp>
 
@@ -49,7 +50,8 @@
       calls_{std::make_unique<call_table>(endpoints_, options_.output_weight, answer_memory_)},
       breaker_{std::make_unique<crash_breaker>(options_.gateway)},
       announcements_{std::make_unique<endpoint_announcements>(endpoints_, port)},
-      origins_{std::make_unique<stream_origins>()}
+      origins_{std::make_unique<stream_origins>()},
+      rollouts_{std::make_unique<rollout_table>(options_.gateway, options_.exposure_share)}
 {
 }
 
@@ -70,6 +72,7 @@
 {
     records_.assign(records.begin(), records.end());
     origins_->set_endpoints(records, now);
+    rollouts_->set_endpoints(records);
     if (configuration_) {
         endpoints_.set_endpoints(records_, *configuration_, reports_->gateways(), now);
         recall_from_leaving_endpoints(now);
@@ -204,33 +207,49 @@
         drop(it, now);
         return true;
     }
-    if (it.stream_version && !endpoints_.has_version(it.service, *it.stream_version)) {
+    if (it.stream_version && !may_continue_at(it.service, *it.stream_version)) {
         it.is_waiting = false;
         end_unserved(it, stream_version_left, it.executions > 0, now);
         return true;
     }
     auto& service = service_of(it.service);
     it.placement_input.endpoint_tokens_per_second =
-        service.endpoint_rate(*it.configuration, endpoints_.endpoint_count(it.service));
+        service.endpoint_rate(*it.configuration, serving_endpoints(it, now));
     it.placement_input.account_share = service.share_state_of(it, now);
     it.placement_input.draw = XXH64(it.id_text().data(), it.id_text().size(), options_.seed + it.attempts);
+    auto choice = versions_for(it, now);
+    auto* endpoint = choose_endpoint(it, choice, now);
+    if (endpoint == nullptr && choice.only != nullptr && choice.may_fall_back) {
+        choice.only = nullptr;
+        choice.instances = nullptr;
+        endpoint = choose_endpoint(it, choice, now);
+    }
+    if (endpoint == nullptr) {
+        return false;
+    }
+    send(it, *endpoint, now);
+    return true;
+}
+
+endpoint_state* router::choose_endpoint(exchange& it, const version_choice& choice, instant now)
+{
     const auto& policy = it.is_model ? model_placement_ : plain_placement_;
-    const auto unsettled = versions_to_avoid(it, now);
+    auto avoided = versions_to_avoid(it, now);
+    if (choice.only == nullptr) {
+        avoided.insert(avoided.end(), choice.avoided.begin(), choice.avoided.end());
+    }
     const endpoint_query query{.excluded = it.tried,
                                .shared_parts = it.placement_input.shared_parts,
                                .limit = policy.considered_endpoints(it.placement_input),
                                .key = it.placement_input.shared_part.value_or(0),
                                .ranking = &it.ranking,
-                               .version = it.stream_version ? &*it.stream_version : nullptr,
-                               .excluded_versions = unsettled};
+                               .version = choice.only,
+                               .excluded_versions = avoided,
+                               .instances = choice.instances};
     std::vector<endpoint_state*> states;
     const auto loads = endpoints_.loads_of(it.service, now, query, states);
     const auto chosen = policy.choose(it.placement_input, loads);
-    if (!chosen.endpoint) {
-        return false;
-    }
-    send(it, *states[*chosen.endpoint], now);
-    return true;
+    return chosen.endpoint ? states[*chosen.endpoint] : nullptr;
 }
 
 void router::send(exchange& it, endpoint_state& endpoint, instant now)
@@ -241,6 +260,7 @@
     ++answers_->counters().attempts;
     const auto start = calls_->begin(it, endpoint, reports_->gateways(), now);
     service_of(it.service).note_sent(it, now);
+    note_rollout_sent(it);
     if (!breaker_->is_idle()) {
         breaker_->note_sent(it.id, signatures_of(it));
     }
@@ -280,6 +300,7 @@
     auto& it = *found;
     is_stream_report_due_ = is_stream_report_due_ || (it.is_begun && it.matched->is_resumable);
     if (it.call != 0) {
+        note_rollout_abandoned(it, now);
         port_.cancel_call(it.call);
         finish_call(it, now);
     }
@@ -353,6 +374,7 @@
 {
     breaker_->set_others(reports_->others());
     endpoints_.set_others(reports_->others());
+    rollouts_->set_others(reports_->others());
 }
 
 void router::on_timer(instant now)
@@ -372,6 +394,7 @@
         }
     }
     apply_signature_events(now);
+    update_rollouts(now);
     offer_waiting(now);
 }
 
@@ -406,7 +429,7 @@
 
 instant router::next_due(instant now) const
 {
-    auto out = exchanges_->next_deadline();
+    auto out = std::min(exchanges_->next_deadline(), rollouts_->next_due());
     bool has_waiting = false;
     for (const auto& [name, service] : services_) {
         has_waiting = has_waiting || !service->queue().is_empty();
--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -126,7 +126,10 @@
             return handle_failed_resumption(*it, now);
         }
         if (!events.empty()) {
-            it->first_event_at = std::min(it->first_event_at, now);
+            if (it->first_event_at == instant::max()) {
+                it->first_event_at = now;
+                note_rollout_answered(*it, now);
+            }
             if (!it->is_begun) {
                 note_stream_begun(*it, now);
             }
@@ -194,6 +197,9 @@
         // Other statuses are the fault of the request, not of the endpoint.
         const auto is_failure = it.head->status < first_redirection || it.head->status >= first_server_error;
         is_failure ? endpoints_.note_failure(*endpoint, true, now) : endpoints_.note_success(*endpoint);
+        if (is_failure) {
+            note_rollout_failed(it);
+        }
     }
     finish_call(it, now);
     if (!retry(it, true, now)) {
@@ -226,6 +232,7 @@
         return handle_failure(it, call_outcome::broken, now);
     }
     const auto is_failure = it.head->status >= first_server_error;
+    is_failure ? note_rollout_failed(it) : note_rollout_answered(it, now);
     if (!is_failure) {
         note_sound_run(it, now);
     }
@@ -262,6 +269,7 @@
 void router::handle_failure(exchange& it, call_outcome outcome, instant now)
 {
     const auto was_executed = outcome == call_outcome::broken;
+    note_rollout_failed(it);
     if (auto* endpoint = endpoints_.find(it.instance)) {
         if (was_executed && endpoint->consecutive_failures == 0) {
             log_cut_calls(it.instance);
@@ -338,6 +346,9 @@
     }
     const auto has_call = it.call != 0;
     if (has_call) {
+        if (it.first_event_at == instant::max()) {
+            note_rollout_failed(it);
+        }
         port_.cancel_call(it.call);
         finish_call(it, now);
     }
--- a/packages/gateway/src/router_streams.cpp
+++ b/packages/gateway/src/router_streams.cpp
@@ -39,7 +39,7 @@
         refuse(it, status_unavailable, "stream-version-unknown", min_retry_after, now);
         return true;
     }
-    if (!endpoints_.has_version(it.service, *it.stream_version)) {
+    if (!may_continue_at(it.service, *it.stream_version)) {
         refuse(it, status_unavailable, "stream-version-left", duration::zero(), now);
         return true;
     }
--- a/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
+++ b/packages/standins/include/hemlocknotch/standins/platform_endpoint.hpp
@@ -83,6 +83,8 @@
     platform_endpoint_faults faults;
     /// Called with the id of each request that reaches the endpoint, if set.
     std::function<void(const std::string&)> arrived;
+    /// Version of its software, which it registers.
+    std::string version = "v1";
     /// Name of this start of the endpoint, which the answers carry that say that it leaves.
     std::string start_name;
     /// Body of requests that crash the endpoint when it begins to execute them; empty: none do.
--- a/packages/standins/src/platform_endpoint.cpp
+++ b/packages/standins/src/platform_endpoint.cpp
@@ -71,7 +71,7 @@
 std::string platform_endpoint::registration(const std::string& service, const std::string& state) const
 {
     return nlohmann::json{{"backend", service}, {"address", address().to_string()},
-                          {"zone", "d1"},       {"version", "v1"},
+                          {"zone", "d1"},       {"version", version},
                           {"slots", 8},         {"state", state},
                           {"seq", 1},           {"cold-remaining-ms", 0}}
         .dump();
