--- a/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
+++ b/packages/standins/include/hemlocknotch/standins/gateway_soak.hpp
@@ -111,6 +111,16 @@
     void add_odd_entries();
     /// Returns an odd form of the entry `sound`.
     std::string draw_odd_value(const std::string& sound);
+    /// Draws whether the plain service is to move to another version of its software, and how bad that one
+    /// is.
+    void plan_rollout();
+    /// Orders the roll-out where it is due.
+    void order_rollout();
+    void register_new_version();
+    /// Checks that a bad version got no more than its share, and was not completed.
+    void check_rollout();
+    /// Returns the number of requests that the endpoints of the plain service have got.
+    [[nodiscard]] std::uint64_t plain_requests() const;
     /// Starts an endpoint that has ended after a random time, and at the end of the faults.
     void restart_later(soak_endpoint& it);
     /// Records what the head of an answer that `gateway` has passed on says of leaving.
@@ -147,6 +157,8 @@
     int draw_odd(int n);
     /// The same for resets and for requests that are sent slowly.
     int draw_reset(int n);
+    /// The same for roll-outs.
+    int draw_rollout(int n);
     soak_gateway& draw_gateway();
 
     soak_options options_;
@@ -158,6 +170,7 @@
     std::minstd_rand repeated_random_;
     std::minstd_rand odd_entry_random_;
     std::minstd_rand reset_random_;
+    std::minstd_rand rollout_random_;
     event_loop loop_;
     platform_store store_;
     soak_record record_;
@@ -184,6 +197,13 @@
     int mute_registrations_ = 0;
     /// Endpoint whose address only odd entries have.
     platform_endpoint unnamed_endpoint_;
+    /// Endpoints of the version that the plain service moves to.
+    std::vector<std::unique_ptr<platform_endpoint>> new_endpoints_;
+    bool is_new_version_bad_ = false;
+    /// Time from the first fault to the order.
+    duration rollout_at_ = duration::max();
+    bool is_rollout_ordered_ = false;
+    std::uint64_t requests_before_rollout_ = 0;
     /// Number of odd entries under new names so far.
     int odd_registrations_ = 0;
     /// Kind of the request that crashes endpoints, if there is one.
--- a/packages/standins/src/gateway_soak.cpp
+++ b/packages/standins/src/gateway_soak.cpp
@@ -70,6 +70,7 @@
       repeated_random_{static_cast<std::minstd_rand::result_type>(options.seed + 5)},
       odd_entry_random_{static_cast<std::minstd_rand::result_type>(options.seed + 6)},
       reset_random_{static_cast<std::minstd_rand::result_type>(options.seed + 7)},
+      rollout_random_{static_cast<std::minstd_rand::result_type>(options.seed + 8)},
       store_{loop_.base(), any_port},
       record_{options.bound},
       endless_model_{loop_.base(), any_port, "X-Request-Id"},
@@ -96,6 +97,10 @@
     unnamed_endpoint_.arrived = [this](const std::string& id) {
         record_.add_violation(id + " was sent to the address of an odd entry");
     };
+    for (const auto* instance : {"n1", "n2"}) {
+        new_endpoints_.push_back(std::make_unique<platform_endpoint>(loop_.base(), any_port, instance));
+    }
+    plan_rollout();
     if (draw_ending(2) == 0) {
         add_crashing_request();
     }
@@ -177,6 +182,7 @@
         break;
     case stage::faulty:
         inject_faults();
+        order_rollout();
         if (passed > options_.faults_for) {
             heal();
             enter(stage::healing);
@@ -205,6 +211,7 @@
         check_exit_codes();
         check_logs();
         check_executions();
+        check_rollout();
         enter(stage::done);
         return loop_.stop();
     case stage::done:
@@ -241,6 +248,7 @@
     for (const auto& it : endpoints_) {
         register_endpoint(*it);
     }
+    register_new_version();
 }
 
 void gateway_soak::register_endpoint(const soak_endpoint& it)
@@ -347,6 +355,11 @@
             total[id] += n;
         }
     }
+    for (const auto& it : new_endpoints_) {
+        for (const auto& [id, n] : it->executions) {
+            total[id] += n;
+        }
+    }
     for (const auto* it : {&endless_model_, &endless_plain_}) {
         for (const auto& [id, n] : it->executions) {
             total[id] += n;
