Place prompts by the pace that endpoints state

Endpoints that share their machines say in a fourth figure of their load how long work takes at the moment. A load with four figures was dropped whole, and placing took each endpoint to be as fast as the configuration's mean.

At a pace of 1, which all earlier deployments have, decisions are the same. A load that cannot be read is logged as endpoint-field-unreadable and changes nothing.

--- a/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/request_fields.hpp
@@ -47,6 +47,8 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    /// How long work takes at present, in percent of the usual time; nothing where it is not stated.
+    std::optional<unsigned> pace_percent;
 };
 
 /// Fields of an answer that the gateway uses.
@@ -62,6 +64,7 @@
     /// Whether a content coding other than identity is applied, so that the body is not the endpoint's own.
     bool is_encoded = false;
     std::optional<reported_load> load;
+    bool has_unreadable_load = false;
     /// Time for which the endpoint, if it rejects the request, wants no further ones from this gateway.
     std::optional<duration> pause;
     bool has_unreadable_pause = false;
--- a/packages/gateway/src/affinity_placement.cpp
+++ b/packages/gateway/src/affinity_placement.cpp
@@ -63,11 +63,15 @@
     double least = 0.0;
     for (std::size_t n = 0; n < std::min(eligible, ranked.size()); ++n) {
         const auto& it = endpoints[ranked[n].second];
-        const auto cost = it.pending_tokens + copy_penalty(request, it, n);
-        const auto has_capacity = cost <= window && it.running < it.slots && it.tokens_per_second <= rate;
-        if (has_capacity && (!out.endpoint || cost < least)) {
+        // In tokens that an endpoint of the usual pace reads in the same time.
+        const auto cost = (it.pending_tokens + copy_penalty(request, it, n)) * it.pace;
+        const auto has_capacity =
+            cost <= window && it.running < it.slots && it.tokens_per_second * it.pace <= rate;
+        // What the pace adds to the reading of this prompt, or takes from it.
+        const auto own = (it.pace - 1.0) * std::max(0.0, request.prompt_tokens - it.cached_tokens);
+        if (has_capacity && (!out.endpoint || cost + own < least)) {
             out.endpoint = ranked[n].second;
-            least = cost;
+            least = cost + own;
         }
     }
     return out;
