Place prompts without the pace that endpoints state again

Suspected, not shown: the figure changes faster than a prompt is read, and a prompt that is placed elsewhere for it reads its shared parts again.

Takes the placing and endpoint_pace back.

--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_load.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_load.hpp
@@ -22,8 +22,6 @@
     /// Tokens at the beginning of the prompt that were recently sent to the endpoint and need not be read
     /// again, as far as this gateway knows.
     double cached_tokens = 0.0;
-    /// How long work takes there at present, as a multiple of its usual time.
-    double pace = 1.0;
 };
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/endpoint_table.hpp
@@ -2,7 +2,6 @@
 
 #include <hemlocknotch/gateway/decaying_sum.hpp>
 #include <hemlocknotch/gateway/endpoint_load.hpp>
-#include <hemlocknotch/gateway/endpoint_pace.hpp>
 #include <hemlocknotch/gateway/endpoint_record.hpp>
 #include <hemlocknotch/gateway/fleet_rate_limiter.hpp>
 #include <hemlocknotch/gateway/gateway_roster.hpp>
@@ -66,8 +65,6 @@
     /// Load caused by other gateways together, and the number of those that report any.
     peer_load peers_total;
     unsigned reporting_peers = 0;
-    /// How long work takes there, as its answers state.
-    endpoint_pace pace;
     /// Moving average of the share of calls that failed.
     double failure_rate = 0.0;
     unsigned consecutive_failures = 0;
--- a/packages/gateway/src/endpoint_announcements.cpp
+++ b/packages/gateway/src/endpoint_announcements.cpp
@@ -27,9 +27,6 @@
     if (fields.has_unreadable_load) {
         log_unreadable(instance, "load");
     }
-    else if (fields.load && fields.load->pace_percent) {
-        endpoint->pace.note(*fields.load->pace_percent / 100.0, now);
-    }
     if (fields.has_unreadable_pause) {
         log_unreadable(instance, "pause");
     }
--- a/packages/gateway/src/endpoint_choice.cpp
+++ b/packages/gateway/src/endpoint_choice.cpp
@@ -91,8 +91,7 @@
             endpoint.running + peers.running,
             endpoint.sent_tokens.per_second(now) * own_factor + peers.tokens_per_second,
             endpoint.record.slots > 0 ? endpoint.record.slots : default_slots,
-            endpoint.cached_tokens(shared_parts, now),
-            endpoint.pace.value(now)};
+            endpoint.cached_tokens(shared_parts, now)};
 }
 
 endpoint_table::usability endpoint_table::usability_of(std::span<endpoint_state* const> states,
