Keep a reset of a connection known, and take odd statuses for no answer

The channel now remembers the error. A status below 100, above 599 or 101 now breaks the call at its head, and the endpoint is suspected as by other broken answers.

Entries, agents and the client of the store were not checked for either.

--- a/packages/daemon/src/gateway/endpoint_connection.cpp
+++ b/packages/daemon/src/gateway/endpoint_connection.cpp
@@ -31,7 +31,10 @@
 constexpr std::size_t max_calls = 500;
 /// Capacity that an answer's buffer keeps between two reads: some events.
 constexpr std::size_t max_kept_bytes = std::size_t{4} << 10U;
+constexpr int first_status = 100;
+constexpr int status_switching_protocols = 101;
 constexpr int first_final_status = 200;
+constexpr int last_status = 599;
 constexpr int first_status_after_success = 300;
 
 std::size_t hash_of(std::string_view id)
@@ -232,6 +235,13 @@
     has_head_ = true;
     auto& fields = parser_->fields();
     const auto status = parser_->status();
+    // An upgrade of the protocol was not asked for.
+    const auto is_status =
+        status >= first_status && status <= last_status && status != status_switching_protocols;
+    if (!is_status) {
+        end_call(call_outcome::broken);
+        return false;
+    }
     if (status < first_final_status) {
         is_discarding_ = true;
         return true;
--- a/packages/daemon/src/gateway/socket_channel.cpp
+++ b/packages/daemon/src/gateway/socket_channel.cpp
@@ -107,7 +107,8 @@
         if (n > 0) {
             bytes.remove_prefix(static_cast<std::size_t>(n));
         }
-        // An error is returned again by the next read, which reports it outside of this call.
+        // The next read reports an error, outside of this call.
+        note_error(n);
     }
     if (bytes.empty()) {
         return;
@@ -125,24 +126,34 @@
     }
 }
 
-bool socket_channel::has_peer_closed() const
+ssize_t socket_channel::peek() const
 {
     char next = 0;
-    const auto n = fd_ < 0 ? 0 : ::recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    const auto n = ::recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    note_error(n);
+    return n;
+}
+
+bool socket_channel::note_error(ssize_t n) const
+{
+    const auto is_error = n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+    has_failed_ = has_failed_ || is_error;
+    return is_error;
+}
+
+bool socket_channel::has_peer_closed() const
+{
+    return fd_ < 0 || peek() == 0 || has_failed_;
 }
 
 bool socket_channel::has_unread_bytes() const
 {
-    char next = 0;
-    return fd_ >= 0 && ::recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return fd_ >= 0 && peek() > 0;
 }
 
 bool socket_channel::is_quiet() const
 {
-    char next = 0;
-    return fd_ >= 0 && ::recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-           (errno == EAGAIN || errno == EWOULDBLOCK);
+    return fd_ >= 0 && peek() < 0 && !has_failed_;
 }
 
 void socket_channel::pause_reading()
@@ -230,11 +241,8 @@
         }
         return;
     }
-    if (n == 0) {
-        return end(channel_end::orderly);
-    }
-    if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
-        end(channel_end::broken);
+    if (note_error(n) || n == 0) {
+        end(has_failed_ ? channel_end::broken : channel_end::orderly);
     }
 }
 
--- a/packages/daemon/src/gateway/socket_channel.hpp
+++ b/packages/daemon/src/gateway/socket_channel.hpp
@@ -14,6 +14,8 @@
 #include <string>
 #include <string_view>
 
+#include <sys/types.h>
+
 namespace hemlocknotch::daemon {
 
 /// How a connection ended.
@@ -117,6 +119,10 @@
     static void handle_peer_closed(evutil_socket_t fd, short what, void* self);
     void read_bytes();
     void write_bytes();
+    /// Returns what `recv` returns for the next byte, which stays unread.
+    [[nodiscard]] ssize_t peek() const;
+    /// Notes the error of a call to the kernel that returned `n`. Returns whether the connection is broken.
+    bool note_error(ssize_t n) const;
     void wait_for_connection(std::chrono::milliseconds timeout);
     void finish_connecting(bool is_timeout);
     void end(channel_end reason);
@@ -134,6 +140,9 @@
     std::size_t pending_begin_ = 0;
     std::optional<gateway::answer_holding> holding_;
     bool is_over_memory_ = false;
+    /// The kernel has returned an error for the connection. It does so once: the next read after it looks
+    /// like an orderly end.
+    mutable bool has_failed_ = false;
     bool is_connected_;
     bool is_closing_ = false;
     bool is_write_event_added_ = false;
