Limit new connections of a gateway that lacks processor time

Callers in a burst of one failure domain got no word from the small gateways there: requests lay unread until their deadline.

--- a/packages/daemon/src/gateway/caller_server.cpp
+++ b/packages/daemon/src/gateway/caller_server.cpp
@@ -8,9 +8,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cassert>
 #include <cerrno>
 #include <cstring>
+#include <string_view>
 #include <utility>
 
 namespace hemlocknotch::daemon {
@@ -19,6 +21,29 @@
 /// Connections that the kernel queues until they are accepted. Holds a second's worth at the highest
 /// connection rates, in case this process gets no processor time for so long.
 constexpr int accept_backlog = 1024;
+/// Answer to the first request of a connection that comes while this process lacks processor time. Its caller
+/// should soon try another instance.
+constexpr std::string_view shed_answer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.1\r\n"
+                                         "Connection: close\r\nContent-Length: 0\r\n\r\n";
+/// Bytes of such a request that are read, since the kernel resets a connection that is closed with unread
+/// ones and may drop the answer: most requests are shorter.
+constexpr std::size_t shed_read_size = std::size_t{64} << 10U;
+
+/// Closes a descriptor at the end of its scope.
+class socket_descriptor {
+public:
+    explicit socket_descriptor(int fd) : fd_{fd} {}
+
+    ~socket_descriptor() { ::close(fd_); }
+
+    socket_descriptor(const socket_descriptor&) = delete;
+    socket_descriptor(socket_descriptor&&) = delete;
+    socket_descriptor& operator=(const socket_descriptor&) = delete;
+    socket_descriptor& operator=(socket_descriptor&&) = delete;
+
+private:
+    int fd_;
+};
 
 } // namespace
 
@@ -79,8 +104,22 @@
     }
 }
 
+void caller_server::shed(int fd)
+{
+    // Closed with the function. What is read is not looked at: nothing has run, whatever it asks for.
+    const socket_descriptor owned{fd};
+    static std::array<char, shed_read_size> buf;
+    if (::recv(fd, buf.data(), buf.size(), MSG_DONTWAIT) > 0) {
+        static_cast<void>(::send(fd, shed_answer.data(), shed_answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+        ::shutdown(fd, SHUT_WR);
+    }
+}
+
 void caller_server::accept(int fd)
 {
+    if (!overload_.take_connection()) {
+        return shed(fd);
+    }
     if (connections_.size() >= max_connections_ && !idle_.empty()) {
         // A new connection probably brings a request at once; an idle one may bring none.
         idle_.front()->abort();
--- a/packages/daemon/src/gateway/caller_server.hpp
+++ b/packages/daemon/src/gateway/caller_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/gateway/overload_state.hpp>
 #include <hemlocknotch/gateway/router.hpp>
 
 #include "../timer.hpp"
@@ -63,6 +64,13 @@
     /// From now on each connection is closed after its answer.
     void begin_stop() { is_stopping_ = true; }
 
+    /// Returns whether this process has processor time for new callers. While it does not, connections beyond
+    /// its limit are refused without their requests being parsed, and others are closed after their answers:
+    /// callers connect anew, to an instance with processor time left if the load balancer knows one.
+    [[nodiscard]] gateway::overload_state& overload() { return overload_; }
+
+    [[nodiscard]] const gateway::overload_state& overload() const { return overload_; }
+
     /// Stops accepting connections and closes those that neither read nor serve a request.
     void close_idle_connections();
 
@@ -98,7 +106,7 @@
 
     [[nodiscard]] bool is_closing_after_answers() const override
     {
-        return is_stopping_ || connections_.size() > max_connections_ / 2;
+        return is_stopping_ || overload_.is_shedding() || connections_.size() > max_connections_ / 2;
     }
 
     void on_idle(caller_connection& connection) override;
@@ -112,6 +120,8 @@
     void accept_waiting();
     static void handle_accept(evutil_socket_t listener, short what, void* self);
     void accept(int fd);
+    /// Refuses the request that a new connection has brought, or closes it where none has come yet.
+    void shed(int fd);
     /// Ends the exchange and returns its connection; null where the caller has disconnected.
     caller_connection* end_exchange(gateway::exchange_id exchange);
     caller_connection* find(gateway::exchange_id exchange);
@@ -136,6 +146,7 @@
     timer reaper_;
     gateway::exchange_id last_exchange_ = 0;
     bool is_stopping_ = false;
+    gateway::overload_state overload_;
 };
 
 } // namespace hemlocknotch::daemon
--- a/packages/daemon/src/gateway/gateway_pages.cpp
+++ b/packages/daemon/src/gateway/gateway_pages.cpp
@@ -17,7 +17,8 @@
 
 bool gateway_shell::is_ready() const
 {
-    return stop_requested_at_ == instant::max() && router_.has_configuration() && !request_delay_.is_late();
+    return stop_requested_at_ == instant::max() && router_.has_configuration() &&
+           !callers_.overload().is_late();
 }
 
 std::uint64_t gateway_shell::configuration_version() const
@@ -130,6 +131,8 @@
     total("hemlocknotch_gateway_retries_total", it.retries);
     total("hemlocknotch_gateway_resumed_streams_total", it.resumed_streams);
     total("hemlocknotch_gateway_malformed_total", malformed_count_);
+    total("hemlocknotch_gateway_connections_refused_total", callers_.overload().refused());
+    gauge("hemlocknotch_gateway_is_refusing_connections", callers_.overload().is_shedding() ? 1 : 0);
     total("hemlocknotch_gateway_discarded_answers_total", discarded_count_);
     total("hemlocknotch_gateway_registry_calls_total", registry_client_.call_count());
     const auto& registry = follower_.counters();
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -338,13 +338,16 @@
 
 void gateway_shell::check_overload()
 {
-    if (is_overloaded_ == request_delay_.is_late()) {
+    auto& overload = callers_.overload();
+    const auto was_late = overload.is_late();
+    overload.note(request_delay_.delay(), clock_.now());
+    if (overload.is_late() == was_late) {
         return;
     }
-    is_overloaded_ = !is_overloaded_;
-    log({is_overloaded_ ? log_level::warning : log_level::info,
-         is_overloaded_ ? "requests-read-late" : "requests-read-in-time",
+    log({was_late ? log_level::info : log_level::warning,
+         was_late ? "requests-read-in-time" : "requests-read-late",
          {{"delay_ms", milliseconds_text(request_delay_.delay())},
+          {"connections_refused", std::to_string(overload.refused())},
           {"open_requests", std::to_string(router_.exchange_count())},
           {"connections", std::to_string(callers_.connection_count())}}});
 }
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -166,7 +166,6 @@
     timer router_timer_;
     request_delay_probe request_delay_;
     registry_age_monitor registry_age_;
-    bool is_overloaded_ = false;
     stop_schedule stop_schedule_;
     timer stop_timer_;
     instant stop_requested_at_ = instant::max();
--- a/packages/daemon/src/gateway/socket_channel.hpp
+++ b/packages/daemon/src/gateway/socket_channel.hpp
@@ -6,6 +6,8 @@
 #include "../event_priority.hpp"
 #include "../libevent_handles.hpp"
 
+#include <sys/types.h>
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -14,8 +16,6 @@
 #include <string>
 #include <string_view>
 
-#include <sys/types.h>
-
 namespace hemlocknotch::daemon {
 
 /// How a connection ended.
--- a/packages/daemon/tests/broken_answers_test.cpp
+++ b/packages/daemon/tests/broken_answers_test.cpp
@@ -112,6 +112,7 @@
             fds[1] = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
             ::close(listener);
         }
+
         struct : channel_sink {
             void on_bytes(std::string_view /*bytes*/) override {}
 
--- a/packages/daemon/tests/caller_server_closing_test.cpp
+++ b/packages/daemon/tests/caller_server_closing_test.cpp
@@ -33,6 +33,37 @@
     BOOST_TEST(client.has("Connection: close\r\nContent-Length: 1\r\n\r\nb"));
 }
 
+/// Guards against a gateway without processor time that lets new callers wait unread until they give up.
+BOOST_AUTO_TEST_CASE(a_gateway_without_processor_time_refuses_new_callers_and_sends_others_elsewhere)
+{
+    recorder.server = &server;
+    raw_client kept{loop.base(), port, head + "Content-Length: 1\r\n\r\na"};
+    BOOST_REQUIRE(loop.run_until([&] { return kept.has("\r\n\r\na"); }));
+    const instant now{std::chrono::seconds{100}};
+    server.overload().note(std::chrono::milliseconds{300}, now);
+    blocking_client taken{port};
+    blocking_client refused{port};
+    taken.send(head + "Content-Length: 1\r\n\r\nb");
+    refused.send(head + "Content-Length: 1\r\n\r\nc");
+    BOOST_REQUIRE(loop.run_until([&] {
+        static_cast<void>(taken.receive());
+        static_cast<void>(refused.receive());
+        return taken.is_closed() && refused.is_closed();
+    }));
+    BOOST_TEST(taken.receive().ends_with("\r\n\r\nb"));
+    BOOST_TEST(refused.receive().starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(refused.receive().find("Retry-After: ") != std::string::npos);
+    kept.send(head + "Content-Length: 1\r\n\r\nd");
+    BOOST_REQUIRE(loop.run_until([&] { return kept.is_closed(); }));
+    BOOST_TEST(kept.has("Connection: close\r\nContent-Length: 1\r\n\r\nd"));
+    BOOST_TEST(server.overload().refused() == 1U);
+    BOOST_TEST(recorder.requests.size() == 3U);
+    server.overload().note(std::chrono::milliseconds{0}, now + std::chrono::minutes{1});
+    server.overload().note(std::chrono::milliseconds{0}, now + std::chrono::minutes{2});
+    raw_client later{loop.base(), port, head + "Content-Length: 1\r\n\r\ne"};
+    BOOST_TEST(loop.run_until([&] { return later.has("\r\n\r\ne"); }));
+}
+
 BOOST_AUTO_TEST_CASE(closes_a_connection_after_a_stream_begun_before_the_stop)
 {
     raw_client client{loop.base(), port, head + "\r\n"};
