Refuse chunk framing and trailers without end

A caller could make a gateway hold bytes without end behind a chunked body: trailers, chunk extensions and long chunk sizes count towards neither the limit of heads nor that of bodies, and were buffered until the idle timeout of 15 s. The reader of endpoints' answers has a limit for them, that of callers' requests had none. Now a request whose framing leaves more than max-header-bytes unread gets 431 and its connection ends.

framing_without_end_is_refused, 1 MB of six forms: before, each of the six was held for 15 s and answered 408; after, each is refused.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -132,6 +132,11 @@
                 channel_->send("HTTP/1.1 100 Continue\r\n\r\n");
             }
         }
+        // What the parser leaves of a body is the framing of a chunk or a trailer, for which it has no limit.
+        if (n == 0 && parser_->is_header_done() && input_.size() > owner_.limits().max_header_bytes) {
+            reject(status_fields_too_large, "The framing of the body is too long.");
+            break;
+        }
         if (n == 0 || input_.empty()) {
             break;
         }
--- a/packages/daemon/tests/caller_server_closing_test.cpp
+++ b/packages/daemon/tests/caller_server_closing_test.cpp
@@ -64,6 +64,25 @@
     BOOST_TEST(loop.run_until([&] { return later.has("\r\n\r\ne"); }));
 }
 
+/// Guards against a caller that makes a gateway hold bytes without end: trailers, chunk extensions and chunk
+/// sizes of many zeros count towards no limit of head or body.
+BOOST_AUTO_TEST_CASE(framing_without_end_is_refused)
+{
+    constexpr std::size_t sent_bytes = std::size_t{1} << 20U;
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto* begin : {"0\r\n", "0\r\nA: ", "1;", "1;a=", "0", "1\r\na\r\n0\r\n"}) {
+        const std::string filler = std::string_view{begin} == "0\r\n" ? "A: b\r\n" : "0";
+        std::string bytes = chunked + begin;
+        while (bytes.size() < sent_bytes) {
+            bytes += filler;
+        }
+        const raw_client client{loop.base(), port, bytes};
+        BOOST_TEST(loop.run_until([&] { return client.is_closed(); }), begin);
+        BOOST_TEST((client.has("HTTP/1.1 431 ") || client.has("HTTP/1.1 400 ")), begin);
+    }
+    BOOST_TEST(recorder.requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(closes_a_connection_after_a_stream_begun_before_the_stop)
 {
     raw_client client{loop.base(), port, head + "\r\n"};
