Bound the memory of all requests that callers make a gateway hold

Each request was bounded, their sum was not: some thirty bodies of legal size that stop just short of their end exceed the memory of a small instance, and a head of legal size made of very short lines takes sixteen times its bytes while it waits. Such callers ended a process at the users'.

request_memory counts what every connection holds of a request, its fields included, until its answer.

unfinished_requests_give_way_where_all_hold_too_much: twenty requests of 1 MB without their last byte against a bound of 4 MB; the sum stays below 5 MB, 12 and more are refused, a small request is answered, and a single one of 1 MB afterwards. It runs in one process against the server of callers, not against whole gateways, and was not played on the code before. Not bounded together: pipelined bytes, and what the kernel buffers.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -15,6 +15,7 @@
 constexpr int status_request_timeout = 408;
 constexpr int status_content_too_large = 413;
 constexpr int status_fields_too_large = 431;
+constexpr int status_unavailable = 503;
 constexpr int status_version_not_supported = 505;
 constexpr int http_1_1 = 11;
 /// Maximum number of bytes of pipelined requests that are buffered while a request is served.
@@ -47,6 +48,17 @@
     return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
 }
 
+/// Returns the memory that a request takes. Short lines take several times their bytes.
+std::size_t size_of(const gateway::caller_request& it)
+{
+    auto out = sizeof it + it.target.capacity() + it.host.capacity() + it.body.capacity() +
+               it.headers.capacity() * sizeof(gateway::header_field);
+    for (const auto& field : it.headers) {
+        out += field.name.capacity() + field.value.capacity();
+    }
+    return out;
+}
+
 int status_of(const boost::beast::error_code& fault)
 {
     using boost::beast::http::error;
@@ -90,6 +102,26 @@
         return;
     }
     read_requests();
+    if (!is_closed_ && !is_serving() && !is_closing_after_answer_) {
+        note_received();
+    }
+}
+
+bool caller_connection::note_received()
+{
+    const auto body = parser_ ? parser_->body().capacity() : 0;
+    if (owner_.note_held(*this, input_.capacity() + body, true)) {
+        return true;
+    }
+    give_up_request();
+    return false;
+}
+
+void caller_connection::give_up_request()
+{
+    reject(status_unavailable, "Too many bytes of requests are held.");
+    std::string{}.swap(input_);
+    owner_.note_held(*this, 0, true);
 }
 
 void caller_connection::read_requests()
@@ -179,11 +211,18 @@
     request->method = parser->method();
     request->target = parser->target();
     request->body = std::move(parser->body());
+    if (!owner_.note_held(*this, size_of(*request) + input_.capacity(), true)) {
+        return give_up_request();
+    }
     if (channel_->has_peer_closed()) {
         // Under load a request may be read after its caller has disconnected; its answer would be discarded.
         return close();
     }
+    const auto held = size_of(*request);
     owner_.on_request(*this, std::move(request));
+    if (is_serving()) {
+        owner_.note_held(*this, held, false);
+    }
 }
 
 void caller_connection::reject(int status, std::string_view reason)
@@ -299,6 +338,7 @@
 void caller_connection::finish_answer()
 {
     exchange_ = 0;
+    owner_.note_held(*this, 0, true);
     is_streaming_ = false;
     is_head_method_ = false;
     unsent_bytes_ = channel_->pending_bytes();
@@ -387,6 +427,7 @@
     is_closed_ = true;
     timer_.stop();
     channel_->close();
+    owner_.note_held(*this, 0, true);
     owner_.on_closed(*this);
 }
 
--- a/packages/daemon/src/gateway/caller_connection.hpp
+++ b/packages/daemon/src/gateway/caller_connection.hpp
@@ -45,6 +45,9 @@
     /// The caller of `exchange` has taken all that was sent to it after it had been congested.
     virtual void on_drained(gateway::exchange_id exchange) = 0;
     [[nodiscard]] virtual gateway::answer_memory& memory() = 0;
+    /// The connection holds so many bytes of a request. Other connections are told to give theirs up where
+    /// all hold too many. Returns false where this one has to; only if `may_give_way`.
+    virtual bool note_held(caller_connection& connection, std::size_t bytes, bool may_give_way) = 0;
 };
 
 /// HTTP/1.1 connection of one caller: parses requests strictly, one after the other, and writes their
@@ -73,6 +76,9 @@
     /// Closes at once; an answer in progress stays incomplete.
     void abort();
 
+    /// Refuses the request that is being received, to free its memory. Precondition: none is being served.
+    void give_up_request();
+
     /// Closes the connection unless a request is being read or served.
     void close_if_idle();
 
@@ -92,6 +98,8 @@
 private:
     void read_requests();
     void handle_request();
+    /// Notes the bytes of the request that is being received. Returns false where it was refused for them.
+    bool note_received();
     void reject(int status, std::string_view reason);
     void finish_answer();
     /// Returns whether the caller has taken bytes of the answers that are still unsent since the last call.
--- a/packages/daemon/src/gateway/caller_server.cpp
+++ b/packages/daemon/src/gateway/caller_server.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <cerrno>
@@ -49,12 +50,13 @@
 
 caller_server::caller_server(event_base* base, const gateway::message_dialect& dialect,
                              std::size_t max_connections, caller_request_sink& sink,
-                             gateway::answer_memory& memory)
+                             gateway::answer_memory& memory, std::size_t max_request_bytes)
     : base_{base},
       dialect_{dialect},
       max_connections_{max_connections},
       sink_{sink},
       memory_{memory},
+      requests_{max_request_bytes},
       reaper_{base, [this] { closed_.clear(); }, event_priority::request}
 {
     assert(max_connections >= 1);
@@ -191,6 +193,24 @@
     reaper_.activate();
 }
 
+bool caller_server::note_held(caller_connection& connection, std::size_t bytes, bool may_give_way)
+{
+    requests_.set(&connection, bytes, may_give_way);
+    if (bytes == 0) {
+        return true;
+    }
+    while (const auto* holder = requests_.to_give_way()) {
+        if (holder == &connection) {
+            return false;
+        }
+        const auto it = std::ranges::find_if(
+            connections_, [&](const auto& candidate) { return candidate.first == holder; });
+        assert(it != connections_.end());
+        it->first->give_up_request();
+    }
+    return true;
+}
+
 caller_connection* caller_server::find(gateway::exchange_id exchange)
 {
     const auto it = serving_.find(exchange);
--- a/packages/daemon/src/gateway/caller_server.hpp
+++ b/packages/daemon/src/gateway/caller_server.hpp
@@ -2,6 +2,7 @@
 
 #include <hemlocknotch/core/endpoint_address.hpp>
 #include <hemlocknotch/gateway/overload_state.hpp>
+#include <hemlocknotch/gateway/request_memory.hpp>
 #include <hemlocknotch/gateway/router.hpp>
 
 #include "../timer.hpp"
@@ -47,7 +48,8 @@
     /// `base`, `dialect`, `sink` and `memory`, in which unsent answers count, must outlive the server.
     /// Precondition: `max_connections` is at least 1.
     caller_server(event_base* base, const gateway::message_dialect& dialect, std::size_t max_connections,
-                  caller_request_sink& sink, gateway::answer_memory& memory);
+                  caller_request_sink& sink, gateway::answer_memory& memory,
+                  std::size_t max_request_bytes = gateway::request_memory::default_max_bytes);
     ~caller_server() override;
 
     caller_server(const caller_server&) = delete;
@@ -116,6 +118,11 @@
 
     [[nodiscard]] gateway::answer_memory& memory() override { return memory_; }
 
+    bool note_held(caller_connection& connection, std::size_t bytes, bool may_give_way) override;
+
+    /// Returns the bytes of requests that are held.
+    [[nodiscard]] std::size_t held_bytes() const { return requests_.bytes(); }
+
 private:
     void accept_waiting();
     static void handle_accept(evutil_socket_t listener, short what, void* self);
@@ -131,6 +138,7 @@
     std::size_t max_connections_;
     caller_request_sink& sink_;
     gateway::answer_memory& memory_;
+    gateway::request_memory requests_;
     gateway::caller_limits limits_;
     /// Owns the listening socket. Its own event is not used, since its priority cannot be set.
     std::unique_ptr<evconnlistener, listener_deleter> listener_;
--- a/packages/daemon/tests/caller_server_closing_test.cpp
+++ b/packages/daemon/tests/caller_server_closing_test.cpp
@@ -1,6 +1,10 @@
 #include "caller_server_fixture.hpp"
 
+#include <algorithm>
 #include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
 
 namespace hemlocknotch::daemon {
 namespace {
@@ -83,6 +87,43 @@
     BOOST_TEST(recorder.requests.empty());
 }
 
+/// Guards against memory that large requests fill which stop just short of their end: they give way, and a
+/// small request is served beside them.
+BOOST_AUTO_TEST_CASE(unfinished_requests_give_way_where_all_hold_too_much)
+{
+    constexpr std::size_t max_bytes = std::size_t{4} << 20U;
+    constexpr std::size_t body_bytes = std::size_t{1} << 20U;
+    constexpr std::size_t crowd = 20;
+    caller_server small{loop.base(), dialect, 100, recorder, memory, max_bytes};
+    recorder.server = &small;
+    const auto at = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<unsigned short> {
+            BOOST_LEAF_AUTO(address, small.listen(*endpoint_address::parse("127.0.0.1:0")));
+            return address.port();
+        },
+        [] { return static_cast<unsigned short>(0); });
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (std::size_t n = 0; n < crowd; ++n) {
+        const auto framing = "Content-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
+        clients.push_back(
+            std::make_unique<raw_client>(loop.base(), at, head + framing + std::string(body_bytes - 1, 'x')));
+        BOOST_REQUIRE(loop.run_until([&] {
+            BOOST_REQUIRE_LE(small.held_bytes(), max_bytes + body_bytes);
+            return small.held_bytes() >= std::min((n + 1) * body_bytes, max_bytes) / 2;
+        }));
+    }
+    const auto refused = [](const auto& it) { return it->has("HTTP/1.1 503 "); };
+    BOOST_TEST(loop.run_until([&] { return std::ranges::count_if(clients, refused) >= 12; }));
+    const raw_client ordinary{loop.base(), at, head + "Content-Length: 1\r\n\r\na"};
+    BOOST_TEST(loop.run_until([&] { return ordinary.has("\r\n\r\na"); }));
+    clients.clear();
+    BOOST_TEST(loop.run_until([&] { return small.held_bytes() == 0; }));
+    const raw_client single{loop.base(), at,
+                            head + "Content-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+                                std::string(body_bytes, 'y')};
+    BOOST_TEST(loop.run_until([&] { return single.has(std::string(body_bytes, 'y')); }));
+}
+
 BOOST_AUTO_TEST_CASE(closes_a_connection_after_a_stream_begun_before_the_stop)
 {
     raw_client client{loop.base(), port, head + "\r\n"};
--- a/packages/gateway/tests/rollout_plan_test.cpp
+++ b/packages/gateway/tests/rollout_plan_test.cpp
@@ -44,10 +44,10 @@
     }
 
     /// Applies what the registry holds.
-    void apply(const std::optional<rollout_order>& order, std::uint64_t order_revision,
+    void apply(const std::optional<rollout_order>& it, std::uint64_t order_revision,
                std::uint64_t revision = 100)
     {
-        plan.set_registered(order ? &*order : nullptr, {era, order_revision}, record ? &*record : nullptr,
+        plan.set_registered(it ? &*it : nullptr, {era, order_revision}, record ? &*record : nullptr,
                             {era, record_revision}, {era, revision}, now);
     }
 
@@ -141,7 +141,8 @@
 BOOST_AUTO_TEST_CASE(a_decision_of_another_gateway_is_taken_over_at_once)
 {
     apply(order, 7);
-    plan.apply_report("g2", {.order = order, .position = {1, 7}, .phase = rollout_phase::rolled_back}, now);
+    plan.apply_report(
+        "g2", {.order = order, .position = {1, 7}, .phase = rollout_phase::rolled_back, .evidence = {}}, now);
     BOOST_TEST((plan.phase() == rollout_phase::rolled_back));
     BOOST_TEST(!may_go_to("v2"));
     BOOST_TEST(plan.take_urgency());
@@ -151,9 +152,9 @@
 BOOST_AUTO_TEST_CASE(the_longest_known_time_since_the_order_counts)
 {
     apply(order, 7);
-    plan.apply_report("g2", {.order = order, .position = {1, 7}, .elapsed = seconds{6}}, now);
+    plan.apply_report("g2", {.order = order, .position = {1, 7}, .elapsed = seconds{6}, .evidence = {}}, now);
     BOOST_TEST((plan.elapsed(now) == seconds{6}));
-    plan.apply_report("g3", {.order = order, .position = {1, 7}, .elapsed = seconds{1}}, now);
+    plan.apply_report("g3", {.order = order, .position = {1, 7}, .elapsed = seconds{1}, .evidence = {}}, now);
     BOOST_TEST((plan.elapsed(now) == seconds{6}));
 }
 
@@ -256,7 +257,8 @@
                                           .position = {it.era, order_revision},
                                           .phase = static_cast<rollout_phase>(draw(4)),
                                           .elapsed = seconds{draw(40)},
-                                          .requests = static_cast<std::uint64_t>(draw(1000))},
+                                          .requests = static_cast<std::uint64_t>(draw(1000)),
+                                          .evidence = {}},
                                          it.now);
                 }
                 break;
