Sort out repeated judges with std::unique

The linter's standard library support lacks the constraints of std::ranges::unique, so that it failed on rollout_table.cpp. The same names come out.

--- a/packages/gateway/src/rollout_table.cpp
+++ b/packages/gateway/src/rollout_table.cpp
@@ -139,8 +139,7 @@
         }
     }
     std::ranges::sort(out);
-    const auto repeated = std::ranges::unique(out);
-    out.erase(repeated.begin(), repeated.end());
+    out.erase(std::unique(out.begin(), out.end()), out.end());
     std::erase(out, gateway_);
     return out;
 }
