Drop a result that nobody uses

caller_connection::note_received returned whether the request was kept; its only caller asks nothing.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -107,14 +107,12 @@
     }
 }
 
-bool caller_connection::note_received()
+void caller_connection::note_received()
 {
     const auto body = parser_ ? parser_->body().capacity() : 0;
-    if (owner_.note_held(*this, input_.capacity() + body, true)) {
-        return true;
+    if (!owner_.note_held(*this, input_.capacity() + body, true)) {
+        give_up_request();
     }
-    give_up_request();
-    return false;
 }
 
 void caller_connection::give_up_request()
--- a/packages/daemon/src/gateway/caller_connection.hpp
+++ b/packages/daemon/src/gateway/caller_connection.hpp
@@ -98,8 +98,8 @@
 private:
     void read_requests();
     void handle_request();
-    /// Notes the bytes of the request that is being received. Returns false where it was refused for them.
-    bool note_received();
+    /// Notes the bytes of the request that is being received, and refuses it where they are too many.
+    void note_received();
     void reject(int status, std::string_view reason);
     void finish_answer();
     /// Returns whether the caller has taken bytes of the answers that are still unsent since the last call.
