Test gateways as whole processes that are killed and started again

What was missing: end-to-end tests run the gateway inside the test's own process, so that neither its memory, its descriptors nor a restart of all processes can be checked. Only the soak starts processes, under random faults.

--- a/cmake/hemlocknotch_package.cmake
+++ b/cmake/hemlocknotch_package.cmake
@@ -36,10 +36,14 @@
   set(${result} ${filters} PARENT_SCOPE)
 endfunction()
 
-# hemlocknotch_tests(NAME [DEPENDS target...]): one Boost.Test program from tests/*_test.cpp, known to ctest.
+# hemlocknotch_tests(NAME [DIRECTORY directory] [DEPENDS target...]): one Boost.Test program from the files
+# *_test.cpp in DIRECTORY, by default tests, known to ctest.
 function(hemlocknotch_tests name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS tests/*_test.cpp)
+  cmake_parse_arguments(ARG "" "DIRECTORY" "DEPENDS" ${ARGN})
+  if(NOT ARG_DIRECTORY)
+    set(ARG_DIRECTORY tests)
+  endif()
+  file(GLOB sources CONFIGURE_DEPENDS ${ARG_DIRECTORY}/*_test.cpp)
   if(NOT sources OR NOT HEMLOCKNOTCH_TESTS)
     return()
   endif()
--- a/packages/daemon/tests/test_loop.hpp
+++ b/packages/daemon/tests/test_loop.hpp
@@ -42,13 +42,14 @@
 /// A TCP client that sends raw bytes and collects the bytes that it receives.
 class raw_client {
 public:
-    /// Connects to `port` on loopback and sends `bytes`.
-    raw_client(event_base* base, unsigned short port, const std::string& bytes)
+    /// Connects to `port` of the loopback address `host` and sends `bytes`.
+    raw_client(event_base* base, unsigned short port, const std::string& bytes,
+               const std::string& host = "127.0.0.1")
         : stream_{bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)}
     {
         bufferevent_setcb(stream_.get(), on_read, nullptr, on_event, this);
         bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
-        bufferevent_socket_connect_hostname(stream_.get(), nullptr, AF_INET, "127.0.0.1", port);
+        bufferevent_socket_connect_hostname(stream_.get(), nullptr, AF_INET, host.c_str(), port);
         send(bytes);
     }
 
--- a/packages/standins/include/hemlocknotch/standins/child_process.hpp
+++ b/packages/standins/include/hemlocknotch/standins/child_process.hpp
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,11 @@
     /// Returns whether the process has not ended, and collects its exit code if it has.
     bool is_running();
 
+    /// Return the most memory that it has had resident, in bytes, and the number of its open descriptors, as
+    /// the kernel counts them; 0 where the process has ended.
+    [[nodiscard]] std::size_t peak_resident_bytes() const;
+    [[nodiscard]] std::size_t descriptor_count() const;
+
     /// Returns the exit code; -1 where a signal ended the process. Precondition: it has ended.
     [[nodiscard]] int exit_code() const { return exit_code_; }
 
--- a/packages/standins/src/loopback_block.hpp
+++ b/packages/standins/include/hemlocknotch/standins/loopback_block.hpp
@@ -4,8 +4,8 @@
 
 namespace hemlocknotch::standins {
 
-/// A block of loopback addresses that no other soak uses at the same time. It is reserved by a socket that is
-/// bound to one of them. One thread.
+/// A block of loopback addresses that no other program uses at the same time. It is reserved by a socket that
+/// is bound to one of them. One thread.
 class loopback_block {
 public:
     /// Throws std::runtime_error where every block is in use.
--- a/packages/standins/include/hemlocknotch/standins/soak_gateway.hpp
+++ b/packages/standins/include/hemlocknotch/standins/soak_gateway.hpp
@@ -5,6 +5,7 @@
 #include <hemlocknotch/standins/event_loop.hpp>
 #include <hemlocknotch/standins/relay_route.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,13 +20,19 @@
     std::string directory;
 };
 
+/// Limits in the settings of a gateway.
+struct soak_gateway_limits {
+    std::size_t descriptors = 4096;
+};
+
 /// A gateway as a process of its own, with a relay between it and the store. One thread.
 class soak_gateway {
 public:
     /// Writes the settings file. Gateway `number` listens on the loopback address `host`; `seeds` are the
     /// addresses of registry pages. Throws std::runtime_error where a file cannot be written.
     soak_gateway(event_base* base, const soak_paths& paths, int number, const std::string& host,
-                 const std::vector<std::string>& seeds, const endpoint_address& store);
+                 const std::vector<std::string>& seeds, const endpoint_address& store,
+                 const soak_gateway_limits& limits = {});
 
     /// Starts the process. Precondition: it is not running.
     void start();
@@ -63,6 +70,11 @@
 
     [[nodiscard]] endpoint_address callers() const;
 
+    [[nodiscard]] endpoint_address readiness() const;
+
+    /// Returns the process. Precondition: it was started.
+    [[nodiscard]] const child_process& process() const { return *process_; }
+
     /// Returns the address of the registry page of a gateway at `host`.
     static std::string registry_page_at(const std::string& host);
 
--- a/packages/standins/src/child_process.cpp
+++ b/packages/standins/src/child_process.cpp
@@ -9,13 +9,23 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <stdexcept>
+#include <string_view>
+#include <system_error>
 
 namespace hemlocknotch::standins {
 namespace {
 
 constexpr int log_permissions = 0644;
 
+std::string directory_of(pid_t pid)
+{
+    return "/proc/" + std::to_string(pid);
+}
+
 } // namespace
 
 child_process::child_process(const std::vector<std::string>& command, const std::string& log_path)
@@ -67,4 +77,24 @@
     return pid_ > 0;
 }
 
+std::size_t child_process::peak_resident_bytes() const
+{
+    constexpr std::size_t kilobyte = 1024;
+    std::ifstream file{directory_of(pid_) + "/status"};
+    for (std::string line; std::getline(file, line);) {
+        constexpr std::string_view name = "VmHWM:";
+        if (line.starts_with(name)) {
+            return std::stoul(line.substr(name.size())) * kilobyte;
+        }
+    }
+    return 0;
+}
+
+std::size_t child_process::descriptor_count() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator it{directory_of(pid_) + "/fd", error};
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(it), end(it)));
+}
+
 } // namespace hemlocknotch::standins
--- a/packages/standins/src/gateway_soak.cpp
+++ b/packages/standins/src/gateway_soak.cpp
@@ -1,8 +1,8 @@
 #include <hemlocknotch/standins/gateway_soak.hpp>
+#include <hemlocknotch/standins/loopback_block.hpp>
 #include <hemlocknotch/standins/platform_configuration.hpp>
 
 #include "gateway_soak_caller.hpp"
-#include "loopback_block.hpp"
 
 #include <algorithm>
 #include <fstream>
--- a/packages/standins/src/loopback_block.cpp
+++ b/packages/standins/src/loopback_block.cpp
@@ -1,4 +1,4 @@
-#include "loopback_block.hpp"
+#include <hemlocknotch/standins/loopback_block.hpp>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -26,7 +26,7 @@
         }
         ::close(fd_);
     }
-    throw std::runtime_error{"every block of loopback addresses is in use by another soak"};
+    throw std::runtime_error{"every block of loopback addresses is in use"};
 }
 
 loopback_block::~loopback_block()
--- a/packages/standins/src/soak_gateway.cpp
+++ b/packages/standins/src/soak_gateway.cpp
@@ -25,7 +25,8 @@
 } // namespace
 
 soak_gateway::soak_gateway(event_base* base, const soak_paths& paths, int number, const std::string& host,
-                           const std::vector<std::string>& seeds, const endpoint_address& store)
+                           const std::vector<std::string>& seeds, const endpoint_address& store,
+                           const soak_gateway_limits& limits)
     : paths_{paths},
       name_{"g" + std::to_string(number)},
       host_{host},
@@ -45,7 +46,7 @@
                              {"metrics", address_of(host, metrics_port)}}},
                            {"store", store_link_.address().to_string()},
                            {"seeds", seeds},
-                           {"limits", {{"stop_grace_s", stop_grace_s}}}}
+                           {"limits", {{"stop_grace_s", stop_grace_s}, {"descriptors", limits.descriptors}}}}
                 .dump(2);
     if (!file.flush()) {
         throw std::runtime_error{settings_path_ + " cannot be written"};
@@ -109,6 +110,11 @@
     return *endpoint_address::parse(address_of(host_, callers_port));
 }
 
+endpoint_address soak_gateway::readiness() const
+{
+    return *endpoint_address::parse(address_of(host_, readiness_port));
+}
+
 std::string soak_gateway::registry_page_at(const std::string& host)
 {
     return address_of(host, registry_port);
