Wait for the end of a last chunk before it is parsed again

What callers saw: a gateway ended by itself, with all its callers' requests, on a chunked body or answer whose last chunk came in pieces. The bytes are legal; one caller or one endpoint is enough.

Cause: Boost.Beast asserts that it is given five bytes or more once it has taken the line of a last chunk and left it unread, and assertions stay on in every build. The connections passed what was left again with any further byte. The class: a library's precondition on its caller, met with bytes from outside that nobody checked against it.

Change: message_parser, by which both sides read, passes the bytes again once there are five. A last chunk that is complete has as many, so nothing waits that could be read; the lines of other chunks are not concerned.

--- a/packages/daemon/src/gateway/message_parser.hpp
+++ b/packages/daemon/src/gateway/message_parser.hpp
@@ -44,9 +44,17 @@
     /// passed again with further bytes. Sets `fault` where the message is malformed or too large.
     std::size_t parse(std::string_view bytes, boost::beast::error_code& fault)
     {
+        fault = {};
+        if (has_begun_last_chunk_ && bytes.size() < min_last_chunk_bytes) {
+            return 0;
+        }
         error_code ec;
         const auto n = this->put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
-        fault = ec == boost::beast::http::error::need_more ? error_code{} : ec;
+        const auto needs_more = ec == boost::beast::http::error::need_more;
+        // The line of any other chunk is consumed once it is complete.
+        has_begun_last_chunk_ =
+            needs_more && this->is_header_done() && bytes.substr(n).find("\r\n", 1) != std::string_view::npos;
+        fault = needs_more ? error_code{} : ec;
         return n;
     }
 
@@ -78,6 +86,9 @@
     }
 
 private:
+    /// Boost.Beast asserts that it is given so many bytes once it has left the line of the last chunk unread.
+    static constexpr std::size_t min_last_chunk_bytes = std::string_view{"0\r\n\r\n"}.size();
+
     void on_request_impl(boost::beast::http::verb /*method*/, beast_view method, beast_view target,
                          int version, error_code& ec) override
     {
@@ -157,6 +168,8 @@
     std::vector<std::string> coding_values_;
     unsigned length_count_ = 0;
     bool has_head_ = false;
+    /// The bytes that were left unread begin with the complete line of the last chunk.
+    bool has_begun_last_chunk_ = false;
     std::string body_;
 };
 
