Test a gateway before crowds of callers that nobody controls

Checked are that the process lives, that its memory and descriptors stay below those of the instance, and that an ordinary request is answered.

--- a/packages/daemon/tests/test_loop.hpp
+++ b/packages/daemon/tests/test_loop.hpp
@@ -3,7 +3,9 @@
 #include "event_priority.hpp"
 #include "libevent_handles.hpp"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <sys/socket.h>
 
 #include <chrono>
 #include <functional>
@@ -58,6 +60,9 @@
     /// Closes the connection.
     void close() { stream_.reset(); }
 
+    /// Ends the connection in the client's direction only.
+    void finish_sending() { ::shutdown(bufferevent_getfd(stream_.get()), SHUT_WR); }
+
     void stop_reading() { bufferevent_disable(stream_.get(), EV_READ); }
 
     void resume_reading() { bufferevent_enable(stream_.get(), EV_READ); }
@@ -66,6 +71,12 @@
 
     [[nodiscard]] bool is_closed() const { return is_closed_; }
 
+    /// Returns whether the system has taken all that was sent.
+    [[nodiscard]] bool has_sent_all() const
+    {
+        return evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
+    }
+
     [[nodiscard]] bool has(const std::string& text) const
     {
         return received_.find(text) != std::string::npos;
--- a/packages/standins/include/hemlocknotch/standins/soak_gateway.hpp
+++ b/packages/standins/include/hemlocknotch/standins/soak_gateway.hpp
@@ -23,6 +23,8 @@
 /// Limits in the settings of a gateway.
 struct soak_gateway_limits {
     std::size_t descriptors = 4096;
+    /// Memory of its instance, in millions of bytes.
+    std::size_t memory_mb = 110;
 };
 
 /// A gateway as a process of its own, with a relay between it and the store. One thread.
--- a/packages/standins/src/soak_gateway.cpp
+++ b/packages/standins/src/soak_gateway.cpp
@@ -46,7 +46,10 @@
                              {"metrics", address_of(host, metrics_port)}}},
                            {"store", store_link_.address().to_string()},
                            {"seeds", seeds},
-                           {"limits", {{"stop_grace_s", stop_grace_s}, {"descriptors", limits.descriptors}}}}
+                           {"limits",
+                            {{"stop_grace_s", stop_grace_s},
+                             {"descriptors", limits.descriptors},
+                             {"memory_mb", limits.memory_mb}}}}
                 .dump(2);
     if (!file.flush()) {
         throw std::runtime_error{settings_path_ + " cannot be written"};
