Count the header fields of unfinished requests, and budget by the instance

What callers saw: callers whose heads are of legal size, but made of very many short lines, made a gateway hold more memory than its instance has.

Cause: a request that is not complete counted with its unread bytes and its body only. The fields that the parser keeps take some sixteen times the bytes of a short line, and counted once the request was complete. The bounds of requests and of answers were constants, whatever the instance. The class: memory is bounded where it is easy to count, not where it is allocated.

Change: the parser says what a message takes, its fields included, and each read counts it. A body's memory doubles up to the most that the body can have, not beyond. An empty input buffer is freed with its request. Metrics show what requests take, and how many were refused.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t congestion_bytes = std::size_t{128} << 10U;
 /// Time that a caller may take to close the connection after its last answer, or to take some of an answer.
 constexpr duration close_timeout = std::chrono::seconds{2};
+/// Bytes up to which a buffer without content is kept for the next read.
+constexpr std::size_t max_kept_bytes = std::size_t{4} << 10U;
 /// Added to the idle timeout, so that a request that a caller sends just before the timeout is still read.
 constexpr duration idle_timeout_margin = std::chrono::milliseconds{500};
 
@@ -102,24 +104,28 @@
         return;
     }
     read_requests();
-    if (!is_closed_ && !is_serving() && !is_closing_after_answer_) {
-        note_received();
-    }
 }
 
 void caller_connection::note_received()
 {
-    const auto body = parser_ ? parser_->body().capacity() : 0;
-    if (!owner_.note_held(*this, input_.capacity() + body, true)) {
-        give_up_request();
+    if (input_.empty() && input_.capacity() > max_kept_bytes) {
+        std::string{}.swap(input_);
+    }
+    if (is_closed_ || is_serving() || is_closing_after_answer_) {
+        return;
+    }
+    if (!parser_ && input_.empty()) {
+        owner_.note_held(*this, 0, true);
+        return;
+    }
+    if (!owner_.note_held(*this, input_.capacity() + (parser_ ? parser_->held_bytes() : 0), true)) {
+        give_way();
     }
 }
 
-void caller_connection::give_up_request()
+void caller_connection::give_way()
 {
     reject(status_unavailable, "Too many bytes of requests are held.");
-    std::string{}.swap(input_);
-    owner_.note_held(*this, 0, true);
 }
 
 void caller_connection::read_requests()
@@ -172,6 +178,7 @@
         }
     }
     is_reading_ = false;
+    note_received();
 }
 
 void caller_connection::handle_request()
@@ -210,7 +217,7 @@
     request->target = parser->target();
     request->body = std::move(parser->body());
     if (!owner_.note_held(*this, size_of(*request) + input_.capacity(), true)) {
-        return give_up_request();
+        return give_way();
     }
     if (channel_->has_peer_closed()) {
         // Under load a request may be read after its caller has disconnected; its answer would be discarded.
@@ -343,6 +350,7 @@
     // The head of a stream may have been sent before the stop began, without `Connection: close`.
     is_closing_after_answer_ = is_closing_after_answer_ || owner_.is_closing_after_answers();
     if (is_closing_after_answer_) {
+        std::string{}.swap(input_);
         channel_->close_when_drained();
         timer_.start(close_timeout);
         return;
--- a/packages/daemon/src/gateway/caller_connection.hpp
+++ b/packages/daemon/src/gateway/caller_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <hemlocknotch/gateway/request_memory.hpp>
 #include <hemlocknotch/gateway/router_port.hpp>
 #include <hemlocknotch/gateway/routing_configuration.hpp>
 
@@ -45,14 +46,14 @@
     /// The caller of `exchange` has taken all that was sent to it after it had been congested.
     virtual void on_drained(gateway::exchange_id exchange) = 0;
     [[nodiscard]] virtual gateway::answer_memory& memory() = 0;
-    /// The connection holds so many bytes of a request. Other connections are told to give theirs up where
-    /// all hold too many. Returns false where this one has to; only if `may_give_way`.
-    virtual bool note_held(caller_connection& connection, std::size_t bytes, bool may_give_way) = 0;
+    /// `holder` has so many bytes of requests. Others are told to give way where all hold too many. Returns
+    /// false where this one has to; only if `may_give_way`.
+    virtual bool note_held(gateway::request_holder& holder, std::size_t bytes, bool may_give_way) = 0;
 };
 
 /// HTTP/1.1 connection of one caller: parses requests strictly, one after the other, and writes their
 /// answers. Used on the event loop's thread only.
-class caller_connection final : public channel_sink {
+class caller_connection final : public channel_sink, private gateway::request_holder {
 public:
     caller_connection(event_base* base, int fd, caller_connection_owner& owner);
 
@@ -76,9 +77,6 @@
     /// Closes at once; an answer in progress stays incomplete.
     void abort();
 
-    /// Refuses the request that is being received, to free its memory. Precondition: none is being served.
-    void give_up_request();
-
     /// Closes the connection unless a request is being read or served.
     void close_if_idle();
 
@@ -96,6 +94,8 @@
     void on_drained() override;
 
 private:
+    /// Refuses the request that is being received, to free its memory. Precondition: none is being served.
+    void give_way() override;
     void read_requests();
     void handle_request();
     /// Notes the bytes of the request that is being received, and refuses it where they are too many.
--- a/packages/daemon/src/gateway/caller_server.cpp
+++ b/packages/daemon/src/gateway/caller_server.cpp
@@ -193,20 +193,18 @@
     reaper_.activate();
 }
 
-bool caller_server::note_held(caller_connection& connection, std::size_t bytes, bool may_give_way)
+bool caller_server::note_held(gateway::request_holder& holder, std::size_t bytes, bool may_give_way)
 {
-    requests_.set(&connection, bytes, may_give_way);
+    requests_.set(holder, bytes, may_give_way);
     if (bytes == 0) {
         return true;
     }
-    while (const auto* holder = requests_.to_give_way()) {
-        if (holder == &connection) {
+    while (auto* it = requests_.to_give_way()) {
+        ++requests_given_up_;
+        if (it == &holder) {
             return false;
         }
-        const auto it = std::ranges::find_if(
-            connections_, [&](const auto& candidate) { return candidate.first == holder; });
-        assert(it != connections_.end());
-        it->first->give_up_request();
+        it->give_way();
     }
     return true;
 }
--- a/packages/daemon/src/gateway/caller_server.hpp
+++ b/packages/daemon/src/gateway/caller_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hemlocknotch/core/endpoint_address.hpp>
+#include <hemlocknotch/gateway/memory_budget.hpp>
 #include <hemlocknotch/gateway/overload_state.hpp>
 #include <hemlocknotch/gateway/request_memory.hpp>
 #include <hemlocknotch/gateway/router.hpp>
@@ -47,9 +48,11 @@
 public:
     /// `base`, `dialect`, `sink` and `memory`, in which unsent answers count, must outlive the server.
     /// Precondition: `max_connections` is at least 1.
-    caller_server(event_base* base, const gateway::message_dialect& dialect, std::size_t max_connections,
-                  caller_request_sink& sink, gateway::answer_memory& memory,
-                  std::size_t max_request_bytes = gateway::request_memory::default_max_bytes);
+    caller_server(
+        event_base* base, const gateway::message_dialect& dialect, std::size_t max_connections,
+        caller_request_sink& sink, gateway::answer_memory& memory,
+        std::size_t max_request_bytes =
+            gateway::memory_budget::of(gateway::memory_budget::default_instance_bytes).request_bytes);
     ~caller_server() override;
 
     caller_server(const caller_server&) = delete;
@@ -118,11 +121,14 @@
 
     [[nodiscard]] gateway::answer_memory& memory() override { return memory_; }
 
-    bool note_held(caller_connection& connection, std::size_t bytes, bool may_give_way) override;
+    bool note_held(gateway::request_holder& holder, std::size_t bytes, bool may_give_way) override;
 
     /// Returns the bytes of requests that are held.
     [[nodiscard]] std::size_t held_bytes() const { return requests_.bytes(); }
 
+    /// Returns how many requests were refused to free memory.
+    [[nodiscard]] std::uint64_t requests_given_up() const { return requests_given_up_; }
+
 private:
     void accept_waiting();
     static void handle_accept(evutil_socket_t listener, short what, void* self);
@@ -149,6 +155,7 @@
     /// Idle connections, the longest idle first, and their positions in the list.
     std::list<caller_connection*> idle_;
     std::unordered_map<caller_connection*, std::list<caller_connection*>::iterator> idle_positions_;
+    std::uint64_t requests_given_up_ = 0;
     /// Closed connections, destroyed by `reaper_` outside of their own functions.
     std::vector<std::unique_ptr<caller_connection>> closed_;
     timer reaper_;
--- a/packages/daemon/src/gateway/gateway_pages.cpp
+++ b/packages/daemon/src/gateway/gateway_pages.cpp
@@ -144,6 +144,8 @@
     total("hemlocknotch_gateway_log_lines_left_out_total", log_.dropped_count());
     gauge("hemlocknotch_gateway_open_requests", router_.exchange_count());
     gauge("hemlocknotch_gateway_caller_connections", callers_.connection_count());
+    gauge("hemlocknotch_gateway_request_bytes", callers_.held_bytes());
+    total("hemlocknotch_gateway_requests_given_up_total", callers_.requests_given_up());
     gauge("hemlocknotch_gateway_endpoint_connections", pool_.connection_count());
     gauge("hemlocknotch_gateway_blocked_prompt_parts", router_.breaker().blocked_count(clock_.now()));
     gauge("hemlocknotch_gateway_others_heard", others_heard());
--- a/packages/daemon/src/gateway/gateway_settings.cpp
+++ b/packages/daemon/src/gateway/gateway_settings.cpp
@@ -133,6 +133,11 @@
     constexpr double min_descriptors = 64.0;
     out.descriptors = static_cast<std::size_t>(
         reader.number("/limits/descriptors", static_cast<double>(out.descriptors), min_descriptors));
+    constexpr double megabyte = 1e6;
+    out.memory = static_cast<std::size_t>(
+        megabyte * reader.number("/limits/memory_mb", static_cast<double>(out.memory) / megabyte,
+                                 static_cast<double>(gateway::memory_budget::min_instance_bytes) / megabyte,
+                                 1e6));
     out.stop_grace = to_duration(reader.number("/limits/stop_grace_s", 8.0, 1.0));
     out.drain_bound = to_duration(reader.number("/bounds/drain_ms", 2000.0, 100.0) / 1000.0);
     out.configuration_bound = to_duration(reader.number("/bounds/configuration_ms", 2000.0, 100.0) / 1000.0);
--- a/packages/daemon/src/gateway/gateway_settings.hpp
+++ b/packages/daemon/src/gateway/gateway_settings.hpp
@@ -3,6 +3,7 @@
 #include <hemlocknotch/core/endpoint_address.hpp>
 #include <hemlocknotch/core/time.hpp>
 #include <hemlocknotch/gateway/affinity_placement.hpp>
+#include <hemlocknotch/gateway/memory_budget.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -34,6 +35,8 @@
     std::vector<endpoint_address> seeds;
     /// File descriptors that this process may open.
     std::size_t descriptors = 1024;
+    /// Memory of the instance, in bytes.
+    std::size_t memory = gateway::memory_budget::default_instance_bytes;
     /// Time between the request to stop and the forced end of the process.
     duration stop_grace = std::chrono::seconds{8};
     /// Time within which a draining or removed endpoint must get no more requests, and time within which a
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -38,6 +38,7 @@
     out.share_capacity = settings.share_capacity;
     out.present_headroom = settings.present_headroom;
     out.exposure_share = settings.exposure_share;
+    out.answer_bytes = gateway::memory_budget::of(settings.memory).answer_bytes;
     return out;
 }
 
@@ -94,7 +95,12 @@
                     router_.on_timer(clock_.now());
                     schedule_router_timer();
                 }},
-      callers_{base, dialect, max_caller_connections(settings), *this, router_.memory_of_answers()},
+      callers_{base,
+               dialect,
+               max_caller_connections(settings),
+               *this,
+               router_.memory_of_answers(),
+               gateway::memory_budget::of(settings.memory).request_bytes},
       pool_{base, dialect, *this, router_.memory_of_answers(), [this] { return clock_.now(); }},
       readiness_server_{
           base, [this](std::string_view path, std::string_view /*query*/) { return readiness_page(path); }},
--- a/packages/daemon/src/gateway/message_parser.hpp
+++ b/packages/daemon/src/gateway/message_parser.hpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -34,6 +35,7 @@
 
 public:
     message_parser(std::size_t max_header_bytes, std::uint64_t max_body_bytes)
+        : max_body_size_{max_body_bytes}
     {
         this->header_limit(static_cast<std::uint32_t>(max_header_bytes));
         this->body_limit(max_body_bytes);
@@ -70,6 +72,13 @@
 
     [[nodiscard]] std::string& body() { return body_; }
 
+    /// Returns the memory that the message takes. Short header lines take many times their bytes.
+    [[nodiscard]] std::size_t held_bytes() const
+    {
+        return sizeof *this + fields_.capacity() * sizeof(gateway::header_field) + text_bytes_ +
+               body_.capacity();
+    }
+
     /// Returns the values of the Connection headers, in order.
     [[nodiscard]] const std::vector<std::string>& connection_values() const { return connection_values_; }
 
@@ -114,7 +123,9 @@
         }
         using boost::beast::http::field;
         std::string copy{value.data(), value.size()};
+        text_bytes_ += text.size() + value.size();
         if (name == field::connection) {
+            text_bytes_ += value.size();
             connection_values_.push_back(copy);
         }
         else if (name == field::transfer_encoding) {
@@ -133,15 +144,30 @@
             is_ambiguous() ? make_error_code(boost::beast::http::error::bad_transfer_encoding) : error_code{};
     }
 
-    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& ec) override
+    void on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code& ec) override
     {
         ec = {};
+        max_body_size_ = length ? *length : max_body_size_;
+    }
+
+    /// Lets the body's memory double as it grows, but not beyond the most that the body can have.
+    void append_to_body(beast_view bytes)
+    {
+        const auto size = body_.size() + bytes.size();
+        if (size > body_.capacity()) {
+            const auto doubled = std::min<std::uint64_t>(2 * body_.capacity(), max_body_size_);
+            std::string grown;
+            grown.reserve(std::max<std::size_t>(size, doubled));
+            grown += body_;
+            body_.swap(grown);
+        }
+        body_.append(bytes.data(), bytes.size());
     }
 
     std::size_t on_body_impl(beast_view bytes, error_code& ec) override
     {
         ec = {};
-        body_.append(bytes.data(), bytes.size());
+        append_to_body(bytes);
         return bytes.size();
     }
 
@@ -153,7 +179,7 @@
     std::size_t on_chunk_body_impl(std::uint64_t /*left*/, beast_view bytes, error_code& ec) override
     {
         ec = {};
-        body_.append(bytes.data(), bytes.size());
+        append_to_body(bytes);
         return bytes.size();
     }
 
@@ -167,10 +193,13 @@
     std::vector<std::string> connection_values_;
     std::vector<std::string> coding_values_;
     unsigned length_count_ = 0;
+    /// Bytes of the names and values of fields.
+    std::size_t text_bytes_ = 0;
     bool has_head_ = false;
     /// The bytes that were left unread begin with the complete line of the last chunk.
     bool has_begun_last_chunk_ = false;
     std::string body_;
+    std::uint64_t max_body_size_;
 };
 
 using request_parser = message_parser<true>;
--- a/packages/daemon/tests/endless_answers_test.cpp
+++ b/packages/daemon/tests/endless_answers_test.cpp
@@ -131,8 +131,8 @@
         most = std::max(most, memory.total_bytes());
         return pool.connection_count() < calls;
     }));
-    BOOST_TEST(most > gateway::answer_memory::max_total_bytes / 2);
-    BOOST_TEST(most <= 2 * gateway::answer_memory::max_total_bytes);
+    BOOST_TEST(most > gateway::answer_memory::default_max_bytes / 2);
+    BOOST_TEST(most <= 2 * gateway::answer_memory::default_max_bytes);
 }
 
 BOOST_AUTO_TEST_CASE(answers_to_no_request_without_end_end_the_call)
--- a/packages/gateway/include/hemlocknotch/gateway/answer_memory.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/answer_memory.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <hemlocknotch/gateway/memory_budget.hpp>
+
 #include <cstddef>
 
 namespace hemlocknotch::gateway {
@@ -8,9 +10,12 @@
 /// read, until they are complete, or until their callers take them. Used by one thread at a time.
 class answer_memory {
 public:
-    /// Number of bytes beyond which only holders of no more than an even part of it may grow. All holders
-    /// together have at most twice as much, which instances of 110 MB bear.
-    static constexpr std::size_t max_total_bytes = std::size_t{16} << 20U;
+    static constexpr std::size_t default_max_bytes =
+        memory_budget::of(memory_budget::default_instance_bytes).answer_bytes;
+
+    /// Beyond `max_bytes` only holders of no more than an even part of it may grow. All holders together have
+    /// at most twice as much.
+    explicit answer_memory(std::size_t max_bytes = default_max_bytes) : max_bytes_{max_bytes} {}
 
     /// Replaces the `before` bytes of one holder by `after`. Returns whether it may hold that much; if not,
     /// the holder has to give its answer up. A holder may always shrink. Precondition: it had `before` bytes.
@@ -19,6 +24,7 @@
     [[nodiscard]] std::size_t total_bytes() const { return total_; }
 
 private:
+    std::size_t max_bytes_;
     std::size_t total_ = 0;
     /// Number of holders with any bytes.
     std::size_t holders_ = 0;
--- a/packages/gateway/include/hemlocknotch/gateway/request_memory.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/request_memory.hpp
@@ -6,26 +6,29 @@
 
 namespace hemlocknotch::gateway {
 
+/// Holds memory of a request that can be refused.
+class request_holder {
+public:
+    /// Refuses the request and holds nothing afterwards.
+    virtual void give_way() = 0;
+
+protected:
+    ~request_holder() = default;
+};
+
 /// Bounds the memory of all requests that callers make a gateway hold, whole or not, and decides which one
 /// gives way. Used by one thread at a time.
 class request_memory {
 public:
-    /// Names a holder. Only compared.
-    using holder = const void*;
-
-    /// Memory of all requests by default: six of the largest bodies. With the answers, whose bound is 64 MB,
-    /// and some 15 MB of a process without load it stays below the smallest instance, 110 MB.
-    static constexpr std::size_t default_max_bytes = std::size_t{24} << 20U;
-
-    explicit request_memory(std::size_t max_bytes = default_max_bytes) : max_bytes_{max_bytes} {}
+    explicit request_memory(std::size_t max_bytes) : max_bytes_{max_bytes} {}
 
     /// Replaces what `it` holds; 0: nothing. `may_give_way`: its request is not being served, so that it can
     /// be refused.
-    void set(holder it, std::size_t bytes, bool may_give_way);
+    void set(request_holder& it, std::size_t bytes, bool may_give_way);
 
     /// Returns the holder to be refused next: where the requests are too large together, the one that holds
     /// most. Null where they are not, or all of them are being served.
-    [[nodiscard]] holder to_give_way() const;
+    [[nodiscard]] request_holder* to_give_way() const;
 
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
 
@@ -37,7 +40,7 @@
 
     std::size_t max_bytes_;
     std::size_t bytes_ = 0;
-    std::map<holder, holding> holdings_;
+    std::map<request_holder*, holding> holdings_;
 };
 
 } // namespace hemlocknotch::gateway
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -76,6 +76,8 @@
     double present_headroom = 1.15;
     /// Share of a service's requests that a new software version may get before it is known to be good.
     double exposure_share = 0.1;
+    /// See `answer_memory`.
+    std::size_t answer_bytes = answer_memory::default_max_bytes;
     /// Maximum number of requests in the gateway; bounds its memory.
     std::size_t max_exchanges = 2000;
 };
--- a/packages/gateway/src/answer_memory.cpp
+++ b/packages/gateway/src/answer_memory.cpp
@@ -12,7 +12,7 @@
     holders_ -= before > 0 ? 1U : 0U;
     total_ += after;
     total_ -= before;
-    return after <= before || total_ <= max_total_bytes || after <= max_total_bytes / holders_;
+    return after <= before || total_ <= max_bytes_ || after <= max_bytes_ / holders_;
 }
 
 bool answer_holding::set(std::size_t bytes)
--- a/packages/gateway/src/request_memory.cpp
+++ b/packages/gateway/src/request_memory.cpp
@@ -2,9 +2,9 @@
 
 namespace hemlocknotch::gateway {
 
-void request_memory::set(holder it, std::size_t bytes, bool may_give_way)
+void request_memory::set(request_holder& it, std::size_t bytes, bool may_give_way)
 {
-    const auto known = holdings_.find(it);
+    const auto known = holdings_.find(&it);
     if (known != holdings_.end()) {
         bytes_ -= known->second.bytes;
         if (bytes == 0) {
@@ -14,17 +14,17 @@
         known->second = {bytes, may_give_way};
     }
     else if (bytes > 0) {
-        holdings_.emplace(it, holding{bytes, may_give_way});
+        holdings_.emplace(&it, holding{bytes, may_give_way});
     }
     bytes_ += bytes;
 }
 
-request_memory::holder request_memory::to_give_way() const
+request_holder* request_memory::to_give_way() const
 {
     if (bytes_ <= max_bytes_) {
         return nullptr;
     }
-    holder out = nullptr;
+    request_holder* out = nullptr;
     std::size_t most = 0;
     for (const auto& [it, held] : holdings_) {
         if (held.may_give_way && held.bytes > most) {
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -44,6 +44,7 @@
       plain_placement_{plain_placement},
       port_{port},
       endpoints_{options.seed, options.gateway},
+      answer_memory_{options.answer_bytes},
       reports_{std::make_unique<fleet_reports>(endpoints_)},
       exchanges_{std::make_unique<exchange_table>()},
       answers_{std::make_unique<caller_answers>(port)},
--- a/packages/gateway/tests/answer_memory_test.cpp
+++ b/packages/gateway/tests/answer_memory_test.cpp
@@ -10,7 +10,7 @@
 namespace hemlocknotch::gateway {
 namespace {
 
-constexpr auto limit = answer_memory::max_total_bytes;
+constexpr auto limit = answer_memory::default_max_bytes;
 
 BOOST_AUTO_TEST_SUITE(answer_memory_suite)
 
