Read no further requests of a caller while one is served

What callers saw: callers that send more requests behind one which is not answered made a gateway hold up to 1 MB each, in no sum.

Cause: pipelined bytes were buffered up to a limit of each connection, and counted nowhere.

Change: a connection that has received bytes behind the request in progress is not read until that has been answered, so that the rest stays with its caller. What has been read counts with all requests; where these hold too much, it is dropped, and the connection ends with the answer in progress. Nothing of it has run.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -18,8 +18,6 @@
 constexpr int status_unavailable = 503;
 constexpr int status_version_not_supported = 505;
 constexpr int http_1_1 = 11;
-/// Maximum number of bytes of pipelined requests that are buffered while a request is served.
-constexpr std::size_t max_pipelined_bytes = std::size_t{1} << 20U;
 /// Maximum number of bytes of an answer that are buffered for a slow caller; bounds memory.
 constexpr std::size_t max_unsent_bytes = std::size_t{8} << 20U;
 /// Unsent bytes from which no more should be sent: what a caller at 1 MB a second takes in an eighth of a
@@ -98,19 +96,36 @@
     }
     input_ += bytes;
     if (is_serving()) {
-        if (input_.size() > max_pipelined_bytes) {
-            abort();
-        }
-        return;
+        return hold_pipelined();
     }
     read_requests();
 }
 
+void caller_connection::hold_pipelined()
+{
+    if (!std::exchange(is_paused_, true)) {
+        channel_->pause_reading();
+    }
+    if (!owner_.note_held(pipelined_, input_.capacity(), true)) {
+        drop_pipelined();
+    }
+}
+
+void caller_connection::drop_pipelined()
+{
+    std::string{}.swap(input_);
+    owner_.note_held(pipelined_, 0, true);
+    is_closing_after_answer_ = true;
+}
+
 void caller_connection::note_received()
 {
     if (input_.empty() && input_.capacity() > max_kept_bytes) {
         std::string{}.swap(input_);
     }
+    if (is_serving() && !input_.empty()) {
+        return hold_pipelined();
+    }
     if (is_closed_ || is_serving() || is_closing_after_answer_) {
         return;
     }
@@ -346,9 +361,13 @@
     owner_.note_held(*this, 0, true);
     is_streaming_ = false;
     is_head_method_ = false;
+    owner_.note_held(pipelined_, 0, true);
     unsent_bytes_ = channel_->pending_bytes();
     // The head of a stream may have been sent before the stop began, without `Connection: close`.
     is_closing_after_answer_ = is_closing_after_answer_ || owner_.is_closing_after_answers();
+    if (std::exchange(is_paused_, false)) {
+        channel_->resume_reading();
+    }
     if (is_closing_after_answer_) {
         std::string{}.swap(input_);
         channel_->close_when_drained();
@@ -434,6 +453,7 @@
     timer_.stop();
     channel_->close();
     owner_.note_held(*this, 0, true);
+    owner_.note_held(pipelined_, 0, true);
     owner_.on_closed(*this);
 }
 
--- a/packages/gateway/include/hemlocknotch/gateway/request_memory.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/request_memory.hpp
@@ -9,11 +9,10 @@
 /// Holds memory of a request that can be refused.
 class request_holder {
 public:
+    virtual ~request_holder() = default;
+
     /// Refuses the request and holds nothing afterwards.
     virtual void give_way() = 0;
-
-protected:
-    ~request_holder() = default;
 };
 
 /// Bounds the memory of all requests that callers make a gateway hold, whole or not, and decides which one
