Let unfinished requests give way to new connections

What callers saw: a crowd that had begun a head or a body and sent nothing more took all places for connections, and every new caller was turned away until the header's timeout, while the readiness page said 200.

Cause: where all places are taken, only idle connections were closed for a new one. A single byte made a connection count as busy.

Change: yielding_connections keeps all connections of which no request is being served: idle ones, those that receive a request, those whose last answer is on its way. A new connection closes the first of them without progress for the longest time. What was received of a request is refused with 503, which is true: it has not run. Requests that are served stay.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -85,7 +85,7 @@
 
 void caller_connection::enter_idle()
 {
-    owner_.on_idle(*this);
+    owner_.on_yielding(*this, yielding_phase::idle);
     timer_.start(owner_.limits().idle_timeout + idle_timeout_margin);
 }
 
@@ -133,6 +133,7 @@
         owner_.note_held(*this, 0, true);
         return;
     }
+    owner_.on_yielding(*this, yielding_phase::receiving);
     if (!owner_.note_held(*this, input_.capacity() + (parser_ ? parser_->held_bytes() : 0), true)) {
         give_way();
     }
@@ -143,6 +144,15 @@
     reject(status_unavailable, "Too many bytes of requests are held.");
 }
 
+void caller_connection::give_way_to_new()
+{
+    assert(!is_serving());
+    if ((parser_ || !input_.empty()) && !is_closing_after_answer_) {
+        reject(status_unavailable, "Too many connections are open.");
+    }
+    abort();
+}
+
 void caller_connection::read_requests()
 {
     if (is_reading_) {
@@ -154,7 +164,7 @@
             const auto& limits = owner_.limits();
             parser_ = std::make_unique<request_parser>(limits.max_header_bytes, limits.max_body_bytes);
             timer_.start(limits.header_timeout);
-            owner_.on_busy(*this);
+            owner_.on_yielding(*this, yielding_phase::receiving);
         }
         const auto had_head = parser_->is_header_done();
         const auto head_end = had_head ? std::string::npos : input_.find("\r\n\r\n");
@@ -371,11 +381,13 @@
     if (is_closing_after_answer_) {
         std::string{}.swap(input_);
         channel_->close_when_drained();
+        owner_.on_yielding(*this, yielding_phase::closing);
         timer_.start(close_timeout);
         return;
     }
     enter_idle();
     if (!input_.empty()) {
+        owner_.on_yielding(*this, yielding_phase::receiving);
         is_read_pending_ = true;
         timer_.activate();
     }
@@ -404,6 +416,7 @@
     if (is_idle && !channel_->has_unread_bytes()) {
         is_closing_after_answer_ = true;
         channel_->close_when_drained();
+        owner_.on_yielding(*this, yielding_phase::closing);
         timer_.start(close_timeout);
     }
 }
--- a/packages/daemon/src/gateway/caller_connection.hpp
+++ b/packages/daemon/src/gateway/caller_connection.hpp
@@ -7,6 +7,7 @@
 #include "../timer.hpp"
 #include "message_parser.hpp"
 #include "socket_channel.hpp"
+#include "yielding_connections.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -39,10 +40,8 @@
     /// Returns whether each connection is closed after its answer, because the process stops or too many
     /// connections are open.
     [[nodiscard]] virtual bool is_closing_after_answers() const = 0;
-    /// The connection waits for the next request.
-    virtual void on_idle(caller_connection& connection) = 0;
-    /// The connection has begun to read a request.
-    virtual void on_busy(caller_connection& connection) = 0;
+    /// No request of the connection is being served; it has entered `phase`, or made progress in it.
+    virtual void on_yielding(caller_connection& connection, yielding_phase phase) = 0;
     /// The caller of `exchange` has taken all that was sent to it after it had been congested.
     virtual void on_drained(gateway::exchange_id exchange) = 0;
     [[nodiscard]] virtual gateway::answer_memory& memory() = 0;
@@ -77,6 +76,10 @@
     /// Closes at once; an answer in progress stays incomplete.
     void abort();
 
+    /// Refuses what has been received of a request, if anything, and closes. Precondition: no request is
+    /// being served.
+    void give_way_to_new();
+
     /// Closes the connection unless a request is being read or served.
     void close_if_idle();
 
--- a/packages/daemon/src/gateway/caller_server.cpp
+++ b/packages/daemon/src/gateway/caller_server.cpp
@@ -122,9 +122,8 @@
     if (!overload_.take_connection()) {
         return shed(fd);
     }
-    if (connections_.size() >= max_connections_ && !idle_.empty()) {
-        // A new connection probably brings a request at once; an idle one may bring none.
-        idle_.front()->abort();
+    if (connections_.size() >= max_connections_) {
+        make_room();
     }
     if (connections_.size() >= max_connections_) {
         ::close(fd);
@@ -136,6 +135,15 @@
     connections_.emplace(key, std::move(created));
 }
 
+void caller_server::make_room()
+{
+    // A new connection probably brings a request at once; another one that is not served may bring none.
+    if (auto* it = yielding_.next()) {
+        ++connections_given_up_;
+        it->give_way_to_new();
+    }
+}
+
 void caller_server::close_idle_connections()
 {
     if (listener_) {
@@ -159,6 +167,7 @@
 {
     const auto exchange = ++last_exchange_;
     serving_.emplace(exchange, &connection);
+    yielding_.remove(connection);
     connection.set_exchange(exchange);
     sink_.on_request(exchange, std::move(request));
 }
@@ -169,23 +178,14 @@
     sink_.on_caller_disconnected(exchange);
 }
 
-void caller_server::on_idle(caller_connection& connection)
+void caller_server::on_yielding(caller_connection& connection, yielding_phase phase)
 {
-    on_busy(connection);
-    idle_positions_.emplace(&connection, idle_.insert(idle_.end(), &connection));
-}
-
-void caller_server::on_busy(caller_connection& connection)
-{
-    if (const auto it = idle_positions_.find(&connection); it != idle_positions_.end()) {
-        idle_.erase(it->second);
-        idle_positions_.erase(it);
-    }
+    yielding_.set(connection, phase);
 }
 
 void caller_server::on_closed(caller_connection& connection)
 {
-    on_busy(connection);
+    yielding_.remove(connection);
     const auto it = connections_.find(&connection);
     assert(it != connections_.end());
     closed_.push_back(std::move(it->second));
--- a/packages/daemon/src/gateway/caller_server.hpp
+++ b/packages/daemon/src/gateway/caller_server.hpp
@@ -8,13 +8,13 @@
 
 #include "../timer.hpp"
 #include "caller_connection.hpp"
+#include "yielding_connections.hpp"
 
 #include <boost/leaf/result.hpp>
 #include <event2/listener.h>
 
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <memory>
 #include <string_view>
 #include <unordered_map>
@@ -114,8 +114,7 @@
         return is_stopping_ || overload_.is_shedding() || connections_.size() > max_connections_ / 2;
     }
 
-    void on_idle(caller_connection& connection) override;
-    void on_busy(caller_connection& connection) override;
+    void on_yielding(caller_connection& connection, yielding_phase phase) override;
 
     void on_drained(gateway::exchange_id exchange) override { sink_.on_caller_drained(exchange); }
 
@@ -126,13 +125,17 @@
     /// Returns the bytes of requests that are held.
     [[nodiscard]] std::size_t held_bytes() const { return requests_.bytes(); }
 
-    /// Returns how many requests were refused to free memory.
+    /// Return how many requests were refused to free memory, and connections closed to make room.
     [[nodiscard]] std::uint64_t requests_given_up() const { return requests_given_up_; }
 
+    [[nodiscard]] std::uint64_t connections_given_up() const { return connections_given_up_; }
+
 private:
     void accept_waiting();
     static void handle_accept(evutil_socket_t listener, short what, void* self);
     void accept(int fd);
+    /// Closes the connection that gives way to a new one, if there is any.
+    void make_room();
     /// Refuses the request that a new connection has brought, or closes it where none has come yet.
     void shed(int fd);
     /// Ends the exchange and returns its connection; null where the caller has disconnected.
@@ -152,10 +155,9 @@
     event_ptr accept_event_;
     std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>> connections_;
     std::unordered_map<gateway::exchange_id, caller_connection*> serving_;
-    /// Idle connections, the longest idle first, and their positions in the list.
-    std::list<caller_connection*> idle_;
-    std::unordered_map<caller_connection*, std::list<caller_connection*>::iterator> idle_positions_;
+    yielding_connections yielding_;
     std::uint64_t requests_given_up_ = 0;
+    std::uint64_t connections_given_up_ = 0;
     /// Closed connections, destroyed by `reaper_` outside of their own functions.
     std::vector<std::unique_ptr<caller_connection>> closed_;
     timer reaper_;
--- a/packages/daemon/src/gateway/gateway_pages.cpp
+++ b/packages/daemon/src/gateway/gateway_pages.cpp
@@ -146,6 +146,7 @@
     gauge("hemlocknotch_gateway_caller_connections", callers_.connection_count());
     gauge("hemlocknotch_gateway_request_bytes", callers_.held_bytes());
     total("hemlocknotch_gateway_requests_given_up_total", callers_.requests_given_up());
+    total("hemlocknotch_gateway_connections_given_up_total", callers_.connections_given_up());
     gauge("hemlocknotch_gateway_endpoint_connections", pool_.connection_count());
     gauge("hemlocknotch_gateway_blocked_prompt_parts", router_.breaker().blocked_count(clock_.now()));
     gauge("hemlocknotch_gateway_others_heard", others_heard());
