--- a/packages/daemon/src/gateway/yielding_connections.hpp
+++ b/packages/daemon/src/gateway/yielding_connections.hpp
@@ -37,7 +37,7 @@
 
 private:
     struct position {
-        yielding_phase phase;
+        yielding_phase phase = yielding_phase::idle;
         std::list<caller_connection*>::iterator at;
     };
 
