Take no CBOR string without a stated length, which ends a process

What happens: a gateway, an entry or an agent ends by SIGSEGV on one message: strings of unstated length within such strings (bytes 7F 7F 7F ... or 5F 5F 5F ...). The library reads each level by a call of itself, and the stack overflows. The bound on nested arrays doesn't see strings.

Reached from outside by a datagram to the port for other gateways, by the page from which a gateway takes the registry, by a link's message and by the value of a stream's note in the store.

Evidence: strings_of_unstated_length_do_not_decode (link_codec_test) and strings_of_unstated_length_are_no_report (report_exchange_suite) ended with a memory access violation before the change, and pass.

Change: what is CBOR from outside is read only if each string states its length, which all of our own encoders do; a scan without recursion sees to it.

--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -138,6 +138,10 @@
 
 std::optional<gateway::fleet_report> decode_report(std::span<const std::uint8_t> bytes)
 {
+    if (!hemlocknotch::detail::has_stated_lengths(
+            {reinterpret_cast<const char*>(bytes.data()), bytes.size()})) {
+        return std::nullopt;
+    }
     report_sax_handler reader;
     if (!json::sax_parse(bytes.begin(), bytes.end(), &reader, json::input_format_t::cbor) ||
         !reader.is_complete()) {
--- a/packages/daemon/tests/report_exchange_test.cpp
+++ b/packages/daemon/tests/report_exchange_test.cpp
@@ -255,6 +255,21 @@
     BOOST_TEST(!decode_stream_report(encode_report({})).has_value());
 }
 
+// Guards against a process that ends for lack of stack by strings within strings.
+BOOST_AUTO_TEST_CASE(strings_of_unstated_length_are_no_report)
+{
+    constexpr std::size_t depth = 4'000'000;
+    for (const std::uint8_t tag : {0x60, 0x01, 0x02, 0x03}) {
+        std::vector<std::uint8_t> bytes(depth, 0x7f);
+        bytes[0] = 0x82;
+        bytes[1] = tag;
+        BOOST_TEST(!decode_report(bytes));
+        BOOST_TEST(!decode_update(bytes));
+        BOOST_TEST(!decode_stream_report(bytes));
+        BOOST_TEST(!decode_rollout_report(bytes));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/packages/wire/tests/link_codec_test.cpp
+++ b/packages/wire/tests/link_codec_test.cpp
@@ -1,3 +1,4 @@
+#include <hemlocknotch/wire/cbor_reader.hpp>
 #include <hemlocknotch/wire/message_codec.hpp>
 
 #include "link_codec.hpp"
@@ -137,4 +138,19 @@
     BOOST_TEST((entry.decode(good + '\0').kind == frame_kind::malformed));
 }
 
+// Guards against a process that ends for lack of stack by strings within strings.
+BOOST_AUTO_TEST_CASE(strings_of_unstated_length_do_not_decode)
+{
+    constexpr std::size_t depth = 4'000'000;
+    for (const char open : {'\x7f', '\x5f'}) {
+        const auto nested = std::string(depth, open);
+        BOOST_TEST((entry.decode(nested).kind == frame_kind::malformed));
+        BOOST_TEST((entry.decode("\x82\x01" + nested).kind == frame_kind::malformed));
+        BOOST_TEST(!detail::read_cbor(nested));
+        BOOST_TEST(!detail::read_cbor("\x82\x01" + nested));
+        BOOST_TEST(!detail::read_cbor(std::string{open} + "\x61" + "a\xff"));
+        BOOST_TEST(detail::read_cbor("\x78\x03" + std::string(3, open)).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
