Limit a head by the sum of its pieces

What happens: a head that arrives in pieces passes the limit of its size as long as each piece stays below it. The library consumes each line that is complete and counts only what is left, so that one caller makes a gateway keep fields without end, as fast as it sends until the head's time is over; an endpoint can do the same with 64 KB a piece. In pieces a head of twice the limit was accepted as well, as a whole one longer by its first line.

Evidence: the_limit_of_a_head_holds_for_the_sum_of_its_pieces (33,165 bytes taken with a limit of 16,384, where the test stops) and a_head_is_limited_alike_wherever_it_is_cut were red before, and pass.

Change: message_parser counts the bytes of a head that it consumed. A head up to and including its blank line may have as many bytes as the limit says, in pieces and as a whole.

--- a/packages/daemon/src/gateway/message_parser.hpp
+++ b/packages/daemon/src/gateway/message_parser.hpp
@@ -33,7 +33,9 @@
     using beast_view = boost::beast::string_view;
 
 public:
+    /// Accepts a head of up to `max_header_bytes`, blank line included, however it arrives.
     message_parser(std::size_t max_header_bytes, std::uint64_t max_body_bytes)
+        : max_header_bytes_{max_header_bytes}
     {
         this->header_limit(static_cast<std::uint32_t>(max_header_bytes));
         this->body_limit(max_body_bytes);
@@ -45,6 +47,12 @@
     std::size_t parse(std::string_view bytes, boost::beast::error_code& fault)
     {
         fault = {};
+        const auto had_head = this->is_header_done();
+        if (!had_head && head_bytes_ + bytes.size() > max_header_bytes_ &&
+            head_bytes_ + rest_of_head(bytes).size() > max_header_bytes_) {
+            fault = boost::beast::http::error::header_limit;
+            return 0;
+        }
         if (has_begun_last_chunk_ && bytes.size() < min_last_chunk_bytes) {
             return 0;
         }
@@ -55,6 +63,7 @@
         has_begun_last_chunk_ =
             needs_more && this->is_header_done() && bytes.substr(n).find("\r\n", 1) != std::string_view::npos;
         fault = needs_more ? error_code{} : ec;
+        head_bytes_ += had_head ? 0 : n;
         return n;
     }
 
@@ -89,6 +98,18 @@
     /// Boost.Beast asserts that it is given so many bytes once it has left the line of the last chunk unread.
     static constexpr std::size_t min_last_chunk_bytes = std::string_view{"0\r\n\r\n"}.size();
 
+    /// Returns the part of `bytes` that belongs to the head, where the bytes before them are consumed.
+    [[nodiscard]] std::string_view rest_of_head(std::string_view bytes) const
+    {
+        constexpr std::string_view blank_line = "\r\n";
+        constexpr std::string_view end_of_lines = "\r\n\r\n";
+        if (head_bytes_ > 0 && bytes.starts_with(blank_line)) {
+            return bytes.substr(0, blank_line.size());
+        }
+        const auto end = bytes.find(end_of_lines);
+        return end == std::string_view::npos ? bytes : bytes.substr(0, end + end_of_lines.size());
+    }
+
     void on_request_impl(boost::beast::http::verb /*method*/, beast_view method, beast_view target,
                          int version, error_code& ec) override
     {
@@ -159,6 +180,9 @@
 
     void on_finish_impl(error_code& ec) override { ec = {}; }
 
+    std::size_t max_header_bytes_;
+    /// Consumed bytes of a head that is not complete.
+    std::size_t head_bytes_ = 0;
     std::string method_;
     std::string target_;
     int status_ = 0;
--- a/packages/daemon/tests/message_parser_test.cpp
+++ b/packages/daemon/tests/message_parser_test.cpp
@@ -126,6 +126,37 @@
     BOOST_TEST(!fault);
 }
 
+// Guards against a head that passes the limit because each of its pieces stays below it.
+BOOST_AUTO_TEST_CASE(the_limit_of_a_head_holds_for_the_sum_of_its_pieces)
+{
+    request_parser parser{max_header_bytes, max_body_bytes};
+    boost::beast::error_code fault;
+    parser.parse("GET /x HTTP/1.1\r\nHost: h\r\nA", fault);
+    std::size_t sent = 0;
+    while (!fault && sent <= 2 * max_header_bytes) {
+        const auto field = "A: " + std::string(1000, 'a') + "\r\nA";
+        sent += parser.parse(field, fault);
+    }
+    BOOST_TEST((fault == boost::beast::http::error::header_limit));
+    BOOST_TEST(sent <= max_header_bytes);
+}
+
+BOOST_AUTO_TEST_CASE(a_head_is_limited_alike_wherever_it_is_cut)
+{
+    const std::string begin = "GET /x HTTP/1.1\r\nHost: h\r\nA: ";
+    const std::string end = "\r\nB: b\r\n\r\n";
+    for (const auto excess : {0, 1, 2, 20}) {
+        const auto bytes =
+            begin + std::string(max_header_bytes - begin.size() - end.size() + excess, 'a') + end;
+        const auto whole = read<request_parser>(bytes, {});
+        BOOST_TEST(whole.is_done == (excess == 0));
+        BOOST_TEST(whole.has_fault == (excess != 0));
+        for (std::size_t cut = bytes.size() - 40; cut < bytes.size(); ++cut) {
+            BOOST_TEST(read<request_parser>(bytes, {18, cut}) == whole);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
