Find a folded line of a request wherever the request is cut

What callers saw: a sound request is refused with 400 if its body has a line that begins with a blank and the network cuts the request within the blank line after its head; the search took the body for the head. The other way round a folded line passed as a field where a piece ended behind it, which as a whole is refused.

Change: message_parser, which knows what it consumed of the head, says where the rest of it ends.

A line of message_parser_test that the linter refuses is written otherwise.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -42,12 +42,6 @@
     return {buf.data(), end};
 }
 
-/// Returns whether a header line continues on the next line, which RFC 9112 forbids (section 5.2).
-bool has_folded_line(std::string_view head)
-{
-    return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
-}
-
 /// Returns the memory that a request takes. Short lines take several times their bytes.
 std::size_t size_of(const gateway::caller_request& it)
 {
@@ -136,8 +130,7 @@
             owner_.on_busy(*this);
         }
         const auto had_head = parser_->is_header_done();
-        const auto head_end = had_head ? std::string::npos : input_.find("\r\n\r\n");
-        if (head_end != std::string::npos && has_folded_line(std::string_view{input_}.substr(0, head_end))) {
+        if (!had_head && parser_->has_folded_line(input_)) {
             reject(status_bad_request, "A header line is folded.");
             break;
         }
--- a/packages/daemon/src/gateway/message_parser.hpp
+++ b/packages/daemon/src/gateway/message_parser.hpp
@@ -67,6 +67,14 @@
         return n;
     }
 
+    /// Returns whether `bytes`, which `parse` is given next, continue a line of the head on the next one,
+    /// which RFC 9112 forbids (section 5.2). Requires that the head is not complete.
+    [[nodiscard]] bool has_folded_line(std::string_view bytes) const
+    {
+        const auto head = rest_of_head(bytes);
+        return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+    }
+
     [[nodiscard]] const std::string& method() const { return method_; }
 
     [[nodiscard]] const std::string& target() const { return target_; }
--- a/packages/daemon/tests/caller_server_fixture.hpp
+++ b/packages/daemon/tests/caller_server_fixture.hpp
@@ -119,6 +119,8 @@
 
     [[nodiscard]] bool is_closed() const { return is_closed_; }
 
+    [[nodiscard]] int descriptor() const { return fd_; }
+
 private:
     int fd_;
     std::string received_;
--- a/packages/daemon/tests/message_parser_test.cpp
+++ b/packages/daemon/tests/message_parser_test.cpp
@@ -146,8 +146,9 @@
     const std::string begin = "GET /x HTTP/1.1\r\nHost: h\r\nA: ";
     const std::string end = "\r\nB: b\r\n\r\n";
     for (const auto excess : {0, 1, 2, 20}) {
-        const auto bytes =
-            begin + std::string(max_header_bytes - begin.size() - end.size() + excess, 'a') + end;
+        auto bytes = begin;
+        bytes.append(max_header_bytes - begin.size() - end.size() + excess, 'a');
+        bytes += end;
         const auto whole = read<request_parser>(bytes, {});
         BOOST_TEST(whole.is_done == (excess == 0));
         BOOST_TEST(whole.has_fault == (excess != 0));
