--- a/packages/daemon/tests/endpoint_pool_fixture.hpp
+++ b/packages/daemon/tests/endpoint_pool_fixture.hpp
@@ -44,6 +44,9 @@
         }
     }
 
+    /// Returns the descriptor of the last connection.
+    [[nodiscard]] int descriptor() const { return bufferevent_getfd(streams_.back().get()); }
+
     /// Hands bytes to the kernel at once, on every connection, which is accepted first where it waits.
     void send_now(const std::string& bytes)
     {
