Keep descriptors for the store and endpoints whatever the soft limit is

Seen: under a soft limit of 256 descriptors, where the settings say 4,100, 300 silent callers take every descriptor. No ordinary request is answered (0 of 4 within 20 s) and the process spins: its listener stays readable while accept fails with EMFILE. Cause: nothing raised the soft limit or compared it with limits.descriptors, from which the number of callers' connections is derived. Change: raise the soft limit to the settings' number at the start, as far as the hard limit allows, and derive the number of connections from what is in force. Reserve at most half of the descriptors. On EMFILE the longest idle connection ends; with none, accepting pauses for 100 ms. The kernel reports EMFILE before it looks for a waiting connection, so that is checked first.

--- a/packages/daemon/src/gateway/caller_server.cpp
+++ b/packages/daemon/src/gateway/caller_server.cpp
@@ -5,6 +5,7 @@
 #include "../start_error.hpp"
 
 #include <boost/leaf/error.hpp>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -12,6 +13,7 @@
 #include <array>
 #include <cassert>
 #include <cerrno>
+#include <chrono>
 #include <cstring>
 #include <string_view>
 #include <utility>
@@ -46,6 +48,20 @@
     int fd_;
 };
 
+/// Time without accepting after the system had no descriptor or memory for a connection.
+constexpr duration accept_pause = std::chrono::milliseconds{100};
+
+bool is_lack_of_resources(int error)
+{
+    return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
+bool is_readable(int fd)
+{
+    pollfd it{fd, POLLIN, 0};
+    return ::poll(&it, 1, 0) > 0;
+}
+
 } // namespace
 
 caller_server::caller_server(event_base* base, const gateway::message_dialect& dialect,
@@ -57,7 +73,8 @@
       sink_{sink},
       memory_{memory},
       requests_{max_request_bytes},
-      reaper_{base, [this] { closed_.clear(); }, event_priority::request}
+      reaper_{base, [this] { closed_.clear(); }, event_priority::request},
+      accept_again_{base, [this] { resume_accepting(); }, event_priority::request}
 {
     assert(max_connections >= 1);
 }
@@ -97,6 +114,17 @@
         if (fd >= 0) {
             accept(fd);
         }
+        else if (is_lack_of_resources(errno)) {
+            // The kernel reports a lack of descriptors before it looks whether a connection waits.
+            const auto is_full = errno == EMFILE;
+            if (!is_readable(listener)) {
+                return;
+            }
+            if (!is_full || idle_.empty()) {
+                return pause_accepting();
+            }
+            idle_.front()->abort();
+        }
         else if (errno != EINTR && errno != ECONNABORTED) {
             if (errno != EAGAIN && errno != EWOULDBLOCK) {
                 sink_.on_malformed(0, "accept-failed");
@@ -106,6 +134,21 @@
     }
 }
 
+void caller_server::pause_accepting()
+{
+    sink_.on_malformed(0, "accept-failed");
+    // The connection that waits keeps the listener readable, so that the loop would call again at once.
+    event_del(accept_event_.get());
+    accept_again_.start(accept_pause);
+}
+
+void caller_server::resume_accepting()
+{
+    if (accept_event_) {
+        event_add(accept_event_.get(), nullptr);
+    }
+}
+
 void caller_server::shed(int fd)
 {
     // Closed with the function. What is read is not looked at: nothing has run, whatever it asks for.
--- a/packages/daemon/src/gateway/caller_server.hpp
+++ b/packages/daemon/src/gateway/caller_server.hpp
@@ -126,6 +126,9 @@
 private:
     void accept_waiting();
     static void handle_accept(evutil_socket_t listener, short what, void* self);
+    /// Accepts nothing for a while, since the system has no descriptor or memory left for a connection.
+    void pause_accepting();
+    void resume_accepting();
     void accept(int fd);
     /// Refuses the request that a new connection has brought, or closes it where none has come yet.
     void shed(int fd);
@@ -152,6 +155,7 @@
     /// Closed connections, destroyed by `reaper_` outside of their own functions.
     std::vector<std::unique_ptr<caller_connection>> closed_;
     timer reaper_;
+    timer accept_again_;
     gateway::exchange_id last_exchange_ = 0;
     bool is_stopping_ = false;
     gateway::overload_state overload_;
--- a/packages/daemon/src/gateway/gateway_command.cpp
+++ b/packages/daemon/src/gateway/gateway_command.cpp
@@ -5,12 +5,14 @@
 
 #include "../event_priority.hpp"
 #include "../start_error.hpp"
+#include "descriptor_limit.hpp"
 #include "gateway_settings.hpp"
 #include "gateway_shell.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <event2/event.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -85,7 +87,7 @@
 
 int run_gateway(const std::string& path, bool is_check_only)
 {
-    const auto settings = load(path);
+    auto settings = load(path);
     if (!settings) {
         return exit_usage;
     }
@@ -93,6 +95,8 @@
         std::cout << path << ": the settings are good.\n";
         return exit_ok;
     }
+    const auto stated_descriptors = settings->descriptors;
+    settings->descriptors = std::min(stated_descriptors, raise_descriptor_limit(stated_descriptors));
     const auto code = boost::leaf::try_handle_all(
         [&] { return run(*settings, path); },
         [](const start_error& error) {
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -43,8 +43,8 @@
 
 std::size_t max_caller_connections(const gateway_settings& settings)
 {
-    const auto available =
-        settings.descriptors > reserved_descriptors ? settings.descriptors - reserved_descriptors : 1;
+    const auto reserved = std::min(reserved_descriptors, settings.descriptors / 2);
+    const auto available = settings.descriptors - reserved;
     return std::max<std::size_t>(
         1, static_cast<std::size_t>(static_cast<double>(available) * caller_descriptor_share));
 }
@@ -154,7 +154,10 @@
     }
     log({log_level::info,
          "started",
-         {{"failure_domain", settings_.failure_domain}, {"callers", callers.to_string()}}});
+         {{"failure_domain", settings_.failure_domain},
+          {"callers", callers.to_string()},
+          {"descriptors", std::to_string(settings_.descriptors)},
+          {"max_caller_connections", std::to_string(max_caller_connections(settings_))}}});
     follower_.start();
     update_stream_notes();
     rollout_timer_.start(rollout_report_interval);
--- a/packages/standins/include/hemlocknotch/standins/soak_gateway.hpp
+++ b/packages/standins/include/hemlocknotch/standins/soak_gateway.hpp
@@ -25,6 +25,10 @@
     std::size_t descriptors = 4096;
     /// Memory of its instance, in millions of bytes.
     std::size_t memory_mb = 110;
+    /// Descriptors that the system lets the process open at its start, and those to which the process may
+    /// raise that; 0: as for this process.
+    std::size_t soft_descriptors = 0;
+    std::size_t hard_descriptors = 0;
 };
 
 /// A gateway as a process of its own, with a relay between it and the store. One thread.
@@ -84,6 +88,7 @@
     void disturb(int signal);
 
     soak_paths paths_;
+    soak_gateway_limits limits_;
     std::string name_;
     std::string host_;
     std::string settings_path_;
--- a/packages/standins/src/soak_gateway.cpp
+++ b/packages/standins/src/soak_gateway.cpp
@@ -17,6 +17,22 @@
 constexpr int registry_port = 7404;
 constexpr int stop_grace_s = 8;
 
+/// Returns the words that run `command` with the descriptors of `limits`, in the same process.
+std::vector<std::string> with_limits(std::vector<std::string> command, const soak_gateway_limits& limits)
+{
+    std::string script;
+    if (limits.soft_descriptors > 0) {
+        script += "ulimit -S -n " + std::to_string(limits.soft_descriptors) + " && ";
+    }
+    if (limits.hard_descriptors > 0) {
+        script += "ulimit -H -n " + std::to_string(limits.hard_descriptors) + " && ";
+    }
+    if (!script.empty()) {
+        command.insert(command.begin(), {"/bin/sh", "-c", script + "exec \"$0\" \"$@\""});
+    }
+    return command;
+}
+
 std::string address_of(const std::string& host, int port)
 {
     return host + ":" + std::to_string(port);
@@ -28,6 +44,7 @@
                            const std::vector<std::string>& seeds, const endpoint_address& store,
                            const soak_gateway_limits& limits)
     : paths_{paths},
+      limits_{limits},
       name_{"g" + std::to_string(number)},
       host_{host},
       settings_path_{paths.directory + "/" + name_ + ".json"},
@@ -63,7 +80,7 @@
     is_paused_ = false;
     disturbed_at_ = now();
     process_ = std::make_unique<child_process>(
-        std::vector<std::string>{paths_.program, "gateway", "--settings", settings_path_}, log_path_);
+        with_limits({paths_.program, "gateway", "--settings", settings_path_}, limits_), log_path_);
 }
 
 void soak_gateway::disturb(int signal)
