Wait for an address that is taken when a gateway starts

The platform restarts a process only after a delay. Cause: the first address that could not be bound ended the start. SIGTERM ends a gateway that waits. The port for callers is bound last, so that none wait for a gateway that cannot start.

--- a/packages/daemon/src/gateway/caller_server.cpp
+++ b/packages/daemon/src/gateway/caller_server.cpp
@@ -89,9 +89,10 @@
                                                 LEV_OPT_CLOSE_ON_FREE | LEV_OPT_DISABLED,
                                             accept_backlog, at.get(), at.length()));
     if (!listener_) {
+        const auto error = errno;
         return boost::leaf::new_error(
-            start_error{"cannot listen on " + address.to_string() + " for callers: " + std::strerror(errno),
-                        "Choose an address of this instance and a free port."});
+            start_error{"cannot listen on " + address.to_string() + " for callers: " + std::strerror(error),
+                        "Choose an address of this instance and a free port.", may_pass(error)});
     }
     const auto fd = evconnlistener_get_fd(listener_.get());
     accept_event_.reset(event_new(base_, fd, EV_READ | EV_PERSIST, handle_accept, this));
--- a/packages/daemon/src/gateway/gateway_command.cpp
+++ b/packages/daemon/src/gateway/gateway_command.cpp
@@ -8,11 +8,13 @@
 #include "descriptor_limit.hpp"
 #include "gateway_settings.hpp"
 #include "gateway_shell.hpp"
+#include "gateway_starter.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <event2/event.h>
 
 #include <algorithm>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -27,6 +29,8 @@
 constexpr int exit_ok = 0;
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
+/// Time beyond the stop grace for which a start waits for an address.
+constexpr duration start_limit = std::chrono::seconds{30};
 
 std::optional<gateway_settings> load(const std::string& path)
 {
@@ -69,17 +73,19 @@
     const platform::header_dialect dialect;
     platform::store_client store{base.get(), *settings.store};
     gateway_shell shell{base.get(), settings, dialect, store, store};
-    const signal_watch stop{base.get(), SIGTERM, [&] { shell.stop(); }};
-    const signal_watch interrupt{base.get(), SIGINT, [&] { shell.stop(); }};
+    // The process before this one may have its addresses until its grace is over.
+    gateway_starter starter{base.get(), shell, settings.stop_grace + start_limit};
+    const signal_watch stop{base.get(), SIGTERM, [&] { starter.stop(); }};
+    const signal_watch interrupt{base.get(), SIGINT, [&] { starter.stop(); }};
     const signal_watch reload{base.get(), SIGHUP, [&] {
                                   if (load(path)) {
                                       shell.reload();
                                   }
                               }};
-    if (auto it = shell.start(); !it) {
-        return it.error();
-    }
     event_base_dispatch(base.get());
+    if (starter.error()) {
+        return boost::leaf::new_error(*starter.error());
+    }
     return exit_ok;
 }
 
--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -4,6 +4,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <functional>
 #include <utility>
 
 namespace hemlocknotch::daemon {
@@ -130,26 +132,41 @@
 
 gateway_shell::~gateway_shell() = default;
 
-boost::leaf::result<endpoint_address> gateway_shell::start()
+boost::leaf::result<void> gateway_shell::listen()
 {
-    BOOST_LEAF_AUTO(callers, callers_.listen(*settings_.callers));
-    if (auto it = readiness_server_.listen(*settings_.readiness, "readiness"); !it) {
-        return it.error();
-    }
-    if (settings_.metrics) {
-        if (auto it = metrics_server_.listen(*settings_.metrics, "metrics"); !it) {
+    const auto listen_pages = [](page_server& server, const std::optional<endpoint_address>& address,
+                                 std::string_view purpose) -> boost::leaf::result<void> {
+        if (!address) {
+            return {};
+        }
+        if (auto it = server.listen(*address, purpose); !it) {
             return it.error();
         }
-    }
-    if (settings_.registry) {
-        if (auto it = registry_server_.listen(*settings_.registry, "other gateways"); !it) {
+        return {};
+    };
+    const std::array<std::function<boost::leaf::result<void>()>, 4> listeners{
+        [&] { return listen_pages(readiness_server_, settings_.readiness, "readiness"); },
+        [&] { return listen_pages(metrics_server_, settings_.metrics, "metrics"); },
+        [&] { return listen_pages(registry_server_, settings_.registry, "other gateways"); },
+        [&]() -> boost::leaf::result<void> {
+            return settings_.members ? reports_.listen(*settings_.members) : boost::leaf::result<void>{};
+        }};
+    for (; listener_count_ < listeners.size(); ++listener_count_) {
+        if (auto it = listeners.at(listener_count_)(); !it) {
             return it.error();
         }
     }
+    return {};
+}
+
+boost::leaf::result<endpoint_address> gateway_shell::start()
+{
+    if (auto it = listen(); !it) {
+        return it.error();
+    }
+    // Last, so that no caller waits for a gateway that cannot start.
+    BOOST_LEAF_AUTO(callers, callers_.listen(*settings_.callers));
     if (settings_.members) {
-        if (auto it = reports_.listen(*settings_.members); !it) {
-            return it.error();
-        }
         schedule_report();
     }
     log({log_level::info,
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -52,9 +52,13 @@
     gateway_shell& operator=(const gateway_shell&) = delete;
     gateway_shell& operator=(gateway_shell&&) = delete;
 
-    /// Starts to listen and to follow the registry. Returns the address for callers, or a `start_error`.
+    /// Starts to listen and to follow the registry. Returns the address for callers, or a `start_error`; may
+    /// then be called again, which goes on with the address that failed.
     boost::leaf::result<endpoint_address> start();
 
+    /// Writes a line on the state of the process.
+    void log(const log_effect& record);
+
     /// Returns whether this gateway is ready for callers: it has a configuration, is not stopping, and reads
     /// requests in time. Reported to the load balancer.
     [[nodiscard]] bool is_ready() const;
@@ -128,7 +132,8 @@
     void apply_update(const gateway::registry_update& update);
     void apply_report(const gateway::fleet_report& report, const endpoint_address& from);
     void update_gateway_count();
-    void log(const log_effect& record);
+    /// Listens on each address but that for callers.
+    boost::leaf::result<void> listen();
     [[nodiscard]] page readiness_page(std::string_view path) const;
     [[nodiscard]] page metrics_page(std::string_view path);
     [[nodiscard]] page rollouts_page();
@@ -157,6 +162,8 @@
     page_server metrics_server_;
     page_server registry_server_;
     report_exchange reports_;
+    /// Addresses, but that for callers, that are listened on.
+    std::size_t listener_count_ = 0;
     peer_directory peers_;
     std::uint64_t report_sequence_ = 0;
     timer report_timer_;
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -296,9 +296,13 @@
     const auto at = detail::socket_address::of(address);
     fd_ = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd_ < 0 || ::bind(fd_, at.get(), static_cast<socklen_t>(at.length())) != 0) {
-        return boost::leaf::new_error(start_error{"cannot listen on " + address.to_string() +
-                                                      " for other gateways: " + std::strerror(errno),
-                                                  "Choose an address of this instance and a free port."});
+        const auto error = errno;
+        if (fd_ >= 0) {
+            ::close(std::exchange(fd_, -1));
+        }
+        return boost::leaf::new_error(start_error{
+            "cannot listen on " + address.to_string() + " for other gateways: " + std::strerror(error),
+            "Choose an address of this instance and a free port.", may_pass(error)});
     }
     event_.reset(event_new(base_, fd_, EV_READ | EV_PERSIST, handle_read, this));
     event_add(event_.get(), nullptr);
--- a/packages/daemon/src/http_server.cpp
+++ b/packages/daemon/src/http_server.cpp
@@ -83,10 +83,12 @@
     errno = 0;
     auto* socket = evhttp_bind_socket_with_handle(server_.get(), address.host().c_str(), address.port());
     if (socket == nullptr) {
+        const auto error = errno;
         return boost::leaf::new_error(start_error{
             "cannot listen on " + address.to_string() + " for " + std::string{purpose} + ": " +
-                std::strerror(errno),
-            "Choose an address of this machine and a free port, or port 0 to let the system choose."});
+                std::strerror(error),
+            "Choose an address of this machine and a free port, or port 0 to let the system choose.",
+            may_pass(error)});
     }
     send_without_delay(socket);
     return with_port(address, bound_port(socket));
--- a/packages/daemon/src/start_error.hpp
+++ b/packages/daemon/src/start_error.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cerrno>
 #include <string>
 
 namespace hemlocknotch::daemon {
@@ -11,6 +12,16 @@
     std::string what;
     /// What the operator can do about it, as a sentence.
     std::string remedy;
+    /// Whether the cause may pass by itself.
+    bool may_pass = false;
 };
 
+/// Returns whether the cause for which an address could not be listened on, an `errno`, may pass by itself:
+/// another process still has the port, or the system does not have the address yet. Safe to call from any
+/// thread.
+inline bool may_pass(int error)
+{
+    return error == EADDRINUSE || error == EADDRNOTAVAIL;
+}
+
 } // namespace hemlocknotch::daemon
