Leave a line in the log when a gateway ends by itself, and show its descriptors

Seen: a gateway ended on machines of the users' own and left no log that names the cause. An end by a memory fault leaves nothing at all. Change: uncaught-exception with its reason and crashed with the signal go to the log before the process ends as it would have, also on an overflowed stack. The metrics page names the descriptors open and in force, resident memory, processor time and uptime.

--- a/packages/daemon/src/gateway/gateway_command.cpp
+++ b/packages/daemon/src/gateway/gateway_command.cpp
@@ -5,6 +5,7 @@
 
 #include "../event_priority.hpp"
 #include "../start_error.hpp"
+#include "crash_log.hpp"
 #include "descriptor_limit.hpp"
 #include "gateway_settings.hpp"
 #include "gateway_shell.hpp"
@@ -101,6 +102,7 @@
         std::cout << path << ": the settings are good.\n";
         return exit_ok;
     }
+    install_crash_log(settings->instance);
     const auto stated_descriptors = settings->descriptors;
     settings->descriptors = std::min(stated_descriptors, raise_descriptor_limit(stated_descriptors));
     const auto code = boost::leaf::try_handle_all(
--- a/packages/daemon/src/gateway/gateway_pages.cpp
+++ b/packages/daemon/src/gateway/gateway_pages.cpp
@@ -1,3 +1,4 @@
+#include "../process_usage.hpp"
 #include "gateway_shell.hpp"
 
 #include <nlohmann/json.hpp>
@@ -121,6 +122,13 @@
     const auto gauge = [this](std::string_view name, std::size_t value) {
         metrics_.set(name, static_cast<double>(value));
     };
+    const auto usage = read_process_usage();
+    metrics_.set_total("hemlocknotch_process_cpu_seconds_total", usage.cpu_seconds);
+    metrics_.set("hemlocknotch_process_resident_bytes", usage.resident_bytes);
+    metrics_.set("hemlocknotch_process_open_descriptors", usage.open_descriptors);
+    metrics_.set("hemlocknotch_process_max_descriptors", usage.max_descriptors);
+    const std::chrono::duration<double> uptime = clock_.now() - created_at_;
+    metrics_.set("hemlocknotch_uptime_seconds", uptime.count());
     const auto& it = router_.counters();
     total("hemlocknotch_gateway_requests_total", it.requests);
     total("hemlocknotch_gateway_answered_total", it.answered);
--- a/packages/daemon/src/gateway/gateway_shell.hpp
+++ b/packages/daemon/src/gateway/gateway_shell.hpp
@@ -143,6 +143,7 @@
     gateway_settings settings_;
     const gateway::message_dialect& dialect_;
     process_clock clock_;
+    instant created_at_ = clock_.now();
     std::uint64_t incarnation_ = entropy_source{}.next();
     nonblocking_log log_;
     metrics metrics_;
--- a/packages/daemon/src/metric_catalog.cpp
+++ b/packages/daemon/src/metric_catalog.cpp
@@ -95,6 +95,8 @@
     metric_description{"hemlocknotch_messages_sent_total", "Messages sent on links, by kind."},
     metric_description{"hemlocknotch_process_cpu_seconds_total",
                        "Processor time of the process, user and system."},
+    metric_description{"hemlocknotch_process_max_descriptors", "Descriptors that the process may open."},
+    metric_description{"hemlocknotch_process_open_descriptors", "Descriptors that the process has open."},
     metric_description{"hemlocknotch_process_resident_bytes", "Resident memory of the process."},
     metric_description{"hemlocknotch_refused_by_front_total",
                        "Requests refused before the decisions saw them, by refusal code."},
--- a/packages/daemon/src/process_usage.cpp
+++ b/packages/daemon/src/process_usage.cpp
@@ -3,7 +3,10 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <system_error>
 
 namespace hemlocknotch::daemon {
 namespace {
@@ -30,6 +33,16 @@
     if (file >> total >> resident) {
         out.resident_bytes = resident * static_cast<double>(sysconf(_SC_PAGESIZE));
     }
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        out.max_descriptors = static_cast<double>(limit.rlim_cur);
+    }
+    std::error_code ec;
+    const std::filesystem::directory_iterator descriptors{"/proc/self/fd", ec};
+    if (!ec) {
+        // Without that of the iterator.
+        out.open_descriptors = static_cast<double>(std::distance(begin(descriptors), end(descriptors)) - 1);
+    }
     return out;
 }
 
