--- a/packages/daemon/src/gateway/caller_server.cpp
+++ b/packages/daemon/src/gateway/caller_server.cpp
@@ -5,6 +5,7 @@
 #include "../start_error.hpp"
 
 #include <boost/leaf/error.hpp>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -12,6 +13,7 @@
 #include <array>
 #include <cassert>
 #include <cerrno>
+#include <chrono>
 #include <cstring>
 #include <string_view>
 #include <utility>
@@ -46,6 +48,20 @@
     int fd_;
 };
 
+/// Time without accepting after the system had no descriptor or memory for a connection.
+constexpr duration accept_pause = std::chrono::milliseconds{100};
+
+bool is_lack_of_resources(int error)
+{
+    return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
+bool is_readable(int fd)
+{
+    pollfd it{fd, POLLIN, 0};
+    return ::poll(&it, 1, 0) > 0;
+}
+
 } // namespace
 
 caller_server::caller_server(event_base* base, const gateway::message_dialect& dialect,
@@ -57,7 +73,8 @@
       sink_{sink},
       memory_{memory},
       requests_{max_request_bytes},
-      reaper_{base, [this] { closed_.clear(); }, event_priority::request}
+      reaper_{base, [this] { closed_.clear(); }, event_priority::request},
+      accept_again_{base, [this] { resume_accepting(); }, event_priority::request}
 {
     assert(max_connections >= 1);
 }
@@ -72,9 +89,10 @@
                                                 LEV_OPT_CLOSE_ON_FREE | LEV_OPT_DISABLED,
                                             accept_backlog, at.get(), at.length()));
     if (!listener_) {
+        const auto error = errno;
         return boost::leaf::new_error(
-            start_error{"cannot listen on " + address.to_string() + " for callers: " + std::strerror(errno),
-                        "Choose an address of this instance and a free port."});
+            start_error{"cannot listen on " + address.to_string() + " for callers: " + std::strerror(error),
+                        "Choose an address of this instance and a free port.", may_pass(error)});
     }
     const auto fd = evconnlistener_get_fd(listener_.get());
     accept_event_.reset(event_new(base_, fd, EV_READ | EV_PERSIST, handle_accept, this));
@@ -97,6 +115,17 @@
         if (fd >= 0) {
             accept(fd);
         }
+        else if (is_lack_of_resources(errno)) {
+            // The kernel reports a lack of descriptors before it looks whether a connection waits.
+            const auto is_full = errno == EMFILE;
+            if (!is_readable(listener)) {
+                return;
+            }
+            if (!is_full || yielding_.next() == nullptr) {
+                return pause_accepting();
+            }
+            make_room();
+        }
         else if (errno != EINTR && errno != ECONNABORTED) {
             if (errno != EAGAIN && errno != EWOULDBLOCK) {
                 sink_.on_malformed(0, "accept-failed");
@@ -106,6 +135,21 @@
     }
 }
 
+void caller_server::pause_accepting()
+{
+    sink_.on_malformed(0, "accept-failed");
+    // The connection that waits keeps the listener readable, so that the loop would call again at once.
+    event_del(accept_event_.get());
+    accept_again_.start(accept_pause);
+}
+
+void caller_server::resume_accepting()
+{
+    if (accept_event_) {
+        event_add(accept_event_.get(), nullptr);
+    }
+}
+
 void caller_server::shed(int fd)
 {
     // Closed with the function. What is read is not looked at: nothing has run, whatever it asks for.
