--- a/packages/daemon/tests/message_pieces.hpp
+++ b/packages/daemon/tests/message_pieces.hpp
@@ -45,6 +45,13 @@
     }
 }
 
+/// Lets the connection be reset when `fd` is closed, so that its port is free at once.
+inline void reset_at_close(int fd)
+{
+    constexpr linger discard{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+}
+
 /// One end of a connection whose other end is in this process too.
 class piece_sender {
 public:
--- a/packages/daemon/tests/requests_in_pieces_test.cpp
+++ b/packages/daemon/tests/requests_in_pieces_test.cpp
@@ -80,6 +80,7 @@
             out.requests.push_back(text_of(*it));
         }
         out.answers = client.receive();
+        reset_at_close(client.descriptor());
         return out;
     }
 
