--- a/packages/daemon/tests/crash_log_test.cpp
+++ b/packages/daemon/tests/crash_log_test.cpp
@@ -47,6 +47,14 @@
     return out;
 }
 
+/// Recurses until the stack overflows.
+int overflow_stack(int depth) // NOLINT(misc-no-recursion)
+{
+    std::array<volatile char, 4096> frame{};
+    frame.front() = static_cast<char>(depth);
+    return depth < 0 ? 0 : overflow_stack(depth + 1) + frame.front();
+}
+
 BOOST_AUTO_TEST_SUITE(crash_log_suite)
 
 BOOST_AUTO_TEST_CASE(an_uncaught_exception_leaves_its_reason_in_the_log)
@@ -64,6 +72,13 @@
     BOOST_TEST(it.log.find("\"event\":\"crashed\",\"signal\":\"SIGSEGV\"") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(an_overflowed_stack_leaves_a_line)
+{
+    const auto it = run_process([] { static_cast<void>(overflow_stack(0)); });
+    BOOST_TEST(it.signal == SIGSEGV);
+    BOOST_TEST(it.log.find("\"event\":\"crashed\",\"signal\":\"SIGSEGV\"") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
