Keep a part of the requests' memory for ordinary requests

What callers could see: a few large requests that wait for their endpoints fill the memory of requests, cannot give way, and every other caller gets 503. To find the next to give way, all were looked through for each that did. Found in a review; by arithmetic five bodies of 4 MB on 110 MB.

Change: requests above 64 KB have three quarters of the memory together, and those that may give way are kept in order of their size. The smallest instance is one of 48 MB, where a single request of the largest size fits.

Measured: large_requests_that_are_served_leave_room_for_ordinary_ones passes.

--- a/packages/gateway/include/hemlocknotch/gateway/memory_budget.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/memory_budget.hpp
@@ -8,7 +8,7 @@
 /// Parts of an instance's memory that callers' requests and endpoints' answers may take.
 struct memory_budget {
     static constexpr std::size_t default_instance_bytes = 110'000'000;
-    static constexpr std::size_t min_instance_bytes = 40'000'000;
+    static constexpr std::size_t min_instance_bytes = 48'000'000;
     /// What a process takes without load.
     static constexpr std::size_t process_bytes = 22'000'000;
 
--- a/packages/gateway/include/hemlocknotch/gateway/request_memory.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/request_memory.hpp
@@ -3,6 +3,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
+#include <utility>
 
 namespace hemlocknotch::gateway {
 
@@ -25,8 +27,12 @@
     /// be refused.
     void set(request_holder& it, std::size_t bytes, bool may_give_way);
 
-    /// Returns the holder to be refused next: where the requests are too large together, the one that holds
-    /// most. Null where they are not, or all of them are being served.
+    /// Requests above this size are large. They may take three quarters of the memory together, so that
+    /// ordinary ones are served beside them.
+    static constexpr std::size_t large_bytes = std::size_t{64} << 10U;
+
+    /// Returns the holder to be refused next: where the requests, or the large ones of them, are too large
+    /// together, the one that holds most. Null where they are not, or all of them are being served.
     [[nodiscard]] request_holder* to_give_way() const;
 
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
@@ -34,11 +40,17 @@
 private:
     struct holding {
         std::size_t bytes = 0;
-        bool may_give_way = true;
     };
 
+    using yielding_key = std::pair<std::size_t, request_holder*>;
+
+    void remove(request_holder& it);
+
     std::size_t max_bytes_;
     std::size_t bytes_ = 0;
+    std::size_t bytes_of_large_ = 0;
+    /// Holders that may give way, by their bytes.
+    std::set<yielding_key> yielding_;
     std::map<request_holder*, holding> holdings_;
 };
 
--- a/packages/gateway/tests/request_memory_test.cpp
+++ b/packages/gateway/tests/request_memory_test.cpp
@@ -33,6 +33,22 @@
     BOOST_TEST(it.bytes() == 610U);
 }
 
+BOOST_AUTO_TEST_CASE(large_requests_that_are_served_leave_room_for_ordinary_ones)
+{
+    constexpr auto large = request_memory::large_bytes + 1;
+    std::array<idle_holder, 4> holders{};
+    request_memory it{4 * large};
+    it.set(holders[0], large, false);
+    it.set(holders[1], large, false);
+    it.set(holders[2], large, true);
+    BOOST_TEST(it.to_give_way() == nullptr);
+    it.set(holders[2], large + large / 2, true);
+    BOOST_TEST(it.to_give_way() == &holders[2]);
+    it.set(holders[2], 0, true);
+    it.set(holders[3], large - 1, true);
+    BOOST_TEST(it.to_give_way() == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(nothing_gives_way_where_all_are_served)
 {
     idle_holder holder;
