Count the target and the method of a request that is received

What happens: a request line is consumed at once, and its target, up to the limit of a head, counted nowhere until the request was complete: 37 MB with all connections of an instance of 110 MB, computed.

Change: the parser's memory includes target, method and the lists of connection and coding values.

Measured: a_request_target_counts_as_held passes; a trial on the code before held 319 bytes for a target of 16,301.

--- a/packages/daemon/src/gateway/message_parser.hpp
+++ b/packages/daemon/src/gateway/message_parser.hpp
@@ -91,7 +91,9 @@
     /// Returns the memory that the message takes. Short header lines take many times their bytes.
     [[nodiscard]] std::size_t held_bytes() const
     {
-        return sizeof *this + fields_.capacity() * sizeof(gateway::header_field) + text_bytes_ +
+        const auto lists = connection_values_.capacity() + coding_values_.capacity();
+        return sizeof *this + fields_.capacity() * sizeof(gateway::header_field) +
+               lists * sizeof(std::string) + text_bytes_ + method_.capacity() + target_.capacity() +
                body_.capacity();
     }
 
--- a/packages/daemon/tests/message_parser_test.cpp
+++ b/packages/daemon/tests/message_parser_test.cpp
@@ -114,6 +114,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_request_target_counts_as_held)
+{
+    const std::string target(max_header_bytes / 2, 'x');
+    request_parser parser{max_header_bytes, max_body_bytes};
+    boost::beast::error_code fault;
+    parser.parse("POST /" + target + " HTTP/1.1\r\n", fault);
+    BOOST_TEST(!fault);
+    BOOST_TEST(parser.held_bytes() > target.size());
+}
+
 BOOST_AUTO_TEST_CASE(a_chunk_is_read_as_soon_as_it_has_arrived)
 {
     answer_parser parser{max_header_bytes, max_body_bytes};
