Notice a reset behind a further request, and spare unsent answers

Change: reading goes on while a request is served, as before. What comes behind it counts with all requests and is dropped where these hold too much; above 1 MB the connection ends, as it always has. A connection with unsent bytes is in the last phase to give way until they are sent.

The order of unsent answers has a test of its class only.

--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -18,6 +18,8 @@
 constexpr int status_unavailable = 503;
 constexpr int status_version_not_supported = 505;
 constexpr int http_1_1 = 11;
+/// Maximum number of bytes that a caller may send behind a request before that is answered.
+constexpr std::size_t max_pipelined_bytes = std::size_t{1} << 20U;
 /// Maximum number of bytes of an answer that are buffered for a slow caller; bounds memory.
 constexpr std::size_t max_unsent_bytes = std::size_t{8} << 20U;
 /// Unsent bytes from which no more should be sent: what a caller at 1 MB a second takes in an eighth of a
@@ -45,8 +47,8 @@
 /// Returns the memory that a request takes. Short lines take several times their bytes.
 std::size_t size_of(const gateway::caller_request& it)
 {
-    auto out = sizeof it + it.target.capacity() + it.host.capacity() + it.body.capacity() +
-               it.headers.capacity() * sizeof(gateway::header_field);
+    auto out = sizeof it + it.method.capacity() + it.target.capacity() + it.host.capacity() +
+               it.body.capacity() + it.headers.capacity() * sizeof(gateway::header_field);
     for (const auto& field : it.headers) {
         out += field.name.capacity() + field.value.capacity();
     }
@@ -79,7 +81,7 @@
 
 void caller_connection::enter_idle()
 {
-    owner_.on_yielding(*this, yielding_phase::idle);
+    owner_.on_yielding(*this, channel_->pending_bytes() > 0 ? yielding_phase::sending : yielding_phase::idle);
     timer_.start(owner_.limits().idle_timeout + idle_timeout_margin);
 }
 
@@ -88,18 +90,23 @@
     if (is_closed_) {
         return;
     }
-    input_ += bytes;
-    if (is_serving()) {
-        return hold_pipelined();
+    if (!is_serving()) {
+        input_ += bytes;
+        return read_requests();
+    }
+    pipelined_bytes_ += bytes.size();
+    if (pipelined_bytes_ > max_pipelined_bytes) {
+        return abort();
+    }
+    // Nothing is read behind the last request of a connection.
+    if (!is_closing_after_answer_) {
+        input_ += bytes;
+        hold_pipelined();
     }
-    read_requests();
 }
 
 void caller_connection::hold_pipelined()
 {
-    if (!std::exchange(is_paused_, true)) {
-        channel_->pause_reading();
-    }
     if (!owner_.note_held(pipelined_, input_.capacity(), true)) {
         drop_pipelined();
     }
@@ -347,6 +354,9 @@
     if (std::exchange(is_congestion_reported_, false) && is_serving()) {
         owner_.on_drained(exchange_);
     }
+    else if (!is_serving() && !parser_ && !is_closing_after_answer_) {
+        owner_.on_yielding(*this, yielding_phase::idle);
+    }
 }
 
 void caller_connection::end_stream()
@@ -365,21 +375,20 @@
     is_streaming_ = false;
     is_head_method_ = false;
     owner_.note_held(pipelined_, 0, true);
+    pipelined_bytes_ = 0;
     unsent_bytes_ = channel_->pending_bytes();
     // The head of a stream may have been sent before the stop began, without `Connection: close`.
     is_closing_after_answer_ = is_closing_after_answer_ || owner_.is_closing_after_answers();
-    if (std::exchange(is_paused_, false)) {
-        channel_->resume_reading();
-    }
     if (is_closing_after_answer_) {
         std::string{}.swap(input_);
+        is_read_pending_ = false;
         channel_->close_when_drained();
-        owner_.on_yielding(*this, yielding_phase::closing);
+        owner_.on_yielding(*this, yielding_phase::sending);
         timer_.start(close_timeout);
         return;
     }
     enter_idle();
-    if (!input_.empty()) {
+    if (!input_.empty() && !is_reading_) {
         owner_.on_yielding(*this, yielding_phase::receiving);
         is_read_pending_ = true;
         timer_.activate();
@@ -409,7 +418,7 @@
     if (is_idle && !channel_->has_unread_bytes()) {
         is_closing_after_answer_ = true;
         channel_->close_when_drained();
-        owner_.on_yielding(*this, yielding_phase::closing);
+        owner_.on_yielding(*this, yielding_phase::sending);
         timer_.start(close_timeout);
     }
 }
--- a/packages/daemon/src/gateway/caller_connection.hpp
+++ b/packages/daemon/src/gateway/caller_connection.hpp
@@ -98,9 +98,9 @@
 
 private:
     /// Holds the bytes that have been received behind the request that is being served.
-    class pipelined_bytes final : public gateway::request_holder {
+    class pipelined_holder final : public gateway::request_holder {
     public:
-        explicit pipelined_bytes(caller_connection& owner) : owner_{owner} {}
+        explicit pipelined_holder(caller_connection& owner) : owner_{owner} {}
 
         void give_way() override { owner_.drop_pipelined(); }
 
@@ -110,7 +110,7 @@
 
     /// Refuses the request that is being received, to free its memory. Precondition: none is being served.
     void give_way() override;
-    /// Notes the bytes behind the request that is being served, and reads no more until it is answered.
+    /// Notes the bytes behind the request that is being served.
     void hold_pipelined();
     /// Frees these bytes; the connection ends with the answer in progress.
     void drop_pipelined();
@@ -132,7 +132,9 @@
     timer timer_;
     /// Received bytes that are not parsed yet.
     std::string input_;
-    pipelined_bytes pipelined_{*this};
+    pipelined_holder pipelined_{*this};
+    /// Bytes received behind the request that is being served.
+    std::size_t pipelined_bytes_ = 0;
     /// Head of a stream whose first chunk has not been sent yet.
     std::string stream_head_;
     std::unique_ptr<request_parser> parser_;
@@ -149,8 +151,6 @@
     bool has_sent_continue_ = false;
     bool is_closed_ = false;
     bool is_reading_ = false;
-    /// No more is read until the request in progress is answered.
-    bool is_paused_ = false;
     /// A pipelined request is parsed on the next iteration of the event loop, so that `on_request` is not
     /// called from within a function that the owner called.
     bool is_read_pending_ = false;
--- a/packages/daemon/src/gateway/yielding_connections.hpp
+++ b/packages/daemon/src/gateway/yielding_connections.hpp
@@ -17,8 +17,8 @@
     idle,
     /// Part of a request has been received.
     receiving,
-    /// Its last answer is on its way.
-    closing
+    /// An answer is on its way to the caller.
+    sending
 };
 
 /// Connections that may be closed to make room for new ones, since no request of theirs is being served. Used
--- a/packages/daemon/tests/caller_server_closing_test.cpp
+++ b/packages/daemon/tests/caller_server_closing_test.cpp
@@ -87,6 +87,14 @@
     BOOST_TEST(recorder.requests.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_reset_behind_a_further_request_is_noticed_while_the_first_is_served)
+{
+    raw_client client{loop.base(), port, head + "Content-Length: 1\r\n\r\nx" + "P"};
+    BOOST_REQUIRE(loop.run_until([&] { return recorder.requests.size() == 1; }));
+    client.reset();
+    BOOST_TEST(loop.run_until([&] { return recorder.disconnected.size() == 1; }));
+}
+
 /// Guards against memory that large requests fill which stop just short of their end: they give way, and a
 /// small request is served beside them.
 BOOST_AUTO_TEST_CASE(unfinished_requests_give_way_where_all_hold_too_much)
--- a/packages/daemon/tests/test_loop.hpp
+++ b/packages/daemon/tests/test_loop.hpp
@@ -6,6 +6,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <functional>
@@ -63,6 +64,17 @@
     /// Ends the connection in the client's direction only.
     void finish_sending() { ::shutdown(bufferevent_getfd(stream_.get()), SHUT_WR); }
 
+    /// Closes the connection so that the other side sees a reset.
+    void reset()
+    {
+        const linger at_once{.l_onoff = 1, .l_linger = 0};
+        ::setsockopt(bufferevent_getfd(stream_.get()), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
+        ::close(bufferevent_getfd(stream_.get()));
+        bufferevent_setfd(stream_.get(), -1);
+        is_closed_ = true;
+    }
+
     void stop_reading() { bufferevent_disable(stream_.get(), EV_READ); }
 
     void resume_reading() { bufferevent_enable(stream_.get(), EV_READ); }
--- a/packages/daemon/tests/yielding_connections_test.cpp
+++ b/packages/daemon/tests/yielding_connections_test.cpp
@@ -23,13 +23,13 @@
 BOOST_AUTO_TEST_CASE(idle_connections_yield_before_those_that_receive_a_request)
 {
     BOOST_TEST(it.next() == nullptr);
-    it.set(connection(0), yielding_phase::closing);
+    it.set(connection(0), yielding_phase::sending);
     it.set(connection(1), yielding_phase::receiving);
     it.set(connection(2), yielding_phase::idle);
     BOOST_TEST(it.next() == &connection(2));
     it.remove(connection(2));
     BOOST_TEST(it.next() == &connection(1));
-    it.set(connection(1), yielding_phase::closing);
+    it.set(connection(1), yielding_phase::sending);
     BOOST_TEST(it.next() == &connection(0));
     it.remove(connection(0));
     it.remove(connection(0));
