--- a/packages/daemon/src/gateway/caller_connection.cpp
+++ b/packages/daemon/src/gateway/caller_connection.cpp
@@ -18,8 +18,6 @@
 constexpr int status_unavailable = 503;
 constexpr int status_version_not_supported = 505;
 constexpr int http_1_1 = 11;
-/// Maximum number of bytes of pipelined requests that are buffered while a request is served.
-constexpr std::size_t max_pipelined_bytes = std::size_t{1} << 20U;
 /// Maximum number of bytes of an answer that are buffered for a slow caller; bounds memory.
 constexpr std::size_t max_unsent_bytes = std::size_t{8} << 20U;
 /// Unsent bytes from which no more should be sent: what a caller at 1 MB a second takes in an eighth of a
@@ -27,6 +25,8 @@
 constexpr std::size_t congestion_bytes = std::size_t{128} << 10U;
 /// Time that a caller may take to close the connection after its last answer, or to take some of an answer.
 constexpr duration close_timeout = std::chrono::seconds{2};
+/// Bytes up to which a buffer without content is kept for the next read.
+constexpr std::size_t max_kept_bytes = std::size_t{4} << 10U;
 /// Added to the idle timeout, so that a request that a caller sends just before the timeout is still read.
 constexpr duration idle_timeout_margin = std::chrono::milliseconds{500};
 
@@ -85,7 +85,7 @@
 
 void caller_connection::enter_idle()
 {
-    owner_.on_idle(*this);
+    owner_.on_yielding(*this, yielding_phase::idle);
     timer_.start(owner_.limits().idle_timeout + idle_timeout_margin);
 }
 
@@ -96,30 +96,61 @@
     }
     input_ += bytes;
     if (is_serving()) {
-        if (input_.size() > max_pipelined_bytes) {
-            abort();
-        }
-        return;
+        return hold_pipelined();
     }
     read_requests();
-    if (!is_closed_ && !is_serving() && !is_closing_after_answer_) {
-        note_received();
+}
+
+void caller_connection::hold_pipelined()
+{
+    if (!std::exchange(is_paused_, true)) {
+        channel_->pause_reading();
+    }
+    if (!owner_.note_held(pipelined_, input_.capacity(), true)) {
+        drop_pipelined();
     }
 }
 
+void caller_connection::drop_pipelined()
+{
+    std::string{}.swap(input_);
+    owner_.note_held(pipelined_, 0, true);
+    is_closing_after_answer_ = true;
+}
+
 void caller_connection::note_received()
 {
-    const auto body = parser_ ? parser_->body().capacity() : 0;
-    if (!owner_.note_held(*this, input_.capacity() + body, true)) {
-        give_up_request();
+    if (input_.empty() && input_.capacity() > max_kept_bytes) {
+        std::string{}.swap(input_);
+    }
+    if (is_serving() && !input_.empty()) {
+        return hold_pipelined();
+    }
+    if (is_closed_ || is_serving() || is_closing_after_answer_) {
+        return;
+    }
+    if (!parser_ && input_.empty()) {
+        owner_.note_held(*this, 0, true);
+        return;
+    }
+    owner_.on_yielding(*this, yielding_phase::receiving);
+    if (!owner_.note_held(*this, input_.capacity() + (parser_ ? parser_->held_bytes() : 0), true)) {
+        give_way();
     }
 }
 
-void caller_connection::give_up_request()
+void caller_connection::give_way()
 {
     reject(status_unavailable, "Too many bytes of requests are held.");
-    std::string{}.swap(input_);
-    owner_.note_held(*this, 0, true);
+}
+
+void caller_connection::give_way_to_new()
+{
+    assert(!is_serving());
+    if ((parser_ || !input_.empty()) && !is_closing_after_answer_) {
+        reject(status_unavailable, "Too many connections are open.");
+    }
+    abort();
 }
 
 void caller_connection::read_requests()
@@ -133,7 +164,7 @@
             const auto& limits = owner_.limits();
             parser_ = std::make_unique<request_parser>(limits.max_header_bytes, limits.max_body_bytes);
             timer_.start(limits.header_timeout);
-            owner_.on_busy(*this);
+            owner_.on_yielding(*this, yielding_phase::receiving);
         }
         const auto had_head = parser_->is_header_done();
         const auto head_end = had_head ? std::string::npos : input_.find("\r\n\r\n");
@@ -172,6 +203,7 @@
         }
     }
     is_reading_ = false;
+    note_received();
 }
 
 void caller_connection::handle_request()
@@ -210,7 +242,7 @@
     request->target = parser->target();
     request->body = std::move(parser->body());
     if (!owner_.note_held(*this, size_of(*request) + input_.capacity(), true)) {
-        return give_up_request();
+        return give_way();
     }
     if (channel_->has_peer_closed()) {
         // Under load a request may be read after its caller has disconnected; its answer would be discarded.
@@ -339,16 +371,23 @@
     owner_.note_held(*this, 0, true);
     is_streaming_ = false;
     is_head_method_ = false;
+    owner_.note_held(pipelined_, 0, true);
     unsent_bytes_ = channel_->pending_bytes();
     // The head of a stream may have been sent before the stop began, without `Connection: close`.
     is_closing_after_answer_ = is_closing_after_answer_ || owner_.is_closing_after_answers();
+    if (std::exchange(is_paused_, false)) {
+        channel_->resume_reading();
+    }
     if (is_closing_after_answer_) {
+        std::string{}.swap(input_);
         channel_->close_when_drained();
+        owner_.on_yielding(*this, yielding_phase::closing);
         timer_.start(close_timeout);
         return;
     }
     enter_idle();
     if (!input_.empty()) {
+        owner_.on_yielding(*this, yielding_phase::receiving);
         is_read_pending_ = true;
         timer_.activate();
     }
@@ -377,6 +416,7 @@
     if (is_idle && !channel_->has_unread_bytes()) {
         is_closing_after_answer_ = true;
         channel_->close_when_drained();
+        owner_.on_yielding(*this, yielding_phase::closing);
         timer_.start(close_timeout);
     }
 }
@@ -426,6 +466,7 @@
     timer_.stop();
     channel_->close();
     owner_.note_held(*this, 0, true);
+    owner_.note_held(pipelined_, 0, true);
     owner_.on_closed(*this);
 }
 
--- a/packages/daemon/src/gateway/caller_connection.hpp
+++ b/packages/daemon/src/gateway/caller_connection.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <hemlocknotch/gateway/request_memory.hpp>
 #include <hemlocknotch/gateway/router_port.hpp>
 #include <hemlocknotch/gateway/routing_configuration.hpp>
 
 #include "../timer.hpp"
 #include "message_parser.hpp"
 #include "socket_channel.hpp"
+#include "yielding_connections.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -38,21 +40,19 @@
     /// Returns whether each connection is closed after its answer, because the process stops or too many
     /// connections are open.
     [[nodiscard]] virtual bool is_closing_after_answers() const = 0;
-    /// The connection waits for the next request.
-    virtual void on_idle(caller_connection& connection) = 0;
-    /// The connection has begun to read a request.
-    virtual void on_busy(caller_connection& connection) = 0;
+    /// No request of the connection is being served; it has entered `phase`, or made progress in it.
+    virtual void on_yielding(caller_connection& connection, yielding_phase phase) = 0;
     /// The caller of `exchange` has taken all that was sent to it after it had been congested.
     virtual void on_drained(gateway::exchange_id exchange) = 0;
     [[nodiscard]] virtual gateway::answer_memory& memory() = 0;
-    /// The connection holds so many bytes of a request. Other connections are told to give theirs up where
-    /// all hold too many. Returns false where this one has to; only if `may_give_way`.
-    virtual bool note_held(caller_connection& connection, std::size_t bytes, bool may_give_way) = 0;
+    /// `holder` has so many bytes of requests. Others are told to give way where all hold too many. Returns
+    /// false where this one has to; only if `may_give_way`.
+    virtual bool note_held(gateway::request_holder& holder, std::size_t bytes, bool may_give_way) = 0;
 };
 
 /// HTTP/1.1 connection of one caller: parses requests strictly, one after the other, and writes their
 /// answers. Used on the event loop's thread only.
-class caller_connection final : public channel_sink {
+class caller_connection final : public channel_sink, private gateway::request_holder {
 public:
     caller_connection(event_base* base, int fd, caller_connection_owner& owner);
 
@@ -76,8 +76,9 @@
     /// Closes at once; an answer in progress stays incomplete.
     void abort();
 
-    /// Refuses the request that is being received, to free its memory. Precondition: none is being served.
-    void give_up_request();
+    /// Refuses what has been received of a request, if anything, and closes. Precondition: no request is
+    /// being served.
+    void give_way_to_new();
 
     /// Closes the connection unless a request is being read or served.
     void close_if_idle();
@@ -96,6 +97,23 @@
     void on_drained() override;
 
 private:
+    /// Holds the bytes that have been received behind the request that is being served.
+    class pipelined_bytes final : public gateway::request_holder {
+    public:
+        explicit pipelined_bytes(caller_connection& owner) : owner_{owner} {}
+
+        void give_way() override { owner_.drop_pipelined(); }
+
+    private:
+        caller_connection& owner_;
+    };
+
+    /// Refuses the request that is being received, to free its memory. Precondition: none is being served.
+    void give_way() override;
+    /// Notes the bytes behind the request that is being served, and reads no more until it is answered.
+    void hold_pipelined();
+    /// Frees these bytes; the connection ends with the answer in progress.
+    void drop_pipelined();
     void read_requests();
     void handle_request();
     /// Notes the bytes of the request that is being received, and refuses it where they are too many.
@@ -114,6 +132,7 @@
     timer timer_;
     /// Received bytes that are not parsed yet.
     std::string input_;
+    pipelined_bytes pipelined_{*this};
     /// Head of a stream whose first chunk has not been sent yet.
     std::string stream_head_;
     std::unique_ptr<request_parser> parser_;
@@ -130,6 +149,8 @@
     bool has_sent_continue_ = false;
     bool is_closed_ = false;
     bool is_reading_ = false;
+    /// No more is read until the request in progress is answered.
+    bool is_paused_ = false;
     /// A pipelined request is parsed on the next iteration of the event loop, so that `on_request` is not
     /// called from within a function that the owner called.
     bool is_read_pending_ = false;
