--- a/packages/daemon/src/gateway/caller_server.hpp
+++ b/packages/daemon/src/gateway/caller_server.hpp
@@ -133,6 +133,9 @@
 private:
     void accept_waiting();
     static void handle_accept(evutil_socket_t listener, short what, void* self);
+    /// Accepts nothing for a while, since the system has no descriptor or memory left for a connection.
+    void pause_accepting();
+    void resume_accepting();
     void accept(int fd);
     /// Closes the connection that gives way to a new one, if there is any.
     void make_room();
@@ -161,6 +164,7 @@
     /// Closed connections, destroyed by `reaper_` outside of their own functions.
     std::vector<std::unique_ptr<caller_connection>> closed_;
     timer reaper_;
+    timer accept_again_;
     gateway::exchange_id last_exchange_ = 0;
     bool is_stopping_ = false;
     gateway::overload_state overload_;
--- a/packages/daemon/src/gateway/gateway_command.cpp
+++ b/packages/daemon/src/gateway/gateway_command.cpp
@@ -5,12 +5,17 @@
 
 #include "../event_priority.hpp"
 #include "../start_error.hpp"
+#include "crash_log.hpp"
+#include "descriptor_limit.hpp"
 #include "gateway_settings.hpp"
 #include "gateway_shell.hpp"
+#include "gateway_starter.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <event2/event.h>
 
+#include <algorithm>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -25,6 +30,8 @@
 constexpr int exit_ok = 0;
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
+/// Time beyond the stop grace for which a start waits for an address.
+constexpr duration start_limit = std::chrono::seconds{30};
 
 std::optional<gateway_settings> load(const std::string& path)
 {
@@ -67,17 +74,19 @@
     const platform::header_dialect dialect;
     platform::store_client store{base.get(), *settings.store};
     gateway_shell shell{base.get(), settings, dialect, store, store};
-    const signal_watch stop{base.get(), SIGTERM, [&] { shell.stop(); }};
-    const signal_watch interrupt{base.get(), SIGINT, [&] { shell.stop(); }};
+    // The process before this one may have its addresses until its grace is over.
+    gateway_starter starter{base.get(), shell, settings.stop_grace + start_limit};
+    const signal_watch stop{base.get(), SIGTERM, [&] { starter.stop(); }};
+    const signal_watch interrupt{base.get(), SIGINT, [&] { starter.stop(); }};
     const signal_watch reload{base.get(), SIGHUP, [&] {
                                   if (load(path)) {
                                       shell.reload();
                                   }
                               }};
-    if (auto it = shell.start(); !it) {
-        return it.error();
-    }
     event_base_dispatch(base.get());
+    if (starter.error()) {
+        return boost::leaf::new_error(*starter.error());
+    }
     return exit_ok;
 }
 
@@ -85,7 +94,7 @@
 
 int run_gateway(const std::string& path, bool is_check_only)
 {
-    const auto settings = load(path);
+    auto settings = load(path);
     if (!settings) {
         return exit_usage;
     }
@@ -93,6 +102,9 @@
         std::cout << path << ": the settings are good.\n";
         return exit_ok;
     }
+    install_crash_log(settings->instance);
+    const auto stated_descriptors = settings->descriptors;
+    settings->descriptors = std::min(stated_descriptors, raise_descriptor_limit(stated_descriptors));
     const auto code = boost::leaf::try_handle_all(
         [&] { return run(*settings, path); },
         [](const start_error& error) {
--- a/packages/daemon/src/gateway/report_exchange.cpp
+++ b/packages/daemon/src/gateway/report_exchange.cpp
@@ -138,6 +138,10 @@
 
 std::optional<gateway::fleet_report> decode_report(std::span<const std::uint8_t> bytes)
 {
+    if (!hemlocknotch::detail::has_stated_lengths(
+            {reinterpret_cast<const char*>(bytes.data()), bytes.size()})) {
+        return std::nullopt;
+    }
     report_sax_handler reader;
     if (!json::sax_parse(bytes.begin(), bytes.end(), &reader, json::input_format_t::cbor) ||
         !reader.is_complete()) {
@@ -296,9 +300,13 @@
     const auto at = detail::socket_address::of(address);
     fd_ = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd_ < 0 || ::bind(fd_, at.get(), static_cast<socklen_t>(at.length())) != 0) {
-        return boost::leaf::new_error(start_error{"cannot listen on " + address.to_string() +
-                                                      " for other gateways: " + std::strerror(errno),
-                                                  "Choose an address of this instance and a free port."});
+        const auto error = errno;
+        if (fd_ >= 0) {
+            ::close(std::exchange(fd_, -1));
+        }
+        return boost::leaf::new_error(start_error{
+            "cannot listen on " + address.to_string() + " for other gateways: " + std::strerror(error),
+            "Choose an address of this instance and a free port.", may_pass(error)});
     }
     event_.reset(event_new(base_, fd_, EV_READ | EV_PERSIST, handle_read, this));
     event_add(event_.get(), nullptr);
