--- a/packages/daemon/src/gateway/gateway_shell.cpp
+++ b/packages/daemon/src/gateway/gateway_shell.cpp
@@ -4,8 +4,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
-#include <functional>
 #include <utility>
 
 namespace hemlocknotch::daemon {
@@ -138,33 +136,6 @@
 
 gateway_shell::~gateway_shell() = default;
 
-boost::leaf::result<void> gateway_shell::listen()
-{
-    const auto listen_pages = [](page_server& server, const std::optional<endpoint_address>& address,
-                                 std::string_view purpose) -> boost::leaf::result<void> {
-        if (!address) {
-            return {};
-        }
-        if (auto it = server.listen(*address, purpose); !it) {
-            return it.error();
-        }
-        return {};
-    };
-    const std::array<std::function<boost::leaf::result<void>()>, 4> listeners{
-        [&] { return listen_pages(readiness_server_, settings_.readiness, "readiness"); },
-        [&] { return listen_pages(metrics_server_, settings_.metrics, "metrics"); },
-        [&] { return listen_pages(registry_server_, settings_.registry, "other gateways"); },
-        [&]() -> boost::leaf::result<void> {
-            return settings_.members ? reports_.listen(*settings_.members) : boost::leaf::result<void>{};
-        }};
-    for (; listener_count_ < listeners.size(); ++listener_count_) {
-        if (auto it = listeners.at(listener_count_)(); !it) {
-            return it.error();
-        }
-    }
-    return {};
-}
-
 boost::leaf::result<endpoint_address> gateway_shell::start()
 {
     if (auto it = listen(); !it) {
