Do not charge accounts for requests that no endpoint began

Accounts whose requests went to endpoints that crashed or were full got less than others: a request counted as served when it was sent, each time, and nothing was taken back.

What is left of a send is taken back when its endpoint rejects it, cannot be reached, breaks off, or is given up before the first event. A caller that leaves is still charged, so that leaving early does not buy work.

--- a/packages/gateway/include/hemlocknotch/gateway/share_meter.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/share_meter.hpp
@@ -41,6 +41,9 @@
     /// Counts a request of `account` that this gateway sent to an endpoint.
     void note_served(std::string_view account, double tokens, instant now);
 
+    /// Takes back what is left of `tokens` that were counted at `served_at`: the endpoint did not begin them.
+    void take_back_served(std::string_view account, double tokens, instant served_at, instant now);
+
     /// Replaces all rates that `gateway` reported. They count in full until its next report; accounts that
     /// are not in `rates` have none there.
     void set_reported(std::string_view gateway, std::span<const reported_rates> rates);
--- a/packages/gateway/src/router_calls.cpp
+++ b/packages/gateway/src/router_calls.cpp
@@ -51,6 +51,7 @@
         auto* it = exchanges_->find(id);
         assert(it != nullptr);
         if (port_.recall_call(it->call)) {
+            service_of(it->service).note_not_begun(*it, now);
             finish_unsent_call(*it, now);
             if (!refuse_before_stop(*it, now)) {
                 send_again(*it, now);
@@ -81,6 +82,7 @@
         return;
     }
     port_.cancel_call(call);
+    service_of(it->service).note_not_begun(*it, now);
     finish_unsent_call(*it, now);
     is_expired ? end_unserved(*it, deadline_exceeded, it->executions > 0, now) : drop(*it, now);
     offer_waiting(now);
@@ -213,6 +215,7 @@
     if (auto* endpoint = endpoints_.find(it.instance)) {
         endpoint_table::note_rejection(*endpoint, it.head->status == exchange::status_misdirected, now);
     }
+    service_of(it.service).note_not_begun(it, now);
     finish_call(it, now);
     if (retry(it, false, now)) {
         return;
@@ -280,6 +283,9 @@
     if (port_.wants_log(log_level::warning)) {
         port_.write_log(call_failed_record(it, was_executed, port_.event_delay(), now));
     }
+    if (it.first_event_at == instant::max()) {
+        service_of(it.service).note_not_begun(it, now);
+    }
     was_executed ? finish_call(it, now) : finish_unsent_call(it, now);
     if (retry(it, was_executed, now)) {
         offer_waiting(now);
@@ -348,6 +354,7 @@
     if (has_call) {
         if (it.first_event_at == instant::max()) {
             note_rollout_failed(it);
+            service_of(it.service).note_not_begun(it, now);
         }
         port_.cancel_call(it.call);
         finish_call(it, now);
--- a/packages/gateway/src/service_admission.cpp
+++ b/packages/gateway/src/service_admission.cpp
@@ -39,6 +39,11 @@
     sent_tokens_ += it.cost;
 }
 
+void service_admission::note_not_begun(const exchange& it, instant now)
+{
+    meter_.take_back_served(it.account, it.cost, it.sent_at, now);
+}
+
 double service_admission::endpoint_rate(const routing_configuration& configuration, std::size_t endpoints)
 {
     max_endpoints_seen_ = std::max(max_endpoints_seen_, endpoints);
--- a/packages/gateway/src/service_admission.hpp
+++ b/packages/gateway/src/service_admission.hpp
@@ -23,6 +23,8 @@
     /// Count a request that arrived, and one that is sent to an endpoint.
     void note_requested(const exchange& it, instant now);
     void note_sent(const exchange& it, instant now);
+    /// Takes back the last send of a request: its endpoint did not begin it.
+    void note_not_begun(const exchange& it, instant now);
 
     /// Records the number of endpoints, and returns the tokens per second that one of them processes
     /// according to the configuration, or the default if none are configured.
--- a/packages/gateway/src/share_meter.cpp
+++ b/packages/gateway/src/share_meter.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <chrono>
+#include <cmath>
 #include <limits>
 #include <vector>
 
@@ -28,6 +30,16 @@
     find_or_add(name).local.served.add(tokens, now);
 }
 
+void share_meter::take_back_served(std::string_view name, double tokens, instant served_at, instant now)
+{
+    if (const auto found = accounts_.find(name); found != accounts_.end()) {
+        auto& served = found->second.local.served;
+        const auto decay = std::exp(-std::chrono::duration<double>(now - served_at) / time_constant);
+        // Rounding, or an account that was dropped meanwhile, must not make the rate negative.
+        served.set(std::max(0.0, served.value(now) - tokens * decay), now);
+    }
+}
+
 void share_meter::set_reported(std::string_view gateway, std::span<const reported_rates> rates)
 {
     if (const auto found = reported_.find(gateway); found != reported_.end()) {
