Offer a request that may not wait what room there is, though others wait

Accounts over their share that come through one or two gateways were refused without a look at any endpoint: as soon as one request waited at the gateway, whatever for, a request that may not wait was refused as overloaded. At a gateway that takes all callers of one account something always waits; at a hundred others nothing does, so an account that is spread over them was sent.

What waits was offered at most 10 ms ago and found no room at its own endpoints, with the wider bounds of accounts within their share, so that the new request takes nothing from it.

--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -163,7 +163,9 @@
         return refuse_signature(it, decision, now);
     }
     auto& service = service_of(it.service);
-    if (service.queue().is_empty() && try_send(it, now)) {
+    // What waits has found no room, so a request that may not wait takes nothing from it.
+    const auto may_send_now = service.queue().is_empty() || now >= service.send_by(it, now);
+    if (may_send_now && try_send(it, now)) {
         return;
     }
     if (endpoints_.endpoint_count(it.service) == 0) {
--- a/packages/gateway/tests/account_share_test.cpp
+++ b/packages/gateway/tests/account_share_test.cpp
@@ -87,6 +87,7 @@
     report({{"model", "a", {9000.0, 9000.0}}}, {{port.calls.back().instance, 1e6, 1, 0.0}});
     send_request(2, "/stream/", "key-b");
     BOOST_REQUIRE(port.calls.size() == 1U);
+    now += milliseconds{100};
     // Account a is over its share. Most of these prompts belong at other endpoints than the full one.
     for (exchange_id id = 3; id < 35; ++id) {
         send_request_with_part(id, 100 + id);
