Admit of each account what its share allows, in the same part everywhere

Of accounts that ask for more than their share, the one with most requests at most gateways got most: beyond its level each was sent wherever a gateway saw room, by loads of others that are up to 1.2 s old, so every request was a draw in a race.

A gateway knows what an account asks of the whole fleet. It admits the part of its requests that makes up one and a half times its max-min share of what the operators state, drawn by request, and refuses the others at arrival as over-share. That is core-stateless fair queueing; it does not depend on how many gateways an account uses, nor on how much it asks. Accounts up to their share of the present throughput count as within it, as far as admitted.

--- a/packages/ctl/src/explain_command.cpp
+++ b/packages/ctl/src/explain_command.cpp
@@ -24,6 +24,8 @@
 
 constexpr std::array meanings{
     reason_meaning{"answered", "answered with the endpoint's whole answer"},
+    reason_meaning{"over-share",
+                   "refused at arrival: its account asks for more than it is admitted; it has not run"},
     reason_meaning{"overloaded", "refused at arrival: the backlog was too long; it has not run"},
     reason_meaning{"waited-too-long", "refused: no endpoint had room in time; it has not run"},
     reason_meaning{"timed-out-waiting", "refused at its time limit without having been sent; it has not run"},
--- a/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/placement_policy.hpp
@@ -13,11 +13,11 @@
 
 /// Whether a client account is above its fair share of the service.
 enum class share_state : std::uint8_t {
-    /// Served at most its fair share of the configured capacity of all endpoints.
+    /// Served at most its fair share of the larger of the configured capacity and the current throughput.
     within_share,
-    /// Over that share, but served at most its fair share of the current throughput of the endpoints.
+    /// Over that share, but not over what is admitted of its requests.
     over_stated_share,
-    /// Over both shares: takes capacity that other accounts request.
+    /// Over both: takes capacity that other accounts request.
     over_current_share,
 };
 
--- a/packages/gateway/include/hemlocknotch/gateway/router.hpp
+++ b/packages/gateway/include/hemlocknotch/gateway/router.hpp
@@ -69,6 +69,9 @@
     /// Multiple of the configured token rate of all endpoints, out of which the fair shares of
     /// the accounts are computed.
     double share_capacity = 1.25;
+    /// Multiple of its fair share up to which the requests of an account are admitted. What it requests
+    /// beyond that is refused at arrival.
+    double admitted_shares = 1.5;
     /// Tokens per second that one model endpoint processes if none are configured.
     double default_endpoint_rate = 18'000.0;
     /// The current throughput of the endpoints is estimated as this multiple of the rate recently served, so
--- a/packages/gateway/src/router.cpp
+++ b/packages/gateway/src/router.cpp
@@ -163,6 +163,11 @@
         return refuse_signature(it, decision, now);
     }
     auto& service = service_of(it.service);
+    // A stream that its caller takes up has been admitted before.
+    const auto is_new = it.attempts == 0 && it.request->fields.resumed_request_id.empty();
+    if (is_new && !service.admits(it, now)) {
+        return refuse(it, status_unavailable, "over-share", min_retry_after, now);
+    }
     // What waits has found no room, so a request that may not wait takes nothing from it.
     const auto may_send_now = service.queue().is_empty() || now >= service.send_by(it, now);
     if (may_send_now && try_send(it, now)) {
--- a/packages/gateway/src/service_admission.cpp
+++ b/packages/gateway/src/service_admission.cpp
@@ -1,5 +1,7 @@
 #include "service_admission.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace hemlocknotch::gateway {
@@ -17,6 +19,8 @@
 /// of times longer than the interval. Queues of plain services are short, and their requests end within some
 /// ten milliseconds, so they are offered at once.
 constexpr duration offer_interval = std::chrono::milliseconds{10};
+/// Range of the upper half of a hash.
+constexpr double draw_range = 1ULL << 32U;
 
 } // namespace
 
@@ -53,24 +57,47 @@
                : options_.default_endpoint_rate;
 }
 
+double service_admission::share_capacity(const exchange& it) const
+{
+    return it.is_model ? it.configuration->document().tokens_per_second * options_.share_capacity : 0.0;
+}
+
+void service_admission::update_levels(double capacity, instant now)
+{
+    if (now - level_at_ < level_interval) {
+        return;
+    }
+    fair_level_ = meter_.fair_level(capacity, now);
+    const auto present = std::max(capacity, meter_.total_served(now) * options_.present_headroom);
+    present_level_ = meter_.fair_level(present, now);
+    admitted_level_ = fair_level_ * options_.admitted_shares;
+    level_at_ = now;
+}
+
 share_state service_admission::share_state_of(exchange& it, instant now)
 {
-    const auto capacity = it.configuration->document().tokens_per_second * options_.share_capacity;
-    if (!it.is_model || capacity <= 0.0) {
+    const auto capacity = share_capacity(it);
+    if (capacity <= 0.0) {
         return share_state::within_share;
     }
-    if (now - level_at_ >= level_interval) {
-        fair_level_ = meter_.fair_level(capacity, now);
-        const auto present = std::max(capacity, meter_.total_served(now) * options_.present_headroom);
-        present_level_ = meter_.fair_level(present, now);
-        level_at_ = now;
-    }
+    update_levels(capacity, now);
     it.share = {meter_.rates_of(it.account, now), fair_level_};
     const auto served = it.share->rates.served;
-    if (served <= fair_level_) {
+    if (served <= present_level_) {
         return share_state::within_share;
     }
-    return served <= present_level_ ? share_state::over_stated_share : share_state::over_current_share;
+    return served <= admitted_level_ ? share_state::over_stated_share : share_state::over_current_share;
+}
+
+bool service_admission::admits(exchange& it, instant now)
+{
+    if (share_capacity(it) <= 0.0) {
+        return true;
+    }
+    it.placement_input.account_share = share_state_of(it, now);
+    const auto id = it.id_text();
+    const auto draw = static_cast<double>(XXH64(id.data(), id.size(), ~options_.seed) >> 32U) / draw_range;
+    return draw * it.share->rates.requested < admitted_level_;
 }
 
 duration service_admission::estimated_wait(const exchange& it, instant now) const
--- a/packages/gateway/src/service_admission.hpp
+++ b/packages/gateway/src/service_admission.hpp
@@ -33,6 +33,11 @@
     /// Returns whether the account of `it` is above its fair share, and records in `it` what decided that.
     share_state share_state_of(exchange& it, instant now);
 
+    /// Returns whether a new request is among those that the fair share of its account admits: of an account
+    /// that requests more, the part by which every gateway keeps it to that rate, whatever part of it
+    /// arrives there ("Core-Stateless Fair Queueing", Stoica, Shenker and Zhang, 1998).
+    bool admits(exchange& it, instant now);
+
     /// Returns the expected wait of a new request; zero if there is no evidence of a wait.
     [[nodiscard]] duration estimated_wait(const exchange& it, instant now) const;
 
@@ -59,14 +64,19 @@
     [[nodiscard]] retry_budget& retries() { return retries_; }
 
 private:
+    /// Returns the tokens per second out of which shares are computed; 0: there are no shares.
+    [[nodiscard]] double share_capacity(const exchange& it) const;
+    void update_levels(double capacity, instant now);
+
     const router_options& options_;
     share_meter meter_;
     waiting_queue queue_;
     retry_budget retries_;
     /// Rates up to which an account is within its fair share of the configured capacity and of the current
-    /// throughput, and the time at which they were computed.
+    /// throughput, up to which its requests are admitted, and the time at which they were computed.
     double fair_level_ = 0.0;
     double present_level_ = 0.0;
+    double admitted_level_ = 0.0;
     instant level_at_{};
     /// Largest number of endpoints seen at once, which the configured rate refers to. When endpoints
     /// are lost, the others stay as fast as they were.
