--- a/review/standins-2/platform.hpp
+++ b/review/standins-2/platform.hpp
@@ -582,6 +582,8 @@
 
     [[nodiscard]] int front() const { return front_; }
 
+    [[nodiscard]] pid_t pid() const { return pid_; }
+
     [[nodiscard]] const std::string& name() const { return name_; }
 
 private:
